--- /dev/null
+++ b/src/steering/types/client_address.h
@@ -0,0 +1,17 @@
+/// @file Address of a caller.
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+namespace snipeshore::steering {
+
+/// IPv4 addresses, also those mapped into IPv6 (`::ffff:a.b.c.d`), use the first four bytes.
+struct client_address {
+    bool is_ipv4 = true;
+    std::array<std::uint8_t, 16> bytes{};
+
+    friend bool operator==(const client_address&, const client_address&) = default;
+};
+
+} // namespace snipeshore::steering
