--- a/src/http/client.h
+++ b/src/http/client.h
@@ -5,11 +5,13 @@
 #include "base/time.h"
 #include "http/types/message.h"
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace snipeshore::http {
 
@@ -57,6 +59,12 @@
 struct client_settings {
     std::size_t max_connections_per_address = 64;
     std::size_t max_header_bytes = 64U << 10U;
+    /// Requests that wait for a connection; beyond it a request ends with `overloaded`.
+    std::size_t max_queued_per_address = 256;
+    std::chrono::milliseconds connect_timeout{2000};
+    /// How long an unused connection is kept; shorter than any peer keeps it, so that a request does
+    /// not meet a connection that is being closed.
+    std::chrono::milliseconds idle_timeout{5000};
 };
 
 /// Belongs to the loop's thread.
@@ -78,9 +86,11 @@
         std::function<void(base::result<std::pair<response_head, std::string>>, bool request_sent)>
             on_end);
 
-private:
+    /// For the module's own implementation.
     struct impl;
-    std::unique_ptr<impl> m_impl;
+
+private:
+    std::shared_ptr<impl> m_impl;
 };
 
 } // namespace snipeshore::http
--- /dev/null
+++ b/src/http/internal/call_state.cpp
@@ -0,0 +1,430 @@
+#include "http/internal/call_state.h"
+
+#include "http/internal/client_impl.h"
+#include "http/internal/message_check.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace snipeshore::http {
+
+namespace {
+
+/// Bounds what the kernel buffers for one connection, and so what one read returns.
+constexpr int receive_buffer_bytes = 256 << 10;
+
+constexpr std::string_view parse_failure = "failed to parse the response";
+
+std::string to_string(const h2o_iovec_t& text)
+{
+    return text.base == nullptr ? std::string() : std::string(text.base, text.len);
+}
+
+base::error make_error(base::error_kind kind, const std::string& address, std::string_view cause)
+{
+    return {kind, address + ": " + std::string(cause)};
+}
+
+bool sends_length(std::string_view method, std::string_view body)
+{
+    return !body.empty() || method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+std::string write_head(const request_head& head, std::string_view body)
+{
+    std::string out = head.method + " " + head.path + " HTTP/1.1\r\nhost: " + head.authority + "\r\n";
+    for (const header& one : head.headers) {
+        if (!is_framing_header(one.name)) {
+            out.append(one.name).append(": ").append(one.value).append("\r\n");
+        }
+    }
+    if (sends_length(head.method, body)) {
+        out.append("content-length: ").append(std::to_string(body.size())).append("\r\n");
+    }
+    out.append("\r\n");
+    return out;
+}
+
+std::optional<std::uint64_t> parse_length(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc() || text.empty() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace
+
+call_state::call_state(std::shared_ptr<client::impl> owner, client_request request,
+                       call_callbacks callbacks)
+    : m_owner(std::move(owner)), m_request(std::move(request)), m_callbacks(std::move(callbacks))
+{
+}
+
+void call_state::arm()
+{
+    m_deadline_timer =
+        m_owner->owner.schedule(m_request.deadline, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->m_deadline_timer = 0;
+                self->deadline_passed();
+            }
+        });
+}
+
+void call_state::start(peer& to)
+{
+    m_phase = phase::connecting;
+    m_connect_timer = m_owner->owner.schedule(
+        base::boot_clock::now() + m_owner->settings.connect_timeout, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->m_connect_timer = 0;
+                self->connect_timed_out();
+            }
+        });
+    const auto keep = shared_from_this();
+    h2o_http1client_connect_with_pool(&m_h2o, this, &m_owner->context, &to.pool, on_connect);
+}
+
+void call_state::fail_later(base::error failure)
+{
+    m_owner->owner.schedule(base::boot_clock::now(),
+                            [self = shared_from_this(), failure = std::move(failure)] {
+                                self->end_and_close(failure);
+                            });
+}
+
+bool call_state::request_sent() const
+{
+    return m_is_sent;
+}
+
+bool call_state::is_sendable() const
+{
+    const request_head& head = m_request.head;
+    return is_token(head.method) && is_request_target(head.path) &&
+           is_header_value(head.authority) &&
+           std::all_of(head.headers.begin(), head.headers.end(), [](const header& one) {
+               return is_token(one.name) && is_header_value(one.value);
+           });
+}
+
+const std::string& call_state::address() const
+{
+    return m_request.address;
+}
+
+h2o_http1client_head_cb call_state::on_connect(h2o_http1client_t* h2o, const char* failure,
+                                               h2o_iovec_t** buffers, std::size_t* buffer_count,
+                                               int* is_head)
+{
+    const auto self = static_cast<call_state*>(h2o->data)->shared_from_this();
+    if (failure != nullptr) {
+        // h2o may report the failure inside `send`; the callback has to come later.
+        self->fail_later(make_error(base::error_kind::connect_failed, self->address(), failure));
+        self->forget_connection();
+        return nullptr;
+    }
+    // A pooled connection is reported before h2o returns the client.
+    self->m_h2o = h2o;
+    self->write_request();
+    *buffers = &self->m_wire_piece;
+    *buffer_count = 1;
+    *is_head = self->m_request.head.method == "HEAD" ? 1 : 0;
+    return on_head;
+}
+
+void call_state::write_request()
+{
+    if (m_connect_timer != 0) {
+        m_owner->owner.cancel(std::exchange(m_connect_timer, 0));
+    }
+    const int descriptor = h2o_socket_get_fd(m_h2o->sock);
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+               sizeof(receive_buffer_bytes));
+    m_wire = write_head(m_request.head, m_request.body);
+    m_wire += m_request.body;
+    m_request.body.clear();
+    m_request.body.shrink_to_fit();
+    m_wire_piece = h2o_iovec_init(m_wire.data(), m_wire.size());
+    m_phase = phase::waiting_for_head;
+    m_is_sent = true;
+}
+
+h2o_http1client_body_cb call_state::on_head(h2o_http1client_t* h2o, const char* failure,
+                                            int /*minor_version*/, int status,
+                                            h2o_iovec_t /*message*/, h2o_header_t* headers,
+                                            std::size_t header_count, int head_length)
+{
+    const auto self = static_cast<call_state*>(h2o->data)->shared_from_this();
+    self->m_wire.clear();
+    self->m_wire.shrink_to_fit();
+    if (failure != nullptr && failure != h2o_http1client_error_is_eos) {
+        const base::error cause = self->head_failure(failure);
+        self->forget_connection();
+        self->end(cause);
+        return nullptr;
+    }
+    const auto length = static_cast<std::size_t>(head_length);
+    self->m_is_in_h2o = true;
+    const bool is_valid = self->read_head(status, headers, header_count, length);
+    if (failure == h2o_http1client_error_is_eos) {
+        self->finish_without_body(is_valid, length);
+        return nullptr;
+    }
+    if (is_valid && self->m_callbacks.on_head) {
+        self->m_callbacks.on_head(self->m_head);
+    }
+    self->m_is_in_h2o = false;
+    if (self->m_phase == phase::ended) {
+        self->forget_connection();
+        return nullptr;
+    }
+    return on_body;
+}
+
+bool call_state::read_head(int status, const h2o_header_t* headers, std::size_t count,
+                           std::size_t head_length)
+{
+    if (head_length > m_owner->settings.max_header_bytes) {
+        end(make_error(base::error_kind::answer_invalid, address(), "response head is too large"));
+        return false;
+    }
+    header_list all;
+    all.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        all.push_back({to_string(*headers[i].name), to_string(headers[i].value)});
+    }
+    m_head.status = status;
+    if (!read_framing(all)) {
+        end(make_error(base::error_kind::answer_invalid, address(),
+                       "response has no usable length"));
+        return false;
+    }
+    std::erase_if(all, [](const header& one) { return is_framing_header(one.name); });
+    m_head.headers = std::move(all);
+    m_phase = phase::reading_body;
+    return true;
+}
+
+bool call_state::read_framing(const header_list& headers)
+{
+    bool is_chunked = false;
+    for (const header& one : headers) {
+        if (one.name == "transfer-encoding") {
+            is_chunked = true;
+        }
+        if (one.name != "content-length") {
+            continue;
+        }
+        const auto length = parse_length(one.value);
+        if (!length || (m_head.content_length && *m_head.content_length != *length)) {
+            return false;
+        }
+        m_head.content_length = length;
+    }
+    if (!has_response_body(m_request.head.method, m_head.status)) {
+        // A response to an upgrade is not expected; nothing of ours asks for one.
+        return m_head.status >= 200;
+    }
+    // h2o keeps the length and the chunk decoder in the same place, so both must not occur.
+    if (is_chunked == m_head.content_length.has_value()) {
+        return false;
+    }
+    m_framing = is_chunked ? framing::chunked : framing::length;
+    return true;
+}
+
+void call_state::finish_without_body(bool is_valid, std::size_t head_length)
+{
+    if (!is_valid || m_h2o->sock->input->size > head_length) {
+        // Bytes after a response without a body would be read as the next response.
+        h2o_socket_close(h2o_http1client_steal_socket(m_h2o));
+    }
+    if (is_valid && m_callbacks.on_head) {
+        m_callbacks.on_head(m_head);
+    }
+    m_is_in_h2o = false;
+    forget_connection();
+    end(std::monostate{});
+}
+
+int call_state::on_body(h2o_http1client_t* h2o, const char* failure)
+{
+    const auto self = static_cast<call_state*>(h2o->data)->shared_from_this();
+    if (failure != nullptr && failure != h2o_http1client_error_is_eos) {
+        self->forget_connection();
+        self->end(make_error(base::error_kind::answer_invalid, self->address(), failure));
+        return -1;
+    }
+    // h2o takes a connection that closes between two chunks for a complete response. The last chunk
+    // always comes with bytes read, the close never.
+    const bool is_last_chunk_read = h2o->sock->bytes_read != 0;
+    self->m_is_in_h2o = true;
+    self->deliver_piece();
+    self->m_is_in_h2o = false;
+    if (failure == h2o_http1client_error_is_eos) {
+        self->forget_connection();
+        self->finish_body(is_last_chunk_read);
+        return 0;
+    }
+    if (self->m_phase == phase::ended) {
+        self->forget_connection();
+        return -1;
+    }
+    self->apply_pause();
+    return 0;
+}
+
+void call_state::deliver_piece()
+{
+    h2o_buffer_t** input = &m_h2o->sock->input;
+    const std::size_t size = (*input)->size;
+    if (size == 0) {
+        return;
+    }
+    if (m_callbacks.on_body && m_phase != phase::ended) {
+        m_callbacks.on_body(std::string_view((*input)->bytes, size));
+    }
+    h2o_buffer_consume(input, size);
+}
+
+void call_state::finish_body(bool is_last_chunk_read)
+{
+    if (m_phase == phase::ended) {
+        return;
+    }
+    if (m_framing == framing::chunked && !is_last_chunk_read) {
+        end(make_error(base::error_kind::answer_invalid, address(),
+                       "connection closed before the last chunk"));
+        return;
+    }
+    end(std::monostate{});
+}
+
+void call_state::pause()
+{
+    m_is_paused = true;
+    if (!m_is_in_h2o && m_phase == phase::reading_body) {
+        apply_pause();
+    }
+}
+
+void call_state::apply_pause()
+{
+    if (!m_is_paused || m_reader != nullptr || m_h2o == nullptr || m_h2o->sock == nullptr) {
+        return;
+    }
+    m_reader = m_h2o->sock->_cb.read;
+    if (m_reader != nullptr) {
+        h2o_socket_read_stop(m_h2o->sock);
+    }
+}
+
+void call_state::resume()
+{
+    m_is_paused = false;
+    if (m_reader != nullptr && m_h2o != nullptr && m_h2o->sock != nullptr) {
+        h2o_socket_read_start(m_h2o->sock, std::exchange(m_reader, nullptr));
+    }
+}
+
+base::error call_state::head_failure(std::string_view cause) const
+{
+    const bool is_partial = m_h2o->sock != nullptr && m_h2o->sock->input->size != 0;
+    const bool is_io = cause.substr(0, 3) == "I/O";
+    const auto kind = is_io && !is_partial ? base::error_kind::target_failed
+                                           : base::error_kind::answer_invalid;
+    return make_error(kind, address(), cause);
+}
+
+void call_state::check_head_size()
+{
+    if (m_phase != phase::waiting_for_head || m_h2o == nullptr || m_h2o->sock == nullptr ||
+        m_h2o->sock->input->size <= m_owner->settings.max_header_bytes) {
+        return;
+    }
+    end_and_close(
+        make_error(base::error_kind::answer_invalid, address(), "response head is too large"));
+}
+
+void call_state::deadline_passed()
+{
+    const auto kind =
+        m_is_sent ? base::error_kind::deadline_exceeded : base::error_kind::deadline_not_run;
+    end_and_close(make_error(kind, address(), "deadline has passed"));
+}
+
+void call_state::connect_timed_out()
+{
+    end_and_close(
+        make_error(base::error_kind::connect_failed, address(), "connection attempt timed out"));
+}
+
+void call_state::cancel()
+{
+    if (m_phase == phase::ended) {
+        return;
+    }
+    const auto keep = shared_from_this();
+    m_phase = phase::ended;
+    close_connection();
+}
+
+void call_state::end_and_close(base::status outcome)
+{
+    if (m_phase == phase::ended) {
+        return;
+    }
+    const auto keep = shared_from_this();
+    close_connection();
+    end(std::move(outcome));
+}
+
+void call_state::close_connection()
+{
+    // Inside a callback of h2o its caller closes the connection, as it sees the call ended.
+    if (m_h2o != nullptr && !m_is_in_h2o) {
+        h2o_http1client_cancel(m_h2o);
+    }
+    if (!m_is_in_h2o) {
+        forget_connection();
+    }
+}
+
+void call_state::forget_connection()
+{
+    m_h2o = nullptr;
+    m_reader = nullptr;
+    if (m_owner == nullptr) {
+        return;
+    }
+    for (timer_id* timer : {&m_deadline_timer, &m_connect_timer}) {
+        if (*timer != 0) {
+            m_owner->owner.cancel(std::exchange(*timer, 0));
+        }
+    }
+    m_owner->release(*this);
+    if (m_owner->is_shut_down) {
+        // h2o closes the connection after its callback; the pool has to exist until then.
+        m_owner->owner.schedule(base::boot_clock::now(), [last = m_owner] {});
+    }
+    m_owner.reset();
+}
+
+void call_state::end(base::status outcome)
+{
+    if (m_phase == phase::ended) {
+        return;
+    }
+    m_phase = phase::ended;
+    const auto callbacks = std::exchange(m_callbacks, {});
+    if (callbacks.on_end) {
+        callbacks.on_end(call_end{std::move(outcome), m_is_sent});
+    }
+}
+
+} // namespace snipeshore::http
--- /dev/null
+++ b/src/http/internal/client_impl.h
@@ -0,0 +1,62 @@
+/// @file State of a client, for the module's own use.
+#pragma once
+
+#include "http/client.h"
+#include "http/internal/h2o.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace snipeshore::http {
+
+class call_state;
+
+/// Connections to one address.
+struct peer {
+    std::string address;
+    h2o_socketpool_t pool{};
+    std::size_t active = 0; ///< Calls that hold a connection or open one.
+    std::deque<std::shared_ptr<call_state>> queue;
+    bool is_pump_due = false;
+};
+
+/// Outlives the `client` while a callback of one of its calls runs.
+struct client::impl : std::enable_shared_from_this<client::impl> {
+    impl(loop& owner, client_settings settings);
+    ~impl();
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+    impl(impl&&) = delete;
+    impl& operator=(impl&&) = delete;
+
+    void admit(const std::shared_ptr<call_state>& call);
+
+    /// Gives the call's place up and lets a queued call follow.
+    void release(call_state& call);
+
+    /// Cancels all calls; the owner has gone.
+    void shut_down();
+
+    loop& owner;
+    client_settings settings;
+    h2o_http1client_ctx_t context{};
+    bool is_shut_down = false;
+
+private:
+    peer* find_peer(const std::string& address);
+    void remove_unused_peers();
+    void schedule_pump(peer& which);
+    void pump(const std::string& address);
+    void schedule_head_check();
+    void check_heads();
+
+    h2o_timeout_t m_io_timeout{};
+    std::unordered_map<std::string, std::unique_ptr<peer>> m_peers;
+    std::unordered_set<std::shared_ptr<call_state>> m_calls;
+    bool m_is_head_check_due = false;
+};
+
+} // namespace snipeshore::http
--- /dev/null
+++ b/src/http/internal/loop_impl.h
@@ -0,0 +1,70 @@
+/// @file State of a loop, for the module's own use.
+#pragma once
+
+#include "http/internal/h2o.h"
+#include "http/loop.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace snipeshore::http {
+
+/// Something that still has sockets in the loop after its owner has gone.
+class loop_resident {
+public:
+    loop_resident() = default;
+    virtual ~loop_resident() = default;
+    loop_resident(const loop_resident&) = delete;
+    loop_resident& operator=(const loop_resident&) = delete;
+    loop_resident(loop_resident&&) = delete;
+    loop_resident& operator=(loop_resident&&) = delete;
+
+    virtual bool is_closed() const = 0;
+};
+
+struct loop::impl {
+    impl();
+    ~impl();
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+    impl(impl&&) = delete;
+    impl& operator=(impl&&) = delete;
+
+    h2o_evloop_t* evloop = nullptr;
+
+    void run_once(int max_wait_ms);
+    void wake();
+    void post(std::function<void()> work);
+    timer_id schedule(base::time_point deadline, std::function<void()> work);
+    void cancel(timer_id timer);
+
+    /// Keeps the object until its sockets are closed or the loop ends.
+    void adopt(std::shared_ptr<loop_resident> resident);
+
+    std::atomic<bool> stopped{false};
+
+private:
+    int wait_ms(int max_wait_ms) const;
+    void run_posted();
+    void run_due_timers();
+    void release_closed_residents();
+
+    using timer_key = std::pair<base::time_point, timer_id>;
+
+    h2o_multithread_queue_t* m_queue = nullptr;
+    h2o_multithread_receiver_t m_receiver{};
+    std::map<timer_key, std::function<void()>> m_timers;
+    std::unordered_map<timer_id, base::time_point> m_deadlines;
+    timer_id m_last_timer = 0;
+    std::mutex m_posted_mutex;
+    std::vector<std::function<void()>> m_posted;
+    std::vector<std::shared_ptr<loop_resident>> m_residents;
+};
+
+} // namespace snipeshore::http
--- /dev/null
+++ b/src/http/internal/server_exchange.cpp
@@ -0,0 +1,395 @@
+#include "http/internal/server_exchange.h"
+
+#include "base/time.h"
+#include "http/internal/message_check.h"
+#include "http/internal/server_impl.h"
+#include "http/internal/socket_address.h"
+
+#include <algorithm>
+#include <array>
+#include <new>
+#include <utility>
+
+namespace snipeshore::http {
+
+namespace {
+
+constexpr int http_1_1 = 0x101;
+constexpr int http_2_0 = 0x200;
+constexpr int status_internal_error = 500;
+
+/// Headers that h2o writes itself.
+constexpr std::array<std::string_view, 2> own_headers = {"date", "server"};
+
+std::string to_string(const h2o_iovec_t& text)
+{
+    return text.base == nullptr ? std::string() : std::string(text.base, text.len);
+}
+
+const char* reason_of(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 204:
+        return "No Content";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 403:
+        return "Forbidden";
+    case 404:
+        return "Not Found";
+    case 409:
+        return "Conflict";
+    case 413:
+        return "Content Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+bool is_own_header(std::string_view name)
+{
+    return std::find(own_headers.begin(), own_headers.end(), name) != own_headers.end();
+}
+
+server_connection* connection_of(const h2o_req_t& request)
+{
+    h2o_socket_t* socket = request.conn->callbacks->get_socket(request.conn);
+    return static_cast<server_connection*>(socket->on_close.data);
+}
+
+/// Makes the close of the connection a reset, which no client takes for the end of a response.
+void reset_on_close(int descriptor)
+{
+    const linger reset{1, 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+} // namespace
+
+struct server_exchange::pool_slot {
+    std::shared_ptr<server_exchange> exchange;
+};
+
+std::shared_ptr<server_exchange> server_exchange::create(server::impl& owner, h2o_req_t& request)
+{
+    auto made = std::make_shared<server_exchange>(owner, request);
+    void* memory = h2o_mem_alloc_shared(&request.pool, sizeof(pool_slot), on_dispose);
+    new (memory) pool_slot{made};
+    if (made->is_http1()) {
+        server_connection* connection = connection_of(request);
+        connection->running = made;
+        made->m_is_closed = connection->has_hung_up;
+    }
+    owner.exchange_began(made);
+    return made;
+}
+
+server_exchange::server_exchange(server::impl& owner, h2o_req_t& request)
+    : m_owner(&owner), m_loop(&owner.owner), m_request(&request)
+{
+    m_generator.super.proceed = on_proceed;
+    m_generator.super.stop = on_stop;
+    m_generator.self = this;
+    read_request();
+}
+
+void server_exchange::read_request()
+{
+    m_head.method = to_string(m_request->input.method);
+    m_head.path = to_string(m_request->input.path);
+    m_head.authority = to_string(m_request->input.authority);
+    m_head.headers.reserve(m_request->headers.size);
+    for (std::size_t i = 0; i < m_request->headers.size; ++i) {
+        const h2o_header_t& one = m_request->headers.entries[i];
+        m_head.headers.push_back({to_string(*one.name), to_string(one.value)});
+    }
+    m_body = to_string(m_request->entity);
+    socket_address peer;
+    if (m_request->conn->callbacks->get_peername(m_request->conn, peer.get()) != 0) {
+        m_peer_address = format_address(peer.get());
+    }
+}
+
+const request_head& server_exchange::head() const
+{
+    return m_head;
+}
+
+std::string_view server_exchange::body() const
+{
+    return m_body;
+}
+
+const std::string& server_exchange::peer_address() const
+{
+    return m_peer_address;
+}
+
+bool server_exchange::is_http1() const
+{
+    return m_request != nullptr && m_request->version < http_2_0;
+}
+
+void server_exchange::answer(response_head head, std::string body)
+{
+    if (m_request == nullptr || m_phase != phase::waiting) {
+        return;
+    }
+    if (m_head.method != "HEAD" || !body.empty()) {
+        head.content_length = body.size();
+    }
+    begin_response(head);
+    m_pending = std::move(body);
+    m_written = m_pending.size();
+    m_is_finished = true;
+    send_pending();
+}
+
+void server_exchange::start_answer(response_head head)
+{
+    if (m_request == nullptr || m_phase != phase::waiting) {
+        return;
+    }
+    begin_response(head);
+    schedule_flush();
+}
+
+void server_exchange::write(std::string piece)
+{
+    if (m_request == nullptr || m_phase != phase::open || m_is_finished || m_is_aborted) {
+        return;
+    }
+    m_written += piece.size();
+    if (m_length && m_written > *m_length && m_has_body) {
+        abort();
+        return;
+    }
+    m_pending += piece;
+    m_is_piece_sent = true;
+    if (!m_is_sending) {
+        send_pending();
+    }
+}
+
+void server_exchange::finish()
+{
+    if (m_request == nullptr || m_phase != phase::open || m_is_finished || m_is_aborted) {
+        return;
+    }
+    if (m_has_body && m_length && m_written != *m_length) {
+        abort();
+        return;
+    }
+    m_is_finished = true;
+    if (!m_is_sending) {
+        send_pending();
+    }
+}
+
+void server_exchange::abort()
+{
+    if (m_request == nullptr || m_phase == phase::ended || m_is_finished || m_is_aborted) {
+        return;
+    }
+    if (m_phase == phase::waiting) {
+        response_head failed;
+        failed.status = status_internal_error;
+        answer(std::move(failed), "");
+        return;
+    }
+    m_is_aborted = true;
+    if (!m_is_sending) {
+        send_error();
+    }
+}
+
+void server_exchange::on_writable(std::function<void()> callback)
+{
+    m_on_writable = std::move(callback);
+}
+
+void server_exchange::on_closed(std::function<void()> callback)
+{
+    m_on_closed = std::move(callback);
+    if (m_is_closed) {
+        m_loop->schedule(base::boot_clock::now(), [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->report_closed();
+            }
+        });
+    }
+}
+
+void server_exchange::begin_response(const response_head& head)
+{
+    m_phase = phase::open;
+    m_has_body = has_response_body(m_head.method, head.status);
+    m_length = head.content_length;
+    m_request->res.status = head.status;
+    m_request->res.reason = reason_of(head.status);
+    m_request->res.content_length = head.content_length ? *head.content_length : SIZE_MAX;
+    add_headers(head.headers);
+    h2o_start_response(m_request, &m_generator.super);
+}
+
+void server_exchange::add_headers(const header_list& headers)
+{
+    h2o_mem_pool_t* pool = &m_request->pool;
+    for (const header& one : headers) {
+        if (is_framing_header(one.name) || is_own_header(one.name) || !is_token(one.name) ||
+            !is_header_value(one.value)) {
+            continue;
+        }
+        const h2o_iovec_t name = h2o_strdup(pool, one.name.data(), one.name.size());
+        const h2o_iovec_t value = h2o_strdup(pool, one.value.data(), one.value.size());
+        h2o_add_header_by_str(pool, &m_request->res.headers, name.base, name.len, 1, nullptr,
+                              value.base, value.len);
+    }
+}
+
+void server_exchange::schedule_flush()
+{
+    // The head waits for the end of the round, so that a first piece written at once shares its
+    // packet.
+    m_loop->schedule(base::boot_clock::now(), [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->m_request != nullptr && self->m_phase == phase::open &&
+            !self->m_is_sending) {
+            self->send_pending();
+        }
+    });
+}
+
+void server_exchange::send_pending()
+{
+    if (m_is_aborted) {
+        send_error();
+        return;
+    }
+    m_in_flight = std::exchange(m_pending, {});
+    if (!m_has_body) {
+        m_in_flight.clear();
+    }
+    if (m_is_finished) {
+        m_phase = phase::ended;
+        send(H2O_SEND_STATE_FINAL);
+        return;
+    }
+    send(H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void server_exchange::send(h2o_send_state_t state)
+{
+    m_is_sending = true;
+    h2o_iovec_t piece = h2o_iovec_init(m_in_flight.data(), m_in_flight.size());
+    h2o_send(m_request, &piece, m_in_flight.empty() ? 0 : 1, state);
+}
+
+void server_exchange::send_error()
+{
+    const auto keep = shared_from_this();
+    m_phase = phase::ended;
+    m_pending.clear();
+    m_in_flight.clear();
+    if (m_request->version < http_1_1 && !m_length) {
+        // Without a length and without chunks the end of the connection ends the response.
+        reset_on_close(connection_of(*m_request)->descriptor);
+    }
+    send(H2O_SEND_STATE_ERROR);
+}
+
+void server_exchange::on_proceed(h2o_generator_t* self, h2o_req_t* /*request*/)
+{
+    reinterpret_cast<generator*>(self)->self->proceed();
+}
+
+void server_exchange::on_stop(h2o_generator_t* /*self*/, h2o_req_t* /*request*/)
+{
+    // The disposal of the request's pool follows and does the work, in all cases.
+}
+
+void server_exchange::on_dispose(void* slot)
+{
+    auto* held = static_cast<pool_slot*>(slot);
+    const auto self = std::move(held->exchange);
+    held->~pool_slot();
+    self->detach();
+}
+
+void server_exchange::proceed()
+{
+    const auto keep = shared_from_this();
+    m_is_sending = false;
+    m_in_flight.clear();
+    if (m_is_aborted || m_is_finished || !m_pending.empty()) {
+        send_pending();
+        return;
+    }
+    if (std::exchange(m_is_piece_sent, false) && m_on_writable) {
+        const auto callback = m_on_writable;
+        callback();
+    }
+}
+
+void server_exchange::detach()
+{
+    m_request = nullptr;
+    m_is_sending = false;
+    m_owner->exchange_ended(this);
+    if (m_phase == phase::ended) {
+        m_on_writable = nullptr;
+        m_on_closed = nullptr;
+        return;
+    }
+    m_is_closed = true;
+    // h2o is in the middle of closing the connection here; the callback may touch other sockets.
+    m_loop->schedule(base::boot_clock::now(),
+                            [self = shared_from_this()] { self->report_closed(); });
+}
+
+void server_exchange::report_closed()
+{
+    const auto callback = std::exchange(m_on_closed, nullptr);
+    m_on_writable = nullptr;
+    if (callback) {
+        callback();
+    }
+}
+
+void server_exchange::caller_hung_up()
+{
+    const auto keep = shared_from_this();
+    m_is_closed = true;
+    if (m_phase != phase::ended) {
+        report_closed();
+    }
+    if (m_request == nullptr) {
+        return;
+    }
+    // Pieces in flight fail at once, so that h2o releases the connection.
+    shutdown(connection_of(*m_request)->descriptor, SHUT_RDWR);
+    abort();
+}
+
+void server_exchange::disown()
+{
+    m_on_writable = nullptr;
+    m_on_closed = nullptr;
+    abort();
+}
+
+} // namespace snipeshore::http
--- /dev/null
+++ b/src/http/internal/server_exchange.h
@@ -0,0 +1,91 @@
+/// @file The server's implementation of `exchange`.
+#pragma once
+
+#include "http/exchange.h"
+#include "http/internal/h2o.h"
+#include "http/server.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace snipeshore::http {
+
+struct server_connection;
+
+/// Bound to an h2o request until h2o disposes of it.
+class server_exchange final : public exchange, public std::enable_shared_from_this<server_exchange> {
+public:
+    /// Creates the exchange; the request's memory pool holds a reference to it.
+    static std::shared_ptr<server_exchange> create(server::impl& owner, h2o_req_t& request);
+
+    server_exchange(server::impl& owner, h2o_req_t& request);
+
+    const request_head& head() const override;
+    std::string_view body() const override;
+    const std::string& peer_address() const override;
+    void answer(response_head head, std::string body) override;
+    void start_answer(response_head head) override;
+    void write(std::string piece) override;
+    void finish() override;
+    void abort() override;
+    void on_writable(std::function<void()> callback) override;
+    void on_closed(std::function<void()> callback) override;
+
+    bool is_http1() const;
+
+    /// The caller hung up: reports it and gives the connection up.
+    void caller_hung_up();
+
+    /// Drops the callbacks and breaks the answer off.
+    void disown();
+
+private:
+    /// `h2o_generator_t` that finds its exchange.
+    struct generator {
+        h2o_generator_t super;
+        server_exchange* self;
+    };
+
+    struct pool_slot;
+
+    enum class phase { waiting, open, ended };
+
+    static void on_proceed(h2o_generator_t* self, h2o_req_t* request);
+    static void on_stop(h2o_generator_t* self, h2o_req_t* request);
+    static void on_dispose(void* slot);
+
+    void read_request();
+    void begin_response(const response_head& head);
+    void add_headers(const header_list& headers);
+    void send_pending();
+    void send(h2o_send_state_t state);
+    void send_error();
+    void proceed();
+    void detach();
+    void report_closed();
+    void schedule_flush();
+
+    server::impl* m_owner;
+    loop* m_loop;
+    h2o_req_t* m_request;
+    generator m_generator{};
+    request_head m_head;
+    std::string m_body;
+    std::string m_peer_address;
+
+    phase m_phase = phase::waiting;
+    bool m_is_sending = false;      ///< h2o has a piece and has not asked for more.
+    bool m_is_piece_sent = false;   ///< The piece in flight came from `write`.
+    bool m_is_finished = false;     ///< `finish` was called.
+    bool m_is_aborted = false;      ///< `abort` was called, or the framing does not hold.
+    bool m_is_closed = false;       ///< The caller has gone.
+    bool m_has_body = true;
+    std::optional<std::uint64_t> m_length;
+    std::uint64_t m_written = 0;
+    std::string m_in_flight;
+    std::string m_pending;
+    std::function<void()> m_on_writable;
+    std::function<void()> m_on_closed;
+};
+
+} // namespace snipeshore::http
--- /dev/null
+++ b/src/http/internal/server_impl.h
@@ -0,0 +1,87 @@
+/// @file State of a server, for the module's own use.
+#pragma once
+
+#include "http/internal/caller_watch.h"
+#include "http/internal/h2o.h"
+#include "http/internal/loop_impl.h"
+#include "http/server.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace snipeshore::http {
+
+class server_exchange;
+struct server_connection;
+
+/// Outlives the `server` until its connections are closed.
+struct server::impl final : loop_resident, std::enable_shared_from_this<server::impl> {
+    impl(loop& owner, request_handler handler);
+    ~impl() override;
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+    impl(impl&&) = delete;
+    impl& operator=(impl&&) = delete;
+
+    base::status listen(const server_settings& wanted);
+    void drain(std::function<void()> on_idle);
+
+    /// Ends every request and connection; the owner has gone.
+    void shut_down();
+
+    bool is_closed() const override;
+
+    void connection_closed(std::uint64_t id);
+    void exchange_began(const std::shared_ptr<server_exchange>& exchange);
+    void exchange_ended(const server_exchange* exchange);
+
+    loop& owner;
+    request_handler handler;
+    server_settings settings;
+    std::string bound_address;
+    std::unordered_map<std::uint64_t, std::unique_ptr<server_connection>> connections;
+    std::unordered_map<const server_exchange*, std::weak_ptr<server_exchange>> exchanges;
+
+private:
+    struct slot;
+
+    base::status open_tls();
+    base::status open_listener();
+    void configure();
+    void set_accepting(bool accepting);
+    void accept_waiting();
+    void accept_one(h2o_socket_t* socket);
+    void stop_listening();
+    void caller_hung_up(std::uint64_t id);
+    void check_idle();
+    int on_request(h2o_req_t* request);
+
+    static void on_connection(h2o_socket_t* listener, const char* failure);
+    static int on_request_entry(h2o_handler_t* self, h2o_req_t* request);
+
+    h2o_globalconf_t m_config{};
+    h2o_context_t m_context{};
+    h2o_accept_ctx_t m_accept{};
+    bool m_is_configured = false;
+    bool m_is_draining = false;
+    SSL_CTX* m_tls = nullptr;
+    h2o_socket_t* m_listener = nullptr;
+    std::unique_ptr<caller_watch> m_watch;
+    std::uint64_t m_last_connection = 0;
+    std::function<void()> m_on_idle;
+    timer_id m_idle_timer = 0;
+};
+
+/// One accepted connection.
+struct server_connection {
+    std::uint64_t id = 0;
+    server::impl* owner = nullptr;
+    h2o_socket_t* socket = nullptr;
+    int descriptor = -1;
+    bool has_hung_up = false;
+    std::weak_ptr<server_exchange> running; ///< HTTP/1 only: the request that runs.
+};
+
+} // namespace snipeshore::http
--- /dev/null
+++ b/src/http/internal/socket_address.h
@@ -0,0 +1,28 @@
+/// @file Text form of socket addresses.
+#pragma once
+
+#include <sys/socket.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace snipeshore::http {
+
+struct socket_address {
+    sockaddr_storage storage{};
+    socklen_t length = 0;
+
+    sockaddr* get()
+    {
+        return reinterpret_cast<sockaddr*>(&storage);
+    }
+};
+
+/// Reads "ip:port" or "[ipv6]:port"; names are not resolved.
+std::optional<socket_address> parse_address(std::string_view text);
+
+/// Writes "ip:port" or "[ipv6]:port".
+std::string format_address(const sockaddr* address);
+
+} // namespace snipeshore::http
--- /dev/null
+++ b/src/http/loop.cpp
@@ -0,0 +1,174 @@
+#include "http/loop.h"
+
+#include "http/internal/loop_impl.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdint>
+
+namespace snipeshore::http {
+
+namespace {
+
+/// Rounds of the loop at its end in which connections may close.
+constexpr int closing_rounds = 100;
+constexpr int closing_wait_ms = 10;
+constexpr int longest_wait_ms = 60000;
+
+void ignore_messages(h2o_multithread_receiver_t* /*receiver*/, h2o_linklist_t* /*messages*/) {}
+
+} // namespace
+
+loop::impl::impl()
+{
+    // A write to a connection that the peer has closed must fail with EPIPE, not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    // h2o moves large buffers to temporary files by default; hosts have no disk.
+    h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
+    evloop = h2o_evloop_create();
+    m_queue = h2o_multithread_create_queue(evloop);
+    h2o_multithread_register_receiver(m_queue, &m_receiver, ignore_messages);
+}
+
+loop::impl::~impl()
+{
+    for (int round = 0; round < closing_rounds && !m_residents.empty(); ++round) {
+        run_once(closing_wait_ms);
+    }
+    m_timers.clear();
+    m_posted.clear();
+    m_residents.clear();
+    h2o_multithread_unregister_receiver(m_queue, &m_receiver);
+    h2o_multithread_destroy_queue(m_queue);
+    h2o_evloop_destroy(evloop);
+}
+
+void loop::impl::run_once(int max_wait_ms)
+{
+    h2o_evloop_run(evloop, wait_ms(max_wait_ms));
+    run_posted();
+    run_due_timers();
+    release_closed_residents();
+}
+
+void loop::impl::wake()
+{
+    h2o_multithread_send_message(&m_receiver, nullptr);
+}
+
+void loop::impl::post(std::function<void()> work)
+{
+    {
+        const std::lock_guard lock(m_posted_mutex);
+        m_posted.push_back(std::move(work));
+    }
+    wake();
+}
+
+timer_id loop::impl::schedule(base::time_point deadline, std::function<void()> work)
+{
+    const timer_id timer = ++m_last_timer;
+    m_timers.emplace(timer_key{deadline, timer}, std::move(work));
+    m_deadlines.emplace(timer, deadline);
+    return timer;
+}
+
+void loop::impl::cancel(timer_id timer)
+{
+    const auto found = m_deadlines.find(timer);
+    if (found == m_deadlines.end()) {
+        return;
+    }
+    // The callback is destroyed last: its destructor may schedule or cancel other timers.
+    auto node = m_timers.extract(timer_key{found->second, timer});
+    m_deadlines.erase(found);
+}
+
+void loop::impl::adopt(std::shared_ptr<loop_resident> resident)
+{
+    m_residents.push_back(std::move(resident));
+}
+
+int loop::impl::wait_ms(int max_wait_ms) const
+{
+    if (m_timers.empty()) {
+        return max_wait_ms;
+    }
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(m_timers.begin()->first.first -
+                                                                   base::boot_clock::now());
+    return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, max_wait_ms));
+}
+
+void loop::impl::run_posted()
+{
+    std::vector<std::function<void()>> work;
+    {
+        const std::lock_guard lock(m_posted_mutex);
+        work.swap(m_posted);
+    }
+    for (const auto& one : work) {
+        one();
+    }
+}
+
+void loop::impl::run_due_timers()
+{
+    // Timers that callbacks add for now wait for the next round, so that sockets get their turn.
+    const timer_id last = m_last_timer;
+    const base::time_point now = base::boot_clock::now();
+    auto next = m_timers.begin();
+    while (next != m_timers.end() && next->first.first <= now) {
+        if (next->first.second > last) {
+            ++next;
+            continue;
+        }
+        const auto node = m_timers.extract(next);
+        m_deadlines.erase(node.key().second);
+        node.mapped()();
+        next = m_timers.begin();
+    }
+}
+
+void loop::impl::release_closed_residents()
+{
+    std::erase_if(m_residents, [](const auto& one) { return one->is_closed(); });
+}
+
+loop::loop() : m_impl(std::make_unique<impl>()) {}
+
+loop::~loop() = default;
+
+void loop::run()
+{
+    while (!m_impl->stopped.exchange(false)) {
+        m_impl->run_once(longest_wait_ms);
+    }
+}
+
+void loop::stop()
+{
+    m_impl->stopped = true;
+    m_impl->wake();
+}
+
+void loop::post(std::function<void()> work)
+{
+    m_impl->post(std::move(work));
+}
+
+timer_id loop::schedule(base::time_point deadline, std::function<void()> work)
+{
+    return m_impl->schedule(deadline, std::move(work));
+}
+
+void loop::cancel(timer_id timer)
+{
+    m_impl->cancel(timer);
+}
+
+loop::impl& loop::internals()
+{
+    return *m_impl;
+}
+
+} // namespace snipeshore::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,357 @@
+#include "http/server.h"
+
+#include "base/time.h"
+#include "http/internal/server_exchange.h"
+#include "http/internal/server_impl.h"
+#include "http/internal/socket_address.h"
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace snipeshore::http {
+
+namespace {
+
+/// Connections accepted per round, so that open connections get their turn.
+constexpr int accepts_per_round = 16;
+constexpr int listen_backlog = 1024;
+
+/// A request that a caller sent on an idle connection before it learnt of the drain still arrives
+/// within this time.
+constexpr std::chrono::milliseconds drain_quiet_time{100};
+
+base::status bad_setting(std::string detail)
+{
+    return base::error{base::error_kind::bad_setting, std::move(detail)};
+}
+
+void on_connection_closed(void* data)
+{
+    const auto* connection = static_cast<server_connection*>(data);
+    connection->owner->connection_closed(connection->id);
+}
+
+} // namespace
+
+/// h2o handler that finds its server.
+struct server::impl::slot {
+    h2o_handler_t super;
+    server::impl* owner;
+};
+
+server::impl::impl(loop& owner_loop, request_handler request_callback)
+    : owner(owner_loop), handler(std::move(request_callback))
+{
+}
+
+server::impl::~impl()
+{
+    m_watch.reset();
+    // With connections left, their timers are still linked into the context: leave it allocated.
+    if (m_is_configured && connections.empty()) {
+        h2o_timeout_unlink(&m_context.http2._graceful_shutdown_timeout);
+        h2o_context_dispose(&m_context);
+        h2o_config_dispose(&m_config);
+    }
+    if (m_tls != nullptr) {
+        SSL_CTX_free(m_tls);
+    }
+}
+
+base::status server::impl::listen(const server_settings& wanted)
+{
+    if (m_is_configured) {
+        return bad_setting("the server listens already");
+    }
+    settings = wanted;
+    if (auto tls = open_tls(); !base::is_ok(tls)) {
+        return tls;
+    }
+    if (auto opened = open_listener(); !base::is_ok(opened)) {
+        return opened;
+    }
+    configure();
+    m_watch = std::make_unique<caller_watch>(owner.internals().evloop,
+                                             [this](std::uint64_t id) { caller_hung_up(id); });
+    set_accepting(true);
+    return std::monostate{};
+}
+
+base::status server::impl::open_tls()
+{
+    if (settings.certificate_file.empty()) {
+        return std::monostate{};
+    }
+    m_tls = SSL_CTX_new(TLS_server_method());
+    SSL_CTX_set_min_proto_version(m_tls, TLS1_2_VERSION);
+    SSL_CTX_set_options(m_tls, SSL_OP_NO_RENEGOTIATION | SSL_OP_CIPHER_SERVER_PREFERENCE);
+    if (SSL_CTX_use_certificate_chain_file(m_tls, settings.certificate_file.c_str()) != 1) {
+        return bad_setting("cannot read certificate file " + settings.certificate_file);
+    }
+    if (SSL_CTX_use_PrivateKey_file(m_tls, settings.key_file.c_str(), SSL_FILETYPE_PEM) != 1 ||
+        SSL_CTX_check_private_key(m_tls) != 1) {
+        return bad_setting("cannot use key file " + settings.key_file);
+    }
+    h2o_ssl_register_alpn_protocols(m_tls, h2o_alpn_protocols);
+    return std::monostate{};
+}
+
+base::status server::impl::open_listener()
+{
+    auto address = parse_address(settings.address);
+    if (!address) {
+        return bad_setting("not an address \"ip:port\": " + settings.address);
+    }
+    const int descriptor =
+        socket(address->storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(descriptor, address->get(), address->length) != 0 ||
+        ::listen(descriptor, listen_backlog) != 0) {
+        const int failure = errno;
+        close(descriptor);
+        return bad_setting("cannot listen on " + settings.address + ": " + std::strerror(failure));
+    }
+    socket_address bound;
+    bound.length = sizeof(bound.storage);
+    getsockname(descriptor, bound.get(), &bound.length);
+    bound_address = format_address(bound.get());
+    m_listener = h2o_evloop_socket_create(owner.internals().evloop, descriptor,
+                                          H2O_SOCKET_FLAG_DONT_READ);
+    m_listener->data = this;
+    return std::monostate{};
+}
+
+void server::impl::configure()
+{
+    h2o_config_init(&m_config);
+    m_config.server_name = h2o_iovec_init(H2O_STRLIT("snipeshore"));
+    m_config.max_request_entity_size = settings.max_request_bytes;
+    m_config.http1.req_timeout = static_cast<std::uint64_t>(settings.request_timeout.count());
+    m_config.http2.idle_timeout = static_cast<std::uint64_t>(settings.idle_timeout.count());
+    h2o_hostconf_t* host =
+        h2o_config_register_host(&m_config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
+    path->error_log.emit_request_errors = 0;
+    auto* made = reinterpret_cast<slot*>(h2o_create_handler(path, sizeof(slot)));
+    made->super.on_req = on_request_entry;
+    made->owner = this;
+    h2o_context_init(&m_context, owner.internals().evloop, &m_config);
+    m_accept.ctx = &m_context;
+    m_accept.hosts = m_config.hosts;
+    m_accept.ssl_ctx = m_tls;
+    m_is_configured = true;
+}
+
+void server::impl::set_accepting(bool accepting)
+{
+    if (m_listener == nullptr || accepting == (h2o_socket_is_reading(m_listener) != 0)) {
+        return;
+    }
+    if (accepting) {
+        h2o_socket_read_start(m_listener, on_connection);
+    } else {
+        h2o_socket_read_stop(m_listener);
+    }
+}
+
+void server::impl::on_connection(h2o_socket_t* listener, const char* failure)
+{
+    if (failure == nullptr) {
+        static_cast<impl*>(listener->data)->accept_waiting();
+    }
+}
+
+void server::impl::accept_waiting()
+{
+    for (int i = 0; i < accepts_per_round; ++i) {
+        if (connections.size() >= settings.max_connections) {
+            set_accepting(false);
+            return;
+        }
+        h2o_socket_t* socket = h2o_evloop_socket_accept(m_listener);
+        if (socket == nullptr) {
+            return;
+        }
+        accept_one(socket);
+    }
+}
+
+void server::impl::accept_one(h2o_socket_t* socket)
+{
+    auto connection = std::make_unique<server_connection>();
+    connection->id = ++m_last_connection;
+    connection->owner = this;
+    connection->socket = socket;
+    connection->descriptor = h2o_socket_get_fd(socket);
+    socket->on_close.cb = on_connection_closed;
+    socket->on_close.data = connection.get();
+    m_watch->add(connection->descriptor, connection->id);
+    connections.emplace(connection->id, std::move(connection));
+    h2o_accept(&m_accept, socket);
+}
+
+void server::impl::connection_closed(std::uint64_t id)
+{
+    connections.erase(id);
+    if (!m_is_draining && connections.size() < settings.max_connections) {
+        set_accepting(true);
+    }
+}
+
+void server::impl::caller_hung_up(std::uint64_t id)
+{
+    const auto found = connections.find(id);
+    if (found == connections.end()) {
+        return;
+    }
+    found->second->has_hung_up = true;
+    if (const auto running = found->second->running.lock()) {
+        running->caller_hung_up();
+    }
+}
+
+int server::impl::on_request_entry(h2o_handler_t* self, h2o_req_t* request)
+{
+    return reinterpret_cast<slot*>(self)->owner->on_request(request);
+}
+
+int server::impl::on_request(h2o_req_t* request)
+{
+    const auto exchange = server_exchange::create(*this, *request);
+    if (handler) {
+        handler(exchange);
+    } else {
+        exchange->abort();
+    }
+    return 0;
+}
+
+void server::impl::exchange_began(const std::shared_ptr<server_exchange>& exchange)
+{
+    exchanges.emplace(exchange.get(), exchange);
+    if (m_idle_timer != 0) {
+        owner.cancel(std::exchange(m_idle_timer, 0));
+    }
+}
+
+void server::impl::exchange_ended(const server_exchange* exchange)
+{
+    exchanges.erase(exchange);
+    check_idle();
+}
+
+void server::impl::check_idle()
+{
+    if (!m_is_draining || !exchanges.empty() || !m_on_idle || m_idle_timer != 0) {
+        return;
+    }
+    m_idle_timer = owner.schedule(base::boot_clock::now() + drain_quiet_time, [this] {
+        m_idle_timer = 0;
+        const auto callback = std::exchange(m_on_idle, nullptr);
+        callback();
+    });
+}
+
+void server::impl::drain(std::function<void()> on_idle)
+{
+    m_on_idle = std::move(on_idle);
+    if (!m_is_draining) {
+        m_is_draining = true;
+        stop_listening();
+        if (m_is_configured) {
+            h2o_context_request_shutdown(&m_context);
+        }
+    }
+    check_idle();
+}
+
+void server::impl::stop_listening()
+{
+    if (m_listener == nullptr) {
+        return;
+    }
+    // Connections that the kernel has completed would be reset with the listener.
+    while (h2o_socket_t* socket = h2o_evloop_socket_accept(m_listener)) {
+        accept_one(socket);
+    }
+    h2o_socket_close(std::exchange(m_listener, nullptr));
+}
+
+void server::impl::shut_down()
+{
+    if (m_listener != nullptr) {
+        h2o_socket_close(std::exchange(m_listener, nullptr));
+    }
+    m_is_draining = true;
+    m_on_idle = nullptr;
+    handler = nullptr;
+    if (m_idle_timer != 0) {
+        owner.cancel(std::exchange(m_idle_timer, 0));
+    }
+    if (!m_is_configured) {
+        return;
+    }
+    h2o_context_request_shutdown(&m_context);
+    std::vector<std::shared_ptr<server_exchange>> running;
+    for (const auto& [id, connection] : connections) {
+        shutdown(connection->descriptor, SHUT_RDWR);
+    }
+    for (const auto& [key, exchange] : exchanges) {
+        if (auto one = exchange.lock()) {
+            running.push_back(std::move(one));
+        }
+    }
+    for (const auto& one : running) {
+        one->disown();
+    }
+}
+
+bool server::impl::is_closed() const
+{
+    return connections.empty();
+}
+
+server::server(loop& owner, request_handler handler)
+    : m_impl(std::make_shared<impl>(owner, std::move(handler)))
+{
+}
+
+server::~server()
+{
+    m_impl->shut_down();
+    m_impl->owner.internals().adopt(m_impl);
+}
+
+base::status server::listen(const server_settings& settings)
+{
+    return m_impl->listen(settings);
+}
+
+std::string server::bound_address() const
+{
+    return m_impl->bound_address;
+}
+
+std::size_t server::open_connections() const
+{
+    return m_impl->connections.size();
+}
+
+std::size_t server::active_requests() const
+{
+    return m_impl->exchanges.size();
+}
+
+void server::drain(std::function<void()> on_idle)
+{
+    m_impl->drain(std::move(on_idle));
+}
+
+} // namespace snipeshore::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -51,9 +51,11 @@
     /// `on_idle` when no request is left.
     void drain(std::function<void()> on_idle);
 
-private:
+    /// For the module's own implementation.
     struct impl;
-    std::unique_ptr<impl> m_impl;
+
+private:
+    std::shared_ptr<impl> m_impl;
 };
 
 } // namespace snipeshore::http
--- /dev/null
+++ b/src/http/tests/test_support.cpp
@@ -0,0 +1,229 @@
+#include "http/tests/test_support.h"
+
+#include "http/internal/loop_impl.h"
+#include "http/internal/socket_address.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <fstream>
+#include <utility>
+
+namespace snipeshore::http::tests {
+
+namespace {
+
+constexpr int round_ms = 5;
+constexpr std::size_t kept_body_bytes = 1U << 20U;
+
+/// One request on its way through `forward`.
+struct forwarded {
+    std::shared_ptr<exchange> from;
+    std::unique_ptr<client_call> call;
+    std::string queued;
+    bool is_writing = false;
+    bool is_complete = false;
+};
+
+void write_queued(forwarded& state)
+{
+    state.is_writing = true;
+    state.from->write(std::exchange(state.queued, {}));
+}
+
+void on_piece_sent(forwarded& state)
+{
+    state.is_writing = false;
+    if (!state.queued.empty()) {
+        write_queued(state);
+        return;
+    }
+    if (state.is_complete) {
+        state.from->finish();
+        return;
+    }
+    if (state.call) {
+        state.call->resume();
+    }
+}
+
+void on_piece_read(forwarded& state, std::string_view piece)
+{
+    state.queued += piece;
+    if (!state.is_writing) {
+        write_queued(state);
+    }
+    state.call->pause();
+}
+
+void on_call_end(forwarded& state, const call_end& end)
+{
+    if (!base::is_ok(end.outcome)) {
+        state.from->abort();
+        return;
+    }
+    state.is_complete = true;
+    if (!state.is_writing) {
+        state.from->finish();
+    }
+}
+
+} // namespace
+
+bool run_until(loop& on, const std::function<bool()>& holds, std::chrono::milliseconds limit)
+{
+    const auto end = base::boot_clock::now() + limit;
+    while (!holds()) {
+        if (base::boot_clock::now() > end) {
+            return false;
+        }
+        on.internals().run_once(round_ms);
+    }
+    return true;
+}
+
+base::time_point in(std::chrono::milliseconds delay)
+{
+    return base::boot_clock::now() + delay;
+}
+
+std::size_t resident_kib()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) / 1024;
+}
+
+raw_server::raw_server(std::function<void(int)> serve) : m_serve(std::move(serve))
+{
+    auto address = parse_address("127.0.0.1:0");
+    m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    bind(m_listener, address->get(), address->length);
+    listen(m_listener, 16);
+    getsockname(m_listener, address->get(), &address->length);
+    m_address = format_address(address->get());
+    m_thread = std::thread([this] { run(); });
+}
+
+raw_server::~raw_server()
+{
+    m_stopped = true;
+    m_thread.join();
+    close(m_listener);
+}
+
+std::string raw_server::address() const
+{
+    return m_address;
+}
+
+int raw_server::accepted() const
+{
+    return m_accepted;
+}
+
+void raw_server::run()
+{
+    while (!m_stopped) {
+        pollfd waiting{m_listener, POLLIN, 0};
+        if (poll(&waiting, 1, round_ms) <= 0) {
+            continue;
+        }
+        const int descriptor = accept(m_listener, nullptr, nullptr);
+        ++m_accepted;
+        m_serve(descriptor);
+        close(descriptor);
+    }
+}
+
+int connect_to(const std::string& address)
+{
+    auto parsed = parse_address(address);
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    connect(descriptor, parsed->get(), parsed->length);
+    return descriptor;
+}
+
+std::string read_until(int descriptor, const std::string& text)
+{
+    std::string out;
+    char one = 0;
+    while (out.find(text) == std::string::npos && recv(descriptor, &one, 1, 0) == 1) {
+        out += one;
+    }
+    return out;
+}
+
+std::string read_all(int descriptor, bool* was_reset)
+{
+    std::string out;
+    std::array<char, 65536> piece{};
+    ssize_t count = 0;
+    while ((count = recv(descriptor, piece.data(), piece.size(), 0)) > 0) {
+        out.append(piece.data(), static_cast<std::size_t>(count));
+    }
+    if (was_reset != nullptr) {
+        *was_reset = count < 0 && errno == ECONNRESET;
+    }
+    return out;
+}
+
+void write_all(int descriptor, const std::string& text)
+{
+    std::size_t done = 0;
+    while (done < text.size()) {
+        const ssize_t count = send(descriptor, text.data() + done, text.size() - done, MSG_NOSIGNAL);
+        if (count <= 0) {
+            return;
+        }
+        done += static_cast<std::size_t>(count);
+    }
+}
+
+client_request get(const std::string& address, const std::string& path)
+{
+    client_request request;
+    request.address = address;
+    request.head.method = "GET";
+    request.head.path = path;
+    request.head.authority = "test";
+    request.deadline = in(std::chrono::seconds(60));
+    return request;
+}
+
+std::unique_ptr<client_call> record(client& with, client_request request, call_record& into)
+{
+    call_callbacks callbacks;
+    callbacks.on_head = [&into](const response_head& head) { into.head = head; };
+    callbacks.on_body = [&into](std::string_view piece) {
+        into.body_bytes += piece.size();
+        if (into.body_bytes <= kept_body_bytes) {
+            into.body += piece;
+        }
+    };
+    callbacks.on_end = [&into](const call_end& end) { into.end = end; };
+    return with.send(std::move(request), std::move(callbacks));
+}
+
+void forward(client& with, const std::string& target, const std::shared_ptr<exchange>& from)
+{
+    auto state = std::make_shared<forwarded>();
+    state->from = from;
+    client_request request = get(target, from->head().path);
+    request.head.method = from->head().method;
+    request.body = std::string(from->body());
+    from->on_writable([state] { on_piece_sent(*state); });
+    from->on_closed([state] { state->call.reset(); });
+    call_callbacks callbacks;
+    callbacks.on_head = [state](const response_head& head) { state->from->start_answer(head); };
+    callbacks.on_body = [state](std::string_view piece) { on_piece_read(*state, piece); };
+    callbacks.on_end = [state](const call_end& end) { on_call_end(*state, end); };
+    state->call = with.send(std::move(request), std::move(callbacks));
+}
+
+} // namespace snipeshore::http::tests
--- /dev/null
+++ b/src/http/tests/test_support.h
@@ -0,0 +1,82 @@
+/// @file Helpers of the tests: awaiting conditions on a loop, raw TCP peers, a small proxy.
+#pragma once
+
+#include "base/time.h"
+#include "http/client.h"
+#include "http/exchange.h"
+#include "http/loop.h"
+#include "http/server.h"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace snipeshore::http::tests {
+
+/// Runs the loop until the condition holds; false if it does not hold within a generous limit.
+bool run_until(loop& on, const std::function<bool()>& holds,
+               std::chrono::milliseconds limit = std::chrono::seconds(60));
+
+base::time_point in(std::chrono::milliseconds delay);
+
+/// Resident memory of this process in KiB.
+std::size_t resident_kib();
+
+/// Listens on a loopback port and runs `serve` with each accepted socket, one after the other, on a
+/// thread of its own.
+class raw_server {
+public:
+    explicit raw_server(std::function<void(int)> serve);
+    ~raw_server();
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+    raw_server(raw_server&&) = delete;
+    raw_server& operator=(raw_server&&) = delete;
+
+    std::string address() const;
+    int accepted() const;
+
+private:
+    void run();
+
+    int m_listener = -1;
+    std::string m_address;
+    std::atomic<int> m_accepted{0};
+    std::atomic<bool> m_stopped{false};
+    std::function<void(int)> m_serve;
+    std::thread m_thread;
+};
+
+/// Connects a blocking socket.
+int connect_to(const std::string& address);
+
+/// Reads until the text occurs or the peer closes; returns all that was read.
+std::string read_until(int descriptor, const std::string& text);
+
+/// Reads to the end; `was_reset` tells whether the connection ended with a reset.
+std::string read_all(int descriptor, bool* was_reset = nullptr);
+
+void write_all(int descriptor, const std::string& text);
+
+/// Result of a call with all that its callbacks reported.
+struct call_record {
+    std::optional<response_head> head;
+    std::string body;
+    std::size_t body_bytes = 0;
+    std::optional<call_end> end;
+};
+
+/// Sends a GET and records its callbacks; bodies above 1 MiB are only counted.
+std::unique_ptr<client_call> record(client& with, client_request request, call_record& into);
+
+client_request get(const std::string& address, const std::string& path);
+
+/// Passes a request on to `target` and streams the response back with back-pressure.
+void forward(client& with, const std::string& target, const std::shared_ptr<exchange>& from);
+
+} // namespace snipeshore::http::tests
