Fix streaming through a proxy: send no empty piece after the head

h2o 2.2.5 takes an HTTP/1 send without data after the head for the end of the response, so the deferred flush of the head ended responses whose first piece had already been sent.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-/// h2o's own timeout follows the wall clock, which may jump; deadlines are kept by the loop instead.
+/// h2o's own timeout follows the wall clock, which may jump; deadlines are kept by the loop
+/// instead.
 constexpr std::uint64_t h2o_timeout_never_ms = 10ULL * 365 * 24 * 3600 * 1000;
 
 /// h2o does not limit the size of a response head; its growth is checked at this interval.
@@ -80,17 +81,20 @@
         return;
     }
     end_fetch(state,
-              base::error{base::error_kind::answer_invalid, "response is larger than " +
-                                                                std::to_string(state->max_body) +
-                                                                " bytes"},
+              base::error{base::error_kind::answer_invalid,
+                          "response is larger than " + std::to_string(state->max_body) + " bytes"},
               true);
 }
 
 call_callbacks make_fetch_callbacks(const std::shared_ptr<fetch_state>& state)
 {
     call_callbacks callbacks;
-    callbacks.on_head = [state](const response_head& head) { state->head = head; };
-    callbacks.on_body = [state](std::string_view piece) { add_to_fetch(state, piece); };
+    callbacks.on_head = [state](const response_head& head) {
+        state->head = head;
+    };
+    callbacks.on_body = [state](std::string_view piece) {
+        add_to_fetch(state, piece);
+    };
     callbacks.on_end = [state](const call_end& end) {
         if (base::is_ok(end.outcome)) {
             end_fetch(state, std::pair(std::move(state->head), std::move(state->body)),
@@ -143,8 +147,7 @@
 
 } // namespace
 
-client::impl::impl(loop& owner_loop, client_settings wanted)
-    : owner(owner_loop), settings(wanted)
+client::impl::impl(loop& owner_loop, client_settings wanted) : owner(owner_loop), settings(wanted)
 {
     h2o_timeout_init(owner.internals().evloop, &m_io_timeout, h2o_timeout_never_ms);
     context.loop = owner.internals().evloop;
@@ -305,8 +308,7 @@
 
 client::client(loop& owner, client_settings settings)
     : m_impl(std::make_shared<impl>(owner, settings))
-{
-}
+{}
 
 client::~client()
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -62,8 +62,8 @@
     /// Requests that wait for a connection; beyond it a request ends with `overloaded`.
     std::size_t max_queued_per_address = 256;
     std::chrono::milliseconds connect_timeout{2000};
-    /// How long an unused connection is kept; shorter than any peer keeps it, so that a request does
-    /// not meet a connection that is being closed.
+    /// How long an unused connection is kept; shorter than any peer keeps it, so that a request
+    /// does not meet a connection that is being closed.
     std::chrono::milliseconds idle_timeout{5000};
 };
 
--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -33,7 +33,8 @@
 
 std::string write_head(const request_head& head, std::string_view body)
 {
-    std::string out = head.method + " " + head.path + " HTTP/1.1\r\nhost: " + head.authority + "\r\n";
+    std::string out =
+        head.method + " " + head.path + " HTTP/1.1\r\nhost: " + head.authority + "\r\n";
     for (const header& one : head.headers) {
         if (!is_framing_header(one.name)) {
             out.append(one.name).append(": ").append(one.value).append("\r\n");
@@ -61,18 +62,16 @@
 call_state::call_state(std::shared_ptr<client::impl> owner, client_request request,
                        call_callbacks callbacks)
     : m_owner(std::move(owner)), m_request(std::move(request)), m_callbacks(std::move(callbacks))
-{
-}
+{}
 
 void call_state::arm()
 {
-    m_deadline_timer =
-        m_owner->owner.schedule(m_request.deadline, [weak = weak_from_this()] {
-            if (const auto self = weak.lock()) {
-                self->m_deadline_timer = 0;
-                self->deadline_passed();
-            }
-        });
+    m_deadline_timer = m_owner->owner.schedule(m_request.deadline, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->m_deadline_timer = 0;
+            self->deadline_passed();
+        }
+    });
 }
 
 void call_state::start(peer& to)
@@ -336,8 +335,8 @@
 {
     const bool is_partial = m_h2o->sock != nullptr && m_h2o->sock->input->size != 0;
     const bool is_io = cause.substr(0, 3) == "I/O";
-    const auto kind = is_io && !is_partial ? base::error_kind::target_failed
-                                           : base::error_kind::answer_invalid;
+    const auto kind =
+        is_io && !is_partial ? base::error_kind::target_failed : base::error_kind::answer_invalid;
     return make_error(kind, address(), cause);
 }
 
--- a/src/http/internal/message_check.cpp
+++ b/src/http/internal/message_check.cpp
@@ -37,7 +37,8 @@
 
 bool is_header_value(std::string_view text)
 {
-    return std::none_of(text.begin(), text.end(), [](char c) { return is_control(c) && c != '\t'; });
+    return std::none_of(text.begin(), text.end(),
+                        [](char c) { return is_control(c) && c != '\t'; });
 }
 
 bool is_request_target(std::string_view text)
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -206,6 +206,7 @@
         return;
     }
     if (m_phase == phase::waiting) {
+        m_request->http1_is_persistent = 0;
         response_head failed;
         failed.status = status_internal_error;
         answer(std::move(failed), "");
@@ -267,8 +268,7 @@
     // packet.
     m_loop->schedule(base::boot_clock::now(), [weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (self && self->m_request != nullptr && self->m_phase == phase::open &&
-            !self->m_is_sending) {
+        if (self && self->m_request != nullptr && !self->m_is_head_sent) {
             self->send_pending();
         }
     });
@@ -289,12 +289,29 @@
         send(H2O_SEND_STATE_FINAL);
         return;
     }
+    if (m_is_head_sent && m_in_flight.empty()) {
+        // h2o takes an empty piece after the head for the end of the response.
+        proceed_later();
+        return;
+    }
     send(H2O_SEND_STATE_IN_PROGRESS);
 }
 
+void server_exchange::proceed_later()
+{
+    m_is_sending = true;
+    m_loop->schedule(base::boot_clock::now(), [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->m_request != nullptr) {
+            self->proceed();
+        }
+    });
+}
+
 void server_exchange::send(h2o_send_state_t state)
 {
     m_is_sending = true;
+    m_is_head_sent = true;
     h2o_iovec_t piece = h2o_iovec_init(m_in_flight.data(), m_in_flight.size());
     h2o_send(m_request, &piece, m_in_flight.empty() ? 0 : 1, state);
 }
@@ -358,7 +375,7 @@
     m_is_closed = true;
     // h2o is in the middle of closing the connection here; the callback may touch other sockets.
     m_loop->schedule(base::boot_clock::now(),
-                            [self = shared_from_this()] { self->report_closed(); });
+                     [self = shared_from_this()] { self->report_closed(); });
 }
 
 void server_exchange::report_closed()
--- a/src/http/internal/server_exchange.h
+++ b/src/http/internal/server_exchange.h
@@ -13,7 +13,8 @@
 struct server_connection;
 
 /// Bound to an h2o request until h2o disposes of it.
-class server_exchange final : public exchange, public std::enable_shared_from_this<server_exchange> {
+class server_exchange final : public exchange,
+                              public std::enable_shared_from_this<server_exchange> {
 public:
     /// Creates the exchange; the request's memory pool holds a reference to it.
     static std::shared_ptr<server_exchange> create(server::impl& owner, h2o_req_t& request);
@@ -61,6 +62,7 @@
     void send(h2o_send_state_t state);
     void send_error();
     void proceed();
+    void proceed_later();
     void detach();
     void report_closed();
     void schedule_flush();
@@ -74,11 +76,12 @@
     std::string m_peer_address;
 
     phase m_phase = phase::waiting;
-    bool m_is_sending = false;      ///< h2o has a piece and has not asked for more.
-    bool m_is_piece_sent = false;   ///< The piece in flight came from `write`.
-    bool m_is_finished = false;     ///< `finish` was called.
-    bool m_is_aborted = false;      ///< `abort` was called, or the framing does not hold.
-    bool m_is_closed = false;       ///< The caller has gone.
+    bool m_is_sending = false; ///< h2o has a piece and has not asked for more.
+    bool m_is_head_sent = false;
+    bool m_is_piece_sent = false; ///< The piece in flight came from `write`.
+    bool m_is_finished = false;   ///< `finish` was called.
+    bool m_is_aborted = false;    ///< `abort` was called, or the framing does not hold.
+    bool m_is_closed = false;     ///< The caller has gone.
     bool m_has_body = true;
     std::optional<std::uint64_t> m_length;
     std::uint64_t m_written = 0;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -47,8 +47,7 @@
 
 server::impl::impl(loop& owner_loop, request_handler request_callback)
     : owner(owner_loop), handler(std::move(request_callback))
-{
-}
+{}
 
 server::impl::~impl()
 {
@@ -122,8 +121,8 @@
     bound.length = sizeof(bound.storage);
     getsockname(descriptor, bound.get(), &bound.length);
     bound_address = format_address(bound.get());
-    m_listener = h2o_evloop_socket_create(owner.internals().evloop, descriptor,
-                                          H2O_SOCKET_FLAG_DONT_READ);
+    m_listener =
+        h2o_evloop_socket_create(owner.internals().evloop, descriptor, H2O_SOCKET_FLAG_DONT_READ);
     m_listener->data = this;
     return std::monostate{};
 }
@@ -320,8 +319,7 @@
 
 server::server(loop& owner, request_handler handler)
     : m_impl(std::make_shared<impl>(owner, std::move(handler)))
-{
-}
+{}
 
 server::~server()
 {
--- a/src/http/tests/test_support.cpp
+++ b/src/http/tests/test_support.cpp
@@ -177,7 +177,8 @@
 {
     std::size_t done = 0;
     while (done < text.size()) {
-        const ssize_t count = send(descriptor, text.data() + done, text.size() - done, MSG_NOSIGNAL);
+        const ssize_t count =
+            send(descriptor, text.data() + done, text.size() - done, MSG_NOSIGNAL);
         if (count <= 0) {
             return;
         }
@@ -199,14 +200,18 @@
 std::unique_ptr<client_call> record(client& with, client_request request, call_record& into)
 {
     call_callbacks callbacks;
-    callbacks.on_head = [&into](const response_head& head) { into.head = head; };
+    callbacks.on_head = [&into](const response_head& head) {
+        into.head = head;
+    };
     callbacks.on_body = [&into](std::string_view piece) {
         into.body_bytes += piece.size();
         if (into.body_bytes <= kept_body_bytes) {
             into.body += piece;
         }
     };
-    callbacks.on_end = [&into](const call_end& end) { into.end = end; };
+    callbacks.on_end = [&into](const call_end& end) {
+        into.end = end;
+    };
     return with.send(std::move(request), std::move(callbacks));
 }
 
@@ -220,9 +225,15 @@
     from->on_writable([state] { on_piece_sent(*state); });
     from->on_closed([state] { state->call.reset(); });
     call_callbacks callbacks;
-    callbacks.on_head = [state](const response_head& head) { state->from->start_answer(head); };
-    callbacks.on_body = [state](std::string_view piece) { on_piece_read(*state, piece); };
-    callbacks.on_end = [state](const call_end& end) { on_call_end(*state, end); };
+    callbacks.on_head = [state](const response_head& head) {
+        state->from->start_answer(head);
+    };
+    callbacks.on_body = [state](std::string_view piece) {
+        on_piece_read(*state, piece);
+    };
+    callbacks.on_end = [state](const call_end& end) {
+        on_call_end(*state, end);
+    };
     state->call = with.send(std::move(request), std::move(callbacks));
 }
 
