--- /dev/null
+++ b/src/apps/common/fleet_state.h
@@ -0,0 +1,51 @@
+/// @file State of the fleet as a program got it from its agent.
+#pragma once
+
+#include "apps/common/key_directory.h"
+#include "base/time.h"
+#include "config/types/document.h"
+#include "config/types/drains_document.h"
+#include "inner/types/messages.h"
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace snipeshore::apps {
+
+/// Documents, members and weights in force in this process.
+struct fleet_state {
+    std::uint64_t config_version = 0;
+    std::shared_ptr<const config::document> config;
+    std::uint64_t keys_version = 0;
+    key_directory keys;
+    std::uint64_t drains_version = 0;
+    config::drains_document drains;
+    std::vector<inner::host_record> members;
+    std::uint64_t members_revision = 0;
+    std::vector<inner::site_weights> weights;
+    std::uint64_t steering_revision = 0;
+    bool listed_known = false; ///< Whether the agent has read the platform's host list.
+    std::vector<base::host_id> listed_hosts;
+    /// When the agent last heard from the store or from another failure domain.
+    base::time_point last_contact{};
+};
+
+/// What a snapshot changed.
+struct fleet_changes {
+    bool config = false;
+    bool keys = false;
+    bool drains = false;
+    bool members = false;
+    bool weights = false;
+};
+
+/// Record of a host, or null.
+const inner::host_record* find_member(const fleet_state& fleet, const base::host_id& host);
+
+/// Whether a drain covers the item; a drained failure domain or region covers its hosts and
+/// targets.
+bool is_drained(const fleet_state& fleet, config::drain_kind kind, const std::string& id,
+                const base::failure_domain_id& domain);
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/common/key_directory.h
@@ -0,0 +1,28 @@
+/// @file Finds the client account of a key.
+#pragma once
+
+#include "base/types/ids.h"
+#include "config/types/keys_document.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace snipeshore::apps {
+
+/// Accounts by keyed hash of their keys. Contains no key.
+struct key_directory {
+    std::unordered_map<std::string, base::account_id> accounts;
+};
+
+key_directory make_key_directory(const config::keys_document& keys);
+
+/// Account of a key, or nothing when the key is unknown or withdrawn.
+std::optional<base::account_id> account_of(const key_directory& directory, std::string_view secret,
+                                           std::string_view key);
+
+/// The key of an `Authorization: Bearer` header value; empty when it is malformed.
+std::string_view bearer_key(std::string_view header_value);
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/common/process_flags.h
@@ -0,0 +1,27 @@
+/// @file Flags that the programs of a host have in common.
+#pragma once
+
+#include "base/types/ids.h"
+#include "http/server.h"
+#include "inner/node.h"
+
+#include <string>
+#include <vector>
+
+namespace snipeshore::apps {
+
+struct process_settings {
+    base::host_id host;
+    base::failure_domain_id failure_domain;
+    std::string admin_address;
+    std::string fleet_secret;
+    http::server_settings server; ///< Without the address.
+    inner::node_settings node;    ///< Without the address.
+};
+
+/// One problem per wrong flag.
+std::vector<std::string> check_process_flags();
+
+process_settings read_process_flags();
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/common/snapshot_client.h
@@ -0,0 +1,65 @@
+/// @file Keeps the fleet state of a program up to date from its host's agent.
+#pragma once
+
+#include "apps/common/fleet_state.h"
+#include "base/result.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace snipeshore::http {
+class loop;
+}
+
+namespace snipeshore::inner {
+class node;
+}
+
+namespace snipeshore::apps {
+
+/// Polls `Agent.watch` for ever. While the agent does not answer the last state stays in force.
+/// Belongs to the loop's thread.
+class snapshot_client {
+public:
+    using change_callback = std::function<void(const fleet_state&, const fleet_changes&)>;
+
+    snapshot_client(http::loop& loop, inner::node& node, std::string agent_address,
+                    std::function<inner::process_report()> report, change_callback on_change);
+    ~snapshot_client();
+    snapshot_client(const snapshot_client&) = delete;
+    snapshot_client& operator=(const snapshot_client&) = delete;
+    snapshot_client(snapshot_client&&) = delete;
+    snapshot_client& operator=(snapshot_client&&) = delete;
+
+    void start();
+    void stop();
+
+    const fleet_state& state() const;
+
+    /// Time of the last answer of the agent.
+    base::time_point last_answer() const;
+
+private:
+    void watch();
+    void watch_later();
+    void on_reply(base::result<inner::snapshot> reply, base::time_point sent);
+    fleet_changes apply(const inner::snapshot& snapshot);
+    bool apply_document(const inner::document& document, fleet_changes& changes);
+    base::result<std::string> text_of(const inner::document& document) const;
+
+    http::loop& m_loop;
+    inner::node& m_node;
+    std::string m_agent_address;
+    std::function<inner::process_report()> m_report;
+    change_callback m_on_change;
+    fleet_state m_state;
+    std::map<std::string, std::string> m_texts;
+    base::time_point m_last_answer{};
+    bool m_stopped = false;
+    /// Callbacks hold a weak reference, so that a late one finds out that this object is gone.
+    std::shared_ptr<snapshot_client*> m_alive;
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/common/stop_signal.cpp
@@ -0,0 +1,47 @@
+#include "apps/common/stop_signal.h"
+
+#include "http/loop.h"
+
+#include <csignal>
+#include <ctime>
+#include <utility>
+
+namespace snipeshore::apps {
+
+namespace {
+
+sigset_t stop_signals()
+{
+    sigset_t set{};
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    return set;
+}
+
+} // namespace
+
+stop_signal::stop_signal(http::loop& loop, std::function<void()> on_stop)
+{
+    // A caller that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    const sigset_t set = stop_signals();
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    m_thread = std::thread([this, &loop, callback = std::move(on_stop)] {
+        const sigset_t awaited = stop_signals();
+        const timespec poll_interval{0, 100'000'000};
+        while (!m_done) {
+            if (sigtimedwait(&awaited, nullptr, &poll_interval) > 0) {
+                loop.post(callback);
+            }
+        }
+    });
+}
+
+stop_signal::~stop_signal()
+{
+    m_done = true;
+    m_thread.join();
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/entry/answer_stream.cpp
@@ -0,0 +1,79 @@
+#include "apps/entry/answer_stream.h"
+
+#include "http/client.h"
+#include "http/exchange.h"
+
+#include <utility>
+
+namespace snipeshore::apps {
+
+answer_stream::answer_stream(std::shared_ptr<http::exchange> exchange)
+    : m_exchange(std::move(exchange))
+{}
+
+void answer_stream::start(http::response_head head)
+{
+    m_exchange->on_writable([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->m_write_in_flight = false;
+            self->flush();
+        }
+    });
+    m_exchange->start_answer(std::move(head));
+}
+
+void answer_stream::write(std::string_view piece, http::client_call& call)
+{
+    m_bytes += piece.size();
+    m_buffer.append(piece);
+    flush();
+    if (m_buffer.size() > high_water_bytes && m_paused_call == nullptr) {
+        m_paused_call = &call;
+        call.pause();
+    }
+}
+
+void answer_stream::finish(std::function<void()> on_sent)
+{
+    m_ended = true;
+    m_paused_call = nullptr;
+    m_on_sent = std::move(on_sent);
+    flush();
+}
+
+void answer_stream::abort()
+{
+    m_paused_call = nullptr;
+    m_exchange->abort();
+}
+
+void answer_stream::forget_call()
+{
+    m_paused_call = nullptr;
+}
+
+std::uint64_t answer_stream::bytes() const
+{
+    return m_bytes;
+}
+
+void answer_stream::flush()
+{
+    if (m_write_in_flight) {
+        return;
+    }
+    if (!m_buffer.empty()) {
+        m_write_in_flight = true;
+        m_exchange->write(std::exchange(m_buffer, {}));
+    } else if (m_ended && m_on_sent != nullptr) {
+        m_exchange->finish();
+        const auto on_sent = std::exchange(m_on_sent, nullptr);
+        on_sent();
+        return;
+    }
+    if (m_paused_call != nullptr && m_buffer.size() < low_water_bytes) {
+        std::exchange(m_paused_call, nullptr)->resume();
+    }
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/entry/crash_monitor.h
@@ -0,0 +1,69 @@
+/// @file Detects requests that crash targets and shares what is known with the other entries.
+#pragma once
+
+#include "base/time.h"
+#include "base/types/ids.h"
+#include "http/client.h"
+#include "inner/types/messages.h"
+#include "retries/types/quarantine.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace snipeshore::inner {
+class node;
+}
+
+namespace snipeshore::apps {
+
+struct fleet_state;
+
+/// Owns the crash register. Belongs to the loop's thread.
+class crash_monitor {
+public:
+    crash_monitor(http::client& client, inner::node& node, const fleet_state& fleet,
+                  const base::host_id& self);
+
+    retries::suspicion suspicion_of(std::uint64_t fingerprint) const;
+
+    bool may_run_beside(std::uint64_t fingerprint, const std::vector<std::uint64_t>& running) const;
+
+    struct broken_connection {
+        std::string target;
+        std::string address;
+        std::string health_path;
+        std::vector<std::uint64_t> fingerprints; ///< In flight on the target.
+    };
+
+    /// A target closed the connection without a response. Asks whether the target still accepts
+    /// connections, because a lost connection alone proves no crash; a crash is reported to all
+    /// entries. Calls `done` when they have answered or the deadline has passed, so that the caller
+    /// gets its answer, and may send the request again elsewhere, after that.
+    void on_broken_connection(broken_connection broken, std::function<void()> done);
+
+    void on_success(std::uint64_t fingerprint);
+
+    void take_report(const inner::crash_report& report);
+    void take_success(const std::vector<std::uint64_t>& fingerprints);
+
+    const retries::crash_register& crashes() const;
+
+private:
+    struct check;
+
+    void report(const broken_connection& broken, const std::function<void()>& done);
+
+    http::client& m_client;
+    inner::node& m_node;
+    const fleet_state& m_fleet;
+    base::host_id m_self;
+    retries::crash_register m_crashes;
+    std::uint64_t m_next_crash;
+    std::list<std::shared_ptr<check>> m_checks;
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/entry/entry_app.cpp
@@ -0,0 +1,212 @@
+#include "apps/entry/entry_app.h"
+
+#include "apps/entry/dump.h"
+#include "apps/entry/request_task.h"
+#include "http/loop.h"
+#include "telemetry/event_log.h"
+#include "tickets/ticket_text.h"
+
+#include <nlohmann/json.hpp>
+#include <prometheus/gauge.h>
+#include <sodium.h>
+
+#include <utility>
+
+namespace snipeshore::apps {
+
+namespace {
+
+/// Random and not 0, which means "no entry process".
+base::incarnation new_incarnation()
+{
+    std::uint64_t value = 0;
+    while (value == 0) {
+        randombytes_buf(&value, sizeof value);
+    }
+    return base::incarnation(value);
+}
+
+inner::node_settings with_post(inner::node_settings settings, http::loop& loop)
+{
+    settings.post = [&loop](std::function<void()> work) {
+        loop.post(std::move(work));
+    };
+    return settings;
+}
+
+} // namespace
+
+entry_app::entry_app(http::loop& loop, entry_settings settings)
+    : m_loop(loop), m_settings(std::move(settings)), m_incarnation(new_incarnation()),
+      m_client(loop, {}), m_node(with_post(m_settings.node, loop)),
+      m_snapshots(
+          loop, m_node, m_settings.agent_address, [this] { return report(); },
+          [this](const fleet_state& fleet, const fleet_changes& changes) {
+              on_change(fleet, changes);
+          }),
+      m_shares(loop, m_node, m_settings.identity.host, m_incarnation),
+      m_tickets(m_node, m_snapshots.state(), m_settings.identity.host, m_incarnation,
+                tickets::derive_fleet_secret(m_settings.identity.fleet_secret)),
+      m_crashes(m_client, m_node, m_snapshots.state(), m_settings.identity.host),
+      m_services{
+          m_settings.identity, loop, m_client, m_metrics, m_snapshots.state(), m_shares, m_tickets,
+          m_crashes,           {},   {},       {},        m_settings.max_tasks},
+      m_server(loop,
+               [this](std::shared_ptr<http::exchange> exchange) {
+                   request_task::start(m_services, std::move(exchange));
+               }),
+      m_admin(loop, m_metrics,
+              {[this] { return dump(); },
+               [this] { return m_snapshots.state().config != nullptr && !m_is_leaving; },
+               [this] {
+                   refresh_metrics();
+               }})
+{}
+
+base::status entry_app::start()
+{
+    for (const base::status& step :
+         {m_node.start({}, make_service()), m_server.listen(m_settings.server),
+          m_settings.admin_address.empty() ? base::status{}
+                                           : m_admin.listen(m_settings.admin_address)}) {
+        if (!base::is_ok(step)) {
+            return step;
+        }
+    }
+    m_shares.update(m_snapshots.state());
+    m_snapshots.start();
+    telemetry::log_event(telemetry::severity::info, "started",
+                         {{"host", m_settings.identity.host.value()},
+                          {"address", m_server.bound_address()},
+                          {"inner_address", m_node.bound_address()},
+                          {"incarnation", m_incarnation.value()}});
+    return {};
+}
+
+inner::entry_service entry_app::make_service()
+{
+    inner::entry_service service;
+    service.borrow = [this](const inner::borrow_request& request,
+                            const inner::reply_to<inner::borrow_reply>& reply) {
+        reply(m_shares.lend(request));
+    };
+    service.give_back = [this](std::uint64_t loan, const inner::reply_to<inner::nothing>& reply) {
+        m_shares.take_back(loan);
+        reply(inner::nothing{});
+    };
+    service.claim = [this](const inner::claim_request& request,
+                           const inner::reply_to<inner::claim_reply>& reply) {
+        reply(m_tickets.answer_claim(request));
+    };
+    service.complete = [this](const inner::complete_request& request,
+                              const inner::reply_to<inner::nothing>& reply) {
+        m_tickets.answer_complete(request);
+        reply(inner::nothing{});
+    };
+    service.release = [this](const inner::release_request& request,
+                             const inner::reply_to<inner::nothing>& reply) {
+        m_tickets.answer_release(request);
+        reply(inner::nothing{});
+    };
+    service.report_crash = [this](const inner::crash_report& report,
+                                  const inner::reply_to<inner::nothing>& reply) {
+        m_crashes.take_report(report);
+        reply(inner::nothing{});
+    };
+    service.report_success = [this](const std::vector<std::uint64_t>& fingerprints,
+                                    const inner::reply_to<inner::nothing>& reply) {
+        m_crashes.take_success(fingerprints);
+        reply(inner::nothing{});
+    };
+    return service;
+}
+
+inner::process_report entry_app::report()
+{
+    inner::process_report report;
+    report.entry_incarnation = m_incarnation;
+    report.ticket_epoch = m_tickets.epoch();
+    report.leaving = m_is_leaving;
+    report.config_version = m_snapshots.state().config_version;
+    return report;
+}
+
+void entry_app::on_change(const fleet_state& fleet, const fleet_changes& changes)
+{
+    if (changes.config || changes.members) {
+        m_shares.update(fleet);
+    }
+    if ((changes.config || changes.drains) && fleet.config != nullptr) {
+        update_pools();
+    }
+}
+
+void entry_app::update_pools()
+{
+    const fleet_state& fleet = m_snapshots.state();
+    const base::time_point now = base::boot_clock::now();
+    for (const config::service& service : fleet.config->services) {
+        auto pool = m_services.pools.find(service.id);
+        if (pool == m_services.pools.end()) {
+            pool = m_services.pools.emplace(service.id, make_pool(service, now)).first;
+        }
+        update_pool(pool->second, service, fleet, m_settings.identity.host,
+                    m_settings.identity.failure_domain, now);
+    }
+}
+
+void entry_app::stop()
+{
+    if (m_is_leaving) {
+        return;
+    }
+    m_is_leaving = true;
+    const base::time_point now = base::boot_clock::now();
+    m_stop_deadline = now + m_settings.stop_deadline;
+    telemetry::log_event(telemetry::severity::info, "stopping",
+                         {{"requests", static_cast<std::uint64_t>(m_services.tasks.size())}});
+    // Callers keep look-up answers for some seconds, so the entry still takes requests meanwhile.
+    m_loop.schedule(now + m_settings.leave_delay, [this] { drain(); });
+    m_loop.schedule(m_stop_deadline, [this] { finish_stop(); });
+}
+
+void entry_app::drain()
+{
+    m_server.drain([this] { finish_stop(); });
+}
+
+void entry_app::finish_stop()
+{
+    if (m_has_stopped) {
+        return;
+    }
+    m_has_stopped = true;
+    m_shares.return_all();
+    m_snapshots.stop();
+    telemetry::log_event(telemetry::severity::info, "stopped",
+                         {{"requests_cut", static_cast<std::uint64_t>(m_services.tasks.size())}});
+    // One turn of the loop for the returns to be sent.
+    m_loop.schedule(base::boot_clock::now() + std::chrono::milliseconds(100), [this] {
+        m_node.stop();
+        m_loop.stop();
+    });
+}
+
+nlohmann::json entry_app::dump() const
+{
+    nlohmann::json all = dump_entry(m_services, m_snapshots.last_answer());
+    all["incarnation"] = m_incarnation.value();
+    all["leaving"] = m_is_leaving;
+    all["open_connections"] = m_server.open_connections();
+    all["settings"] = settings_dump();
+    return all;
+}
+
+void entry_app::refresh_metrics()
+{
+    refresh_entry_metrics(m_services, m_metrics);
+    m_metrics.gauge("snipeshore_open_connections", "Connections of callers.")
+        .Set(static_cast<double>(m_server.open_connections()));
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/entry/entry_app.h
@@ -0,0 +1,75 @@
+/// @file The entry program: wires request tasks, shares, tickets and the inner protocol together.
+#pragma once
+
+#include "apps/common/admin_server.h"
+#include "apps/common/snapshot_client.h"
+#include "apps/entry/crash_monitor.h"
+#include "apps/entry/entry_services.h"
+#include "apps/entry/share_manager.h"
+#include "apps/entry/ticket_desk.h"
+#include "base/result.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "inner/node.h"
+#include "telemetry/metrics.h"
+
+#include <chrono>
+#include <string>
+
+namespace snipeshore::http {
+class loop;
+}
+
+namespace snipeshore::apps {
+
+struct entry_settings {
+    entry_identity identity;
+    http::server_settings server;
+    inner::node_settings node;
+    std::string agent_address;
+    std::string admin_address;
+    std::chrono::milliseconds stop_deadline{30000};
+    std::chrono::milliseconds leave_delay{6000};
+    std::size_t max_tasks = 4096;
+};
+
+/// Belongs to the loop's thread.
+class entry_app {
+public:
+    entry_app(http::loop& loop, entry_settings settings);
+
+    base::status start();
+
+    /// Planned stop: leaves the look-up answers, finishes every request, gives loans back, then
+    /// stops the loop.
+    void stop();
+
+private:
+    inner::entry_service make_service();
+    inner::process_report report();
+    void on_change(const fleet_state& fleet, const fleet_changes& changes);
+    void update_pools();
+    void drain();
+    void finish_stop();
+    nlohmann::json dump() const;
+    void refresh_metrics();
+
+    http::loop& m_loop;
+    entry_settings m_settings;
+    base::incarnation m_incarnation;
+    telemetry::metrics m_metrics;
+    http::client m_client;
+    inner::node m_node;
+    snapshot_client m_snapshots;
+    share_manager m_shares;
+    ticket_desk m_tickets;
+    crash_monitor m_crashes;
+    entry_services m_services;
+    http::server m_server;
+    admin_server m_admin;
+    bool m_is_leaving = false;
+    bool m_has_stopped = false;
+    base::time_point m_stop_deadline{};
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/entry/entry_services.h
@@ -0,0 +1,52 @@
+/// @file What the request tasks of one entry process share. All of it belongs to the loop's thread.
+#pragma once
+
+#include "apps/entry/refusal_log.h"
+#include "apps/entry/service_pool.h"
+#include "base/types/ids.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace snipeshore::http {
+class client;
+class loop;
+} // namespace snipeshore::http
+
+namespace snipeshore::telemetry {
+class metrics;
+}
+
+namespace snipeshore::apps {
+
+class crash_monitor;
+class request_task;
+class share_manager;
+class ticket_desk;
+struct fleet_state;
+
+struct entry_identity {
+    base::host_id host;
+    base::failure_domain_id failure_domain;
+    std::string fleet_secret;
+};
+
+struct entry_services {
+    const entry_identity& identity;
+    http::loop& loop;
+    http::client& client;
+    telemetry::metrics& metrics;
+    const fleet_state& fleet;
+    share_manager& shares;
+    ticket_desk& tickets;
+    crash_monitor& crashes;
+    std::unordered_map<base::service_id, service_pool> pools;
+    refusal_log refusals;
+    /// Keeps the running tasks alive.
+    std::unordered_set<std::shared_ptr<request_task>> tasks;
+    std::size_t max_tasks = 4096;
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/entry/request_task.cpp
@@ -0,0 +1,610 @@
+#include "apps/entry/request_task.h"
+
+#include "apps/common/fleet_state.h"
+#include "apps/common/request_headers.h"
+#include "apps/entry/answer_stream.h"
+#include "apps/entry/crash_monitor.h"
+#include "apps/entry/entry_services.h"
+#include "apps/entry/share_manager.h"
+#include "apps/entry/ticket_desk.h"
+#include "balancing/balancer.h"
+#include "balancing/types/outcome.h"
+#include "base/error_answer.h"
+#include "base/hash.h"
+#include "config/types/document.h"
+#include "http/exchange.h"
+#include "retries/decide.h"
+#include "retries/quarantine.h"
+#include "retries/retry_budget.h"
+#include "targets/forward.h"
+#include "telemetry/event_log.h"
+#include "telemetry/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+namespace snipeshore::apps {
+
+namespace {
+
+using base::error;
+using base::error_kind;
+
+constexpr std::size_t max_kept_bytes = 64U << 10U;
+
+std::chrono::seconds round_up_to_seconds(base::duration wait)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(wait);
+    return std::max(seconds, std::chrono::seconds(1));
+}
+
+balancing::outcome outcome_of(int status)
+{
+    return status >= 500 ? balancing::outcome::failure : balancing::outcome::success;
+}
+
+} // namespace
+
+void request_task::start(entry_services& services, std::shared_ptr<http::exchange> exchange)
+{
+    const auto task = std::make_shared<request_task>(services, std::move(exchange));
+    services.tasks.insert(task);
+    task->run();
+}
+
+request_task::request_task(entry_services& services, std::shared_ptr<http::exchange> exchange)
+    : m_services(services), m_exchange(std::move(exchange)), m_config(services.fleet.config),
+      m_arrived(base::boot_clock::now())
+{}
+
+request_task::~request_task() = default;
+
+void request_task::run()
+{
+    m_request_id = request_id_of(m_exchange->head());
+    m_traceparent = traceparent_of(m_exchange->head());
+    m_exchange->on_closed([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->on_caller_gone();
+        }
+    });
+    if (m_services.tasks.size() > m_services.max_tasks) {
+        refuse({error_kind::overloaded, "too many requests in progress on this host"});
+        return;
+    }
+    if (m_config == nullptr) {
+        refuse({error_kind::not_ready, "this host has no configuration yet"});
+        return;
+    }
+    for (const base::status& step : {resolve_route(), resolve_account(), resolve_deadline()}) {
+        if (!base::is_ok(step)) {
+            refuse(base::error_of(step));
+            return;
+        }
+    }
+    m_fingerprint = retries::fingerprint(m_account.value(), m_match.service->id.value(),
+                                         m_exchange->head().method, m_exchange->head().path,
+                                         m_exchange->body());
+    if (is_once()) {
+        claim_ticket();
+        return;
+    }
+    admit();
+}
+
+base::status request_task::resolve_route()
+{
+    const http::request_head& head = m_exchange->head();
+    const base::result<matched_route> match =
+        match_route(*m_config, head.authority, head.method, head.path);
+    if (!base::is_ok(match)) {
+        return base::error_of(match);
+    }
+    m_match = base::value_of(match);
+    const std::uint64_t limit = m_match.route->max_request.value();
+    if (m_exchange->body().size() > limit) {
+        return error{error_kind::request_too_large,
+                     "the body has " + std::to_string(m_exchange->body().size()) +
+                         " bytes, the route takes " + std::to_string(limit)};
+    }
+    const auto pool = m_services.pools.find(m_match.service->id);
+    if (pool == m_services.pools.end()) {
+        return error{error_kind::not_ready, "the service is not loaded on this host yet"};
+    }
+    m_pool = &pool->second;
+    return std::monostate{};
+}
+
+base::status request_task::resolve_account()
+{
+    if (m_match.route == nullptr || m_match.route->who == config::access::open) {
+        return std::monostate{};
+    }
+    const base::result<base::account_id> account = authenticate(
+        m_services.fleet, m_services.identity.fleet_secret, m_exchange->head(), m_arrived);
+    if (!base::is_ok(account)) {
+        return base::error_of(account);
+    }
+    m_account = base::value_of(account);
+    return check_service_allowed(*m_config, m_account, m_match.service->id);
+}
+
+base::status request_task::resolve_deadline()
+{
+    if (m_match.route == nullptr) {
+        return std::monostate{};
+    }
+    const base::result<std::chrono::milliseconds> limit =
+        deadline_of(m_exchange->head(), m_match.route->deadline);
+    if (!base::is_ok(limit)) {
+        return base::error_of(limit);
+    }
+    m_deadline = m_arrived + base::value_of(limit);
+    return std::monostate{};
+}
+
+void request_task::claim_ticket()
+{
+    const auto text = http::find_header(m_exchange->head().headers, "snipeshore-ticket");
+    if (!text.has_value()) {
+        refuse({error_kind::ticket_missing, "route " + m_match.route->path_prefix +
+                                                " needs a ticket, ask the look-up with once=1"});
+        return;
+    }
+    m_claim = std::make_shared<granted_claim>();
+    m_claim->text = std::string(*text);
+    m_services.tickets.claim(m_claim, m_account, m_deadline,
+                             [weak = weak_from_this(), claim = m_claim, &desk = m_services.tickets](
+                                 const base::result<tickets::claim_result>& outcome) {
+                                 const auto self = weak.lock();
+                                 if (self != nullptr && !self->m_has_left) {
+                                     self->on_claim(outcome);
+                                     return;
+                                 }
+                                 // The caller has gone meanwhile and nothing was sent.
+                                 const bool granted =
+                                     base::is_ok(outcome) && base::value_of(outcome).verdict ==
+                                                                 tickets::claim_verdict::granted;
+                                 if (granted) {
+                                     desk.release(*claim);
+                                 }
+                             });
+}
+
+void request_task::on_claim(const base::result<tickets::claim_result>& outcome)
+{
+    if (!base::is_ok(outcome)) {
+        refuse(base::error_of(outcome));
+        return;
+    }
+    const tickets::claim_result& result = base::value_of(outcome);
+    if (result.verdict == tickets::claim_verdict::done && result.answer != nullptr) {
+        replay(*result.answer);
+        return;
+    }
+    if (result.verdict != tickets::claim_verdict::granted) {
+        refuse({error_kind::outcome_unknown, "a request with this ticket ran; its answer is not "
+                                             "kept"});
+        return;
+    }
+    m_is_claim_held = true;
+    admit();
+}
+
+void request_task::replay(const tickets::kept_answer& answer)
+{
+    http::response_head head;
+    head.status = answer.status;
+    for (const auto& [name, value] : answer.headers) {
+        head.headers.push_back({name, value});
+    }
+    head.headers.push_back({"snipeshore-replayed", "1"});
+    head.headers.push_back({"snipeshore-request-id", m_request_id});
+    m_exchange->answer(std::move(head), answer.body);
+    record_end(answer.status, "replayed");
+    leave();
+}
+
+void request_task::admit()
+{
+    const auto suspicion = m_services.crashes.suspicion_of(m_fingerprint);
+    if (suspicion == retries::suspicion::quarantined) {
+        refuse({error_kind::quarantined, "requests like this one crashed their targets"});
+        return;
+    }
+    if (m_account.value().empty()) {
+        limits::admission open;
+        open.verdict = limits::admit_verdict::admitted;
+        on_admission(open);
+        return;
+    }
+    m_wait = m_services.shares.admit(m_account,
+                                     [weak = weak_from_this()](const limits::admission& verdict) {
+                                         const auto self = weak.lock();
+                                         if (self != nullptr && !self->m_has_left) {
+                                             self->m_wait = 0;
+                                             self->on_admission(verdict);
+                                         }
+                                     });
+}
+
+void request_task::on_admission(const limits::admission& verdict)
+{
+    switch (verdict.verdict) {
+    case limits::admit_verdict::admitted:
+        retries::record_request(m_pool->budget, base::boot_clock::now());
+        send_to_target();
+        return;
+    case limits::admit_verdict::account_unknown:
+        refuse({error_kind::key_unknown,
+                "the key's client account is not in the configuration in force"});
+        return;
+    case limits::admit_verdict::overloaded:
+        refuse({error_kind::overloaded, "too many active client accounts on this host"});
+        return;
+    case limits::admit_verdict::wait:
+    case limits::admit_verdict::rate_exceeded:
+        break;
+    }
+    m_retry_after = round_up_to_seconds(verdict.retry_after);
+    refuse({error_kind::rate_exceeded,
+            "client account " + m_account.value() + " is over its rate and burst"});
+}
+
+base::result<std::uint32_t> request_task::choose_target()
+{
+    std::vector<std::uint32_t> excluded = m_tried;
+    for (std::uint32_t index = 0; index < m_pool->running.size(); ++index) {
+        if (!m_services.crashes.may_run_beside(m_fingerprint, m_pool->running[index])) {
+            excluded.push_back(index);
+        }
+    }
+    balancing::request_info info;
+    info.hash = base::stable_hash(m_request_id);
+    info.excluded = excluded;
+    return balancing::choose(m_pool->balancer, info, base::boot_clock::now());
+}
+
+void request_task::send_to_target()
+{
+    if (base::boot_clock::now() >= m_deadline) {
+        refuse({m_has_sent ? error_kind::deadline_exceeded : error_kind::deadline_not_run,
+                "the deadline has passed"});
+        return;
+    }
+    const base::result<std::uint32_t> target = choose_target();
+    if (!base::is_ok(target)) {
+        refuse(m_has_sent ? error{error_kind::target_failed, "no other target can take the request"}
+                          : base::error_of(target));
+        return;
+    }
+    start_call(base::value_of(target));
+}
+
+void request_task::start_call(std::uint32_t target)
+{
+    const base::time_point now = base::boot_clock::now();
+    m_target = target;
+    m_tried.push_back(target);
+    ++m_attempts;
+    m_attempt_started = now;
+    m_is_attempt_open = true;
+    balancing::on_start(m_pool->balancer, target, now);
+    add_running(*m_pool, target, m_fingerprint);
+
+    http::client_request request;
+    request.address = m_pool->addresses[target];
+    request.head = targets::make_forwarded_head(
+        m_exchange->head(), {m_account, m_request_id, m_traceparent, m_deadline, request.address},
+        now);
+    request.body = std::string(m_exchange->body());
+    request.deadline = m_deadline;
+    http::call_callbacks callbacks;
+    const auto weak = weak_from_this();
+    callbacks.on_head = [weak](const http::response_head& head) {
+        if (const auto self = weak.lock()) {
+            self->on_head(head);
+        }
+    };
+    callbacks.on_body = [weak](std::string_view piece) {
+        if (const auto self = weak.lock()) {
+            self->on_body(piece);
+        }
+    };
+    callbacks.on_end = [weak](const http::call_end& end) {
+        if (const auto self = weak.lock()) {
+            self->on_end(end);
+        }
+    };
+    m_call = m_services.client.send(std::move(request), std::move(callbacks));
+}
+
+void request_task::on_head(const http::response_head& head)
+{
+    m_has_sent = true;
+    const base::time_point now = base::boot_clock::now();
+    if (targets::is_load_shed(head)) {
+        balancing::on_end(m_pool->balancer, m_target, balancing::outcome::load_shed,
+                          now - m_attempt_started, now);
+        remove_running(*m_pool, m_target, m_fingerprint);
+        m_is_attempt_open = false;
+        if (retry_instead_of(head)) {
+            return;
+        }
+    }
+    const std::uint64_t limit = m_match.route->max_answer.value();
+    if (head.content_length.value_or(0) > limit) {
+        m_call.reset();
+        end_attempt(true);
+        decide_after_failure({error_kind::answer_invalid,
+                              "the target's answer has " + std::to_string(*head.content_length) +
+                                  " bytes, the route allows " + std::to_string(limit)});
+        return;
+    }
+    m_status = head.status;
+    http::response_head passed_on = targets::make_returned_head(head);
+    if (is_once()) {
+        m_kept.status = static_cast<std::uint16_t>(head.status);
+        for (const http::header& header : passed_on.headers) {
+            m_kept.headers.emplace_back(header.name, header.value);
+        }
+    }
+    passed_on.headers.push_back({"snipeshore-request-id", m_request_id});
+    passed_on.headers.push_back({"snipeshore-host", m_services.identity.host.value()});
+    m_stream = std::make_shared<answer_stream>(m_exchange);
+    m_stream->start(std::move(passed_on));
+}
+
+bool request_task::retry_instead_of(const http::response_head& shed)
+{
+    if (is_once()) {
+        return false;
+    }
+    const retries::failed_attempt attempt{true,
+                                          true,
+                                          false,
+                                          m_deadline,
+                                          p95_of(m_pool->latencies),
+                                          m_attempts,
+                                          error_kind::target_failed};
+    const auto decision = retries::decide_retry(attempt, m_pool->budget, base::boot_clock::now());
+    if (!decision.retry) {
+        return false;
+    }
+    const base::result<std::uint32_t> other = choose_target();
+    if (!base::is_ok(other)) {
+        return false;
+    }
+    telemetry::log_event(telemetry::severity::info, "retry_after_shed",
+                         {{"request_id", m_request_id}, {"status", shed.status}});
+    m_call.reset();
+    start_call(base::value_of(other));
+    return true;
+}
+
+void request_task::on_body(std::string_view piece)
+{
+    if (m_stream == nullptr) {
+        return;
+    }
+    if (is_once() && !m_is_kept_too_large) {
+        m_is_kept_too_large = m_kept.body.size() + piece.size() > max_kept_bytes;
+        if (!m_is_kept_too_large) {
+            m_kept.body.append(piece);
+        }
+    }
+    if (m_is_caller_gone) {
+        return;
+    }
+    m_stream->write(piece, *m_call);
+    if (m_stream->bytes() > m_match.route->max_answer.value()) {
+        m_stream->abort();
+        m_call.reset();
+        end_attempt(true);
+        record_end(m_status, "answer_invalid");
+        leave();
+    }
+}
+
+void request_task::on_end(const http::call_end& end)
+{
+    m_has_sent = m_has_sent || end.request_sent;
+    if (m_stream != nullptr) {
+        m_stream->forget_call();
+    }
+    if (base::is_ok(end.outcome)) {
+        on_complete();
+        return;
+    }
+    const error cause = base::error_of(end.outcome);
+    if (m_stream != nullptr) {
+        end_attempt(true);
+        m_stream->abort();
+        record_end(m_status, base::answer_for(cause.kind).name);
+        leave();
+        return;
+    }
+    const bool is_broken = end.request_sent && (cause.kind == error_kind::target_failed ||
+                                                cause.kind == error_kind::answer_invalid);
+    if (is_broken) {
+        on_broken(cause);
+        return;
+    }
+    end_attempt(cause.kind != error_kind::deadline_exceeded || end.request_sent);
+    decide_after_failure(cause);
+}
+
+void request_task::on_complete()
+{
+    const base::time_point now = base::boot_clock::now();
+    if (m_is_attempt_open) {
+        add_latency(m_pool->latencies, now - m_attempt_started);
+        balancing::on_end(m_pool->balancer, m_target, outcome_of(m_status), now - m_attempt_started,
+                          now);
+        remove_running(*m_pool, m_target, m_fingerprint);
+        m_is_attempt_open = false;
+    }
+    m_services.crashes.on_success(m_fingerprint);
+    if (is_once() && !m_is_kept_too_large) {
+        m_services.tickets.complete(*m_claim, std::move(m_kept));
+    }
+    if (m_is_caller_gone) {
+        record_end(m_status, "caller_gone");
+        leave();
+        return;
+    }
+    m_stream->finish([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->record_end(self->m_status, "ok");
+            self->leave();
+        }
+    });
+}
+
+void request_task::on_broken(const error& cause)
+{
+    crash_monitor::broken_connection broken{
+        m_pool->balancer.targets[m_target].info.id.value(), m_pool->addresses[m_target],
+        m_match.service->health_path, m_pool->running[m_target]};
+    end_attempt(true);
+    m_services.crashes.on_broken_connection(std::move(broken), [weak = weak_from_this(), cause] {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->m_has_left) {
+            self->decide_after_failure(cause);
+        }
+    });
+}
+
+void request_task::end_attempt(bool failed)
+{
+    if (!m_is_attempt_open) {
+        return;
+    }
+    const base::time_point now = base::boot_clock::now();
+    m_is_attempt_open = false;
+    balancing::on_end(m_pool->balancer, m_target,
+                      failed ? balancing::outcome::failure : balancing::outcome::cancelled,
+                      now - m_attempt_started, now);
+    remove_running(*m_pool, m_target, m_fingerprint);
+}
+
+void request_task::decide_after_failure(const error& cause)
+{
+    if (m_is_caller_gone) {
+        record_end(0, base::answer_for(cause.kind).name);
+        leave();
+        return;
+    }
+    if (m_services.crashes.suspicion_of(m_fingerprint) == retries::suspicion::quarantined &&
+        !is_once()) {
+        refuse({error_kind::target_failed,
+                "requests like this one crashed their targets; last cause: " + cause.detail});
+        return;
+    }
+    const retries::failed_attempt attempt{
+        !is_once(), m_has_sent, m_stream != nullptr, m_deadline, p95_of(m_pool->latencies),
+        m_attempts, cause.kind};
+    const retries::retry_decision decision =
+        retries::decide_retry(attempt, m_pool->budget, base::boot_clock::now());
+    if (decision.retry) {
+        send_to_target();
+        return;
+    }
+    refuse({decision.kind, cause.detail});
+}
+
+void request_task::on_caller_gone()
+{
+    if (m_has_left) {
+        return;
+    }
+    m_is_caller_gone = true;
+    if (m_stream != nullptr) {
+        m_stream->forget_call();
+    }
+    // The answer of a request that runs once is still read, so that a repeat gets it.
+    if (is_once() && m_is_attempt_open) {
+        if (m_call != nullptr) {
+            m_call->resume();
+        }
+        return;
+    }
+    if (m_wait != 0) {
+        m_services.shares.cancel(m_account, m_wait);
+    }
+    if (m_is_claim_held && !m_has_sent) {
+        m_services.tickets.release(*m_claim);
+    }
+    m_call.reset();
+    end_attempt(false);
+    record_end(0, "caller_gone");
+    leave();
+}
+
+void request_task::refuse(error cause)
+{
+    const base::error_answer& answer = base::answer_for(cause.kind);
+    if (m_is_claim_held && !m_has_sent) {
+        m_services.tickets.release(*m_claim);
+    }
+    add_refusal(m_services.refusals,
+                {base::boot_clock::now(), m_request_id, m_account.value(),
+                 m_match.service == nullptr ? std::string() : m_match.service->id.value(), cause});
+    const bool not_run = says_not_run(cause.kind);
+    m_exchange->answer(refusal_head(cause, not_run, m_request_id, m_retry_after),
+                       base::error_body(cause, m_request_id, not_run));
+    record_end(answer.http_status, answer.name);
+    leave();
+}
+
+bool request_task::says_not_run(error_kind kind) const
+{
+    // With a ticket, "not run" is about all requests with that ticket: without the claim nothing is
+    // known about earlier ones.
+    const bool has_ticket =
+        http::find_header(m_exchange->head().headers, "snipeshore-ticket").has_value();
+    return base::answer_for(kind).not_run && !m_has_sent && (!has_ticket || m_is_claim_held);
+}
+
+void request_task::record_end(int status, std::string_view kind)
+{
+    const std::string service =
+        m_match.service == nullptr ? "unknown" : m_match.service->id.value();
+    const base::duration took = base::boot_clock::now() - m_arrived;
+    m_services.metrics
+        .counter("snipeshore_requests_total", "Requests by service and outcome.",
+                 {{"service", service}, {"outcome", std::string(kind)}})
+        .Increment();
+    m_services.metrics
+        .latency("snipeshore_request_seconds", "Time from a request's arrival to its end.",
+                 {{"service", service}})
+        .Observe(std::chrono::duration<double>(took).count());
+    telemetry::log_event(telemetry::severity::info, "request_done",
+                         {{"request_id", m_request_id},
+                          {"traceparent", m_traceparent},
+                          {"account", m_account.value()},
+                          {"service", service},
+                          {"method", m_exchange->head().method},
+                          {"status", status},
+                          {"outcome", kind},
+                          {"attempts", static_cast<std::uint64_t>(m_attempts)},
+                          {"took_ms", std::chrono::duration<double, std::milli>(took).count()}});
+}
+
+void request_task::leave()
+{
+    m_has_left = true;
+    m_services.tasks.erase(shared_from_this());
+}
+
+bool request_task::is_once() const
+{
+    return m_match.route != nullptr && m_match.route->repeats == config::repeat::once;
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/entry/request_task.h
@@ -0,0 +1,114 @@
+/// @file One request of a caller, from its arrival to the end of its answer.
+#pragma once
+
+#include "apps/entry/routing.h"
+#include "base/result.h"
+#include "base/time.h"
+#include "base/types/ids.h"
+#include "http/client.h"
+#include "http/types/message.h"
+#include "limits/types/share_ledger.h"
+#include "tickets/types/claim_register.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipeshore::config {
+struct document;
+}
+
+namespace snipeshore::http {
+class exchange;
+}
+
+namespace snipeshore::apps {
+
+class answer_stream;
+struct entry_services;
+struct granted_claim;
+struct service_pool;
+
+/// Steps: route and key, ticket, limits, target, response. Belongs to the loop's thread.
+class request_task : public std::enable_shared_from_this<request_task> {
+public:
+    /// Starts a task, which keeps itself alive in `services.tasks` until it has ended.
+    static void start(entry_services& services, std::shared_ptr<http::exchange> exchange);
+
+    request_task(entry_services& services, std::shared_ptr<http::exchange> exchange);
+    ~request_task();
+    request_task(const request_task&) = delete;
+    request_task& operator=(const request_task&) = delete;
+    request_task(request_task&&) = delete;
+    request_task& operator=(request_task&&) = delete;
+
+private:
+    void run();
+    base::status resolve_route();
+    base::status resolve_account();
+    base::status resolve_deadline();
+
+    void claim_ticket();
+    void on_claim(const base::result<tickets::claim_result>& outcome);
+    void replay(const tickets::kept_answer& answer);
+
+    void admit();
+    void on_admission(const limits::admission& verdict);
+
+    void send_to_target();
+    base::result<std::uint32_t> choose_target();
+    void start_call(std::uint32_t target);
+    void on_head(const http::response_head& head);
+    void on_body(std::string_view piece);
+    void on_end(const http::call_end& end);
+    void on_complete();
+    void on_broken(const base::error& cause);
+    void end_attempt(bool failed);
+    void decide_after_failure(const base::error& cause);
+    bool retry_instead_of(const http::response_head& shed);
+
+    void on_caller_gone();
+    void refuse(base::error cause);
+    void record_end(int status, std::string_view kind);
+    void leave();
+
+    bool is_once() const;
+    bool says_not_run(base::error_kind kind) const;
+
+    entry_services& m_services;
+    std::shared_ptr<http::exchange> m_exchange;
+    std::shared_ptr<const config::document> m_config;
+    matched_route m_match;
+    std::string m_request_id;
+    std::string m_traceparent;
+    base::account_id m_account; ///< Empty on open routes.
+    base::time_point m_arrived;
+    base::time_point m_deadline;
+    std::uint64_t m_fingerprint = 0;
+
+    std::shared_ptr<granted_claim> m_claim; ///< Null unless the route runs once.
+    bool m_is_claim_held = false;
+    std::uint64_t m_wait = 0;
+    std::chrono::seconds m_retry_after{0};
+
+    service_pool* m_pool = nullptr;
+    std::vector<std::uint32_t> m_tried;
+    std::unique_ptr<http::client_call> m_call;
+    std::uint32_t m_target = 0;
+    base::time_point m_attempt_started;
+    unsigned m_attempts = 0;
+    bool m_is_attempt_open = false;
+    bool m_has_sent = false; ///< A byte was written to any target.
+
+    std::shared_ptr<answer_stream> m_stream; ///< Set once a response head was passed on.
+    tickets::kept_answer m_kept;
+    bool m_is_kept_too_large = false;
+    int m_status = 0;
+    bool m_is_caller_gone = false;
+    bool m_has_left = false;
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/entry/share_manager.h
@@ -0,0 +1,88 @@
+/// @file Runs the account shares of this host: admission, waiting requests, loans with peers.
+#pragma once
+
+#include "base/time.h"
+#include "base/types/ids.h"
+#include "inner/service.h"
+#include "limits/share_ledger.h"
+#include "limits/types/share_ledger.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace snipeshore::http {
+class loop;
+}
+
+namespace snipeshore::inner {
+class node;
+}
+
+namespace snipeshore::apps {
+
+struct fleet_state;
+
+/// Identifies a waiting request; 0 means that the verdict was given at once.
+using wait_id = std::uint64_t;
+
+/// Owns the share ledger. Belongs to the loop's thread.
+class share_manager {
+public:
+    using verdict_callback = std::function<void(const limits::admission&)>;
+
+    share_manager(http::loop& loop, inner::node& node, const base::host_id& self,
+                  base::incarnation incarnation);
+    ~share_manager();
+    share_manager(const share_manager&) = delete;
+    share_manager& operator=(const share_manager&) = delete;
+    share_manager(share_manager&&) = delete;
+    share_manager& operator=(share_manager&&) = delete;
+
+    /// Calls `done` at once or after waiting for a loan, with a verdict other than `wait`.
+    wait_id admit(const base::account_id& account, verdict_callback done);
+
+    /// Abandons a waiting request; its callback is not called.
+    void cancel(const base::account_id& account, wait_id id);
+
+    /// Takes the limits of the configuration and what members report.
+    void update(const fleet_state& fleet);
+
+    inner::borrow_reply lend(const inner::borrow_request& request);
+    void take_back(std::uint64_t loan);
+
+    /// Gives all loans back, for a planned stop.
+    void return_all();
+
+    const limits::share_ledger& ledger() const;
+
+private:
+    struct waiting_request {
+        wait_id id = 0;
+        base::time_point ends;
+        verdict_callback done;
+    };
+
+    void send(const std::vector<limits::loan_request>& requests);
+    void send_returns(const std::vector<limits::loan_return>& returns);
+    void on_loan(const base::account_id& account, std::uint64_t request,
+                 const base::result<inner::borrow_reply>& reply);
+    void serve_waiting(const base::account_id& account);
+    void schedule_tick();
+    void tick();
+
+    http::loop& m_loop;
+    inner::node& m_node;
+    base::host_id m_self;
+    base::incarnation m_incarnation;
+    limits::share_ledger m_ledger;
+    const fleet_state* m_fleet = nullptr;
+    std::uint64_t m_installed_version = 0;
+    std::unordered_map<base::account_id, std::deque<waiting_request>> m_waiting;
+    wait_id m_next_wait = 1;
+    std::shared_ptr<share_manager*> m_alive;
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/entry/ticket_desk.cpp
@@ -0,0 +1,222 @@
+#include "apps/entry/ticket_desk.h"
+
+#include "apps/common/fleet_state.h"
+#include "apps/entry/peer_directory.h"
+#include "inner/node.h"
+#include "tickets/claim_register.h"
+#include "tickets/ticket_text.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace snipeshore::apps {
+
+namespace {
+
+using namespace std::chrono_literals;
+using base::error;
+using base::error_kind;
+
+constexpr auto call_deadline = 1s;
+constexpr auto report_deadline = 2s;
+/// A lost reply is asked for again once; the owner grants the same attempt again.
+constexpr unsigned claim_calls = 2;
+
+inner::ticket_answer to_message(const tickets::kept_answer& answer)
+{
+    return {answer.status, answer.headers, answer.body};
+}
+
+tickets::kept_answer to_answer(const inner::ticket_answer& message)
+{
+    return {message.status, message.headers, message.body};
+}
+
+base::result<tickets::claim_result> to_outcome(const inner::claim_reply& reply)
+{
+    switch (reply.verdict) {
+    case inner::claim_verdict::granted:
+        return tickets::claim_result{tickets::claim_verdict::granted, nullptr};
+    case inner::claim_verdict::done:
+        return tickets::claim_result{
+            tickets::claim_verdict::done,
+            std::make_shared<const tickets::kept_answer>(to_answer(reply.answer))};
+    case inner::claim_verdict::invalid:
+        return error{error_kind::ticket_invalid, "the ticket is not valid for this account"};
+    case inner::claim_verdict::running:
+        return error{error_kind::outcome_unknown, "a request with this ticket has no outcome yet"};
+    case inner::claim_verdict::unknown:
+        break;
+    }
+    return error{error_kind::outcome_unknown,
+                 "the ticket's owner cannot tell whether a request with this ticket ran"};
+}
+
+} // namespace
+
+ticket_desk::ticket_desk(inner::node& node, const fleet_state& fleet, const base::host_id& self,
+                         base::incarnation incarnation, const tickets::fleet_secret& secret)
+    : m_node(node), m_fleet(fleet), m_self(self), m_incarnation(incarnation), m_secret(secret),
+      m_claims(tickets::make_register({}, self, incarnation, base::boot_clock::now()))
+{}
+
+void ticket_desk::claim(std::shared_ptr<granted_claim> claim, const base::account_id& account,
+                        base::time_point deadline, claim_callback done)
+{
+    base::result<tickets::ticket> parsed = tickets::parse_and_verify(claim->text, m_secret);
+    if (!base::is_ok(parsed)) {
+        done(base::error_of(parsed));
+        return;
+    }
+    claim->ticket = base::value_of(parsed);
+    claim->attempt = m_next_attempt++;
+    if (claim->ticket.owner != m_self) {
+        claim_at_owner(claim, account, deadline, claim_calls, done);
+        return;
+    }
+    const base::result<tickets::claim_result> outcome = tickets::claim(
+        m_claims, claim->ticket, account, own_attempt(*claim), base::boot_clock::now());
+    if (!base::is_ok(outcome)) {
+        done(base::error_of(outcome));
+        return;
+    }
+    const tickets::claim_result& result = base::value_of(outcome);
+    inner::claim_reply reply;
+    reply.verdict = static_cast<inner::claim_verdict>(result.verdict);
+    if (result.answer != nullptr) {
+        reply.answer = to_message(*result.answer);
+    }
+    done(to_outcome(reply));
+}
+
+void ticket_desk::claim_at_owner(const std::shared_ptr<granted_claim>& claim,
+                                 const base::account_id& account, base::time_point deadline,
+                                 unsigned calls_left, const claim_callback& done)
+{
+    const inner::host_record* owner = find_member(m_fleet, claim->ticket.owner);
+    const bool is_same_life = owner != nullptr && owner->status != inner::host_status::dead &&
+                              owner->entry_incarnation == claim->ticket.owner_incarnation;
+    if (!is_same_life) {
+        done(error{error_kind::outcome_unknown,
+                   "the ticket's owner " + claim->ticket.owner.value() +
+                       " is gone or was restarted; whether a request with this ticket ran is not "
+                       "known"});
+        return;
+    }
+    const base::time_point now = base::boot_clock::now();
+    inner::claim_request request{claim->text, account.value(), m_self.value(), m_incarnation,
+                                 claim->attempt};
+    m_node.claim(
+        owner->entry_inner_address, std::move(request), std::min(deadline, now + call_deadline),
+        [this, claim, account, deadline, calls_left,
+         done](const base::result<inner::claim_reply>& reply) {
+            if (base::is_ok(reply)) {
+                done(to_outcome(base::value_of(reply)));
+                return;
+            }
+            if (base::error_of(reply).kind == error_kind::overloaded) {
+                done(base::error_of(reply));
+                return;
+            }
+            if (calls_left > 1 && base::boot_clock::now() < deadline) {
+                claim_at_owner(claim, account, deadline, calls_left - 1, done);
+                return;
+            }
+            done(error{error_kind::outcome_unknown,
+                       "the ticket's owner " + claim->ticket.owner.value() + " does not answer"});
+        });
+}
+
+tickets::attempt ticket_desk::own_attempt(const granted_claim& claim) const
+{
+    return {m_self, m_incarnation, claim.attempt};
+}
+
+void ticket_desk::complete(const granted_claim& claim, tickets::kept_answer answer)
+{
+    if (claim.ticket.owner == m_self) {
+        tickets::complete(m_claims, claim.ticket, own_attempt(claim), std::move(answer),
+                          base::boot_clock::now());
+        return;
+    }
+    inner::complete_request request{claim.text, m_self.value(), m_incarnation, claim.attempt,
+                                    to_message(answer)};
+    m_node.complete(entry_inner_address(m_fleet, claim.ticket.owner), std::move(request),
+                    base::boot_clock::now() + report_deadline,
+                    [](const base::result<inner::nothing>&) {});
+}
+
+void ticket_desk::release(const granted_claim& claim)
+{
+    if (claim.ticket.owner == m_self) {
+        tickets::release(m_claims, claim.ticket, own_attempt(claim), base::boot_clock::now());
+        return;
+    }
+    inner::release_request request{claim.text, m_self.value(), m_incarnation, claim.attempt};
+    m_node.release(entry_inner_address(m_fleet, claim.ticket.owner), std::move(request),
+                   base::boot_clock::now() + report_deadline,
+                   [](const base::result<inner::nothing>&) {});
+}
+
+inner::claim_reply ticket_desk::answer_claim(const inner::claim_request& request)
+{
+    inner::claim_reply reply;
+    const base::result<tickets::ticket> parsed =
+        tickets::parse_and_verify(request.ticket, m_secret);
+    if (!base::is_ok(parsed)) {
+        return reply;
+    }
+    const tickets::attempt attempt{base::host_id(request.claimer), request.claimer_incarnation,
+                                   request.attempt};
+    const base::result<tickets::claim_result> outcome =
+        tickets::claim(m_claims, base::value_of(parsed), base::account_id(request.account), attempt,
+                       base::boot_clock::now());
+    if (!base::is_ok(outcome)) {
+        reply.verdict = inner::claim_verdict::unknown;
+        return reply;
+    }
+    const tickets::claim_result& result = base::value_of(outcome);
+    reply.verdict = static_cast<inner::claim_verdict>(result.verdict);
+    if (result.answer != nullptr) {
+        reply.answer = to_message(*result.answer);
+    }
+    return reply;
+}
+
+void ticket_desk::answer_complete(const inner::complete_request& request)
+{
+    const base::result<tickets::ticket> parsed =
+        tickets::parse_and_verify(request.ticket, m_secret);
+    if (!base::is_ok(parsed)) {
+        return;
+    }
+    const tickets::attempt attempt{base::host_id(request.claimer), request.claimer_incarnation,
+                                   request.attempt};
+    tickets::complete(m_claims, base::value_of(parsed), attempt, to_answer(request.answer),
+                      base::boot_clock::now());
+}
+
+void ticket_desk::answer_release(const inner::release_request& request)
+{
+    const base::result<tickets::ticket> parsed =
+        tickets::parse_and_verify(request.ticket, m_secret);
+    if (!base::is_ok(parsed)) {
+        return;
+    }
+    const tickets::attempt attempt{base::host_id(request.claimer), request.claimer_incarnation,
+                                   request.attempt};
+    tickets::release(m_claims, base::value_of(parsed), attempt, base::boot_clock::now());
+}
+
+std::uint64_t ticket_desk::epoch()
+{
+    return tickets::current_epoch(m_claims, base::boot_clock::now());
+}
+
+const tickets::claim_register& ticket_desk::claims() const
+{
+    return m_claims;
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/entry/ticket_desk.h
@@ -0,0 +1,74 @@
+/// @file Claims tickets for requests of this host: its own ones here, others at their owner.
+#pragma once
+
+#include "base/result.h"
+#include "base/time.h"
+#include "base/types/ids.h"
+#include "inner/service.h"
+#include "tickets/types/claim_register.h"
+#include "tickets/types/ticket.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace snipeshore::inner {
+class node;
+}
+
+namespace snipeshore::apps {
+
+struct fleet_state;
+
+/// A claim that this host was granted.
+struct granted_claim {
+    std::string text;
+    tickets::ticket ticket;
+    std::uint64_t attempt = 0;
+};
+
+/// Owns the claim register. Belongs to the loop's thread.
+class ticket_desk {
+public:
+    /// Verdicts `granted` and `done` are results. Errors: `ticket_invalid` (never claimed with this
+    /// ticket by this account), `overloaded` (not claimed), `outcome_unknown`.
+    using claim_callback = std::function<void(base::result<tickets::claim_result>)>;
+
+    ticket_desk(inner::node& node, const fleet_state& fleet, const base::host_id& self,
+                base::incarnation incarnation, const tickets::fleet_secret& secret);
+
+    /// Claims for one attempt. `claim` is filled in before `done` is called.
+    void claim(std::shared_ptr<granted_claim> claim, const base::account_id& account,
+               base::time_point deadline, claim_callback done);
+
+    void complete(const granted_claim& claim, tickets::kept_answer answer);
+
+    /// Only for a claim whose request was not sent to any target.
+    void release(const granted_claim& claim);
+
+    inner::claim_reply answer_claim(const inner::claim_request& request);
+    void answer_complete(const inner::complete_request& request);
+    void answer_release(const inner::release_request& request);
+
+    /// Current epoch, for the host's record.
+    std::uint64_t epoch();
+
+    const tickets::claim_register& claims() const;
+
+private:
+    void claim_at_owner(const std::shared_ptr<granted_claim>& claim,
+                        const base::account_id& account, base::time_point deadline,
+                        unsigned calls_left, const claim_callback& done);
+    tickets::attempt own_attempt(const granted_claim& claim) const;
+
+    inner::node& m_node;
+    const fleet_state& m_fleet;
+    base::host_id m_self;
+    base::incarnation m_incarnation;
+    tickets::fleet_secret m_secret;
+    tickets::claim_register m_claims;
+    std::uint64_t m_next_attempt = 1;
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/lookup/lookup_table.cpp
@@ -0,0 +1,138 @@
+#include "apps/lookup/lookup_table.h"
+
+#include "base/hash.h"
+#include "steering/lookup.h"
+#include "steering/plan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipeshore::apps {
+
+namespace {
+
+using base::error;
+using base::error_kind;
+
+std::uint16_t site_near(const steering::plan& plan, const base::failure_domain_id& domain)
+{
+    for (std::size_t index = 0; index < plan.sites.size(); ++index) {
+        if (plan.domains[plan.sites[index].home].id == domain) {
+            return static_cast<std::uint16_t>(index);
+        }
+    }
+    return 0;
+}
+
+template <typename Entries>
+std::unordered_map<std::string, std::size_t> index_by_id(const Entries& entries)
+{
+    std::unordered_map<std::string, std::size_t> index;
+    for (std::size_t position = 0; position < entries.size(); ++position) {
+        index.emplace(entries[position].id.value(), position);
+    }
+    return index;
+}
+
+bool can_be_named(const fleet_state& fleet, const inner::host_record& record)
+{
+    return record.status == inner::host_status::live && record.entry_incarnation.value() != 0 &&
+           !is_drained(fleet, config::drain_kind::host, record.host.value(), record.failure_domain);
+}
+
+} // namespace
+
+base::result<lookup_table> make_lookup_table(const config::document& document,
+                                             const base::failure_domain_id& own_domain)
+{
+    base::result<steering::plan> plan = steering::make_plan(document);
+    if (!base::is_ok(plan)) {
+        return base::error_of(plan);
+    }
+    base::result<steering::block_table> blocks = steering::build_block_table(document);
+    if (!base::is_ok(blocks)) {
+        return base::error_of(blocks);
+    }
+    lookup_table table;
+    table.plan = std::move(base::value_of(plan));
+    table.blocks = std::move(base::value_of(blocks));
+    const std::size_t rows = table.plan.sites.size() * table.plan.services.size();
+    table.weights.domains = table.plan.domains.size();
+    table.weights.weights.resize(rows * table.plan.domains.size());
+    table.has_weights.resize(rows);
+    table.demand.resize(rows);
+    table.hosts.resize(table.plan.domains.size());
+    table.service_index = index_by_id(table.plan.services);
+    table.default_site = site_near(table.plan, own_domain);
+    return table;
+}
+
+void set_weights(lookup_table& table, const std::vector<inner::site_weights>& weights)
+{
+    const auto sites = index_by_id(table.plan.sites);
+    const auto domains = index_by_id(table.plan.domains);
+    for (const inner::site_weights& entry : weights) {
+        const auto site = sites.find(entry.site);
+        const auto service = table.service_index.find(entry.service);
+        if (site == sites.end() || service == table.service_index.end()) {
+            continue;
+        }
+        const std::size_t row = site->second * table.plan.services.size() + service->second;
+        std::uint32_t* values = table.weights.row(row);
+        std::fill_n(values, table.weights.domains, 0);
+        for (std::size_t index = 0; index < entry.failure_domains.size(); ++index) {
+            const auto domain = domains.find(entry.failure_domains[index]);
+            if (domain != domains.end() && index < entry.weights.size()) {
+                values[domain->second] = entry.weights[index];
+            }
+        }
+        table.has_weights[row] = true;
+    }
+}
+
+void set_hosts(lookup_table& table, const fleet_state& fleet)
+{
+    const auto domains = index_by_id(table.plan.domains);
+    for (auto& hosts : table.hosts) {
+        hosts.clear();
+    }
+    for (std::size_t index = 0; index < fleet.members.size(); ++index) {
+        const inner::host_record& record = fleet.members[index];
+        const auto domain = domains.find(record.failure_domain.value());
+        if (domain == domains.end() || !can_be_named(fleet, record)) {
+            continue;
+        }
+        table.hosts[domain->second].push_back(
+            {base::stable_hash(record.host.value()), static_cast<std::uint32_t>(index)});
+    }
+}
+
+base::result<lookup_answer> find_entry(lookup_table& table, std::string_view service,
+                                       const std::optional<steering::client_address>& caller,
+                                       std::uint16_t draw)
+{
+    const auto found = table.service_index.find(std::string(service));
+    if (found == table.service_index.end()) {
+        return error{error_kind::service_unknown, "no service \"" + std::string(service) + "\""};
+    }
+    std::optional<steering::block_match> match;
+    if (caller.has_value()) {
+        match = steering::match_block(table.blocks, *caller);
+    }
+    const std::uint16_t site = match.has_value() ? match->site : table.default_site;
+    const std::size_t row = site * table.plan.services.size() + found->second;
+    if (!table.has_weights[row]) {
+        return error{error_kind::not_ready, "no steering decision for this site yet"};
+    }
+    ++table.demand[row];
+    // Callers in no block are spread by the draw, so that they do not all go to one host.
+    const std::uint32_t salt = match.has_value() ? match->salt : draw;
+    const auto choice = steering::choose_entry(table.weights, row, salt, draw, table.hosts);
+    if (!base::is_ok(choice)) {
+        return base::error_of(choice);
+    }
+    const steering::lookup_choice& chosen = base::value_of(choice);
+    return lookup_answer{chosen.host, chosen.domain, site};
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/lookup/main.cpp
@@ -0,0 +1,55 @@
+/// @file snipeshore-lookup: tells callers which entry host to use.
+
+#include "apps/common/process_flags.h"
+#include "apps/common/run_app.h"
+#include "apps/lookup/lookup_app.h"
+
+#include <gflags/gflags.h>
+
+DEFINE_string(listen, "", "Address for callers, ip:port.");
+DEFINE_string(agent, "", "Inner address of this host's agent, ip:port.");
+DEFINE_bool(trust_client_header, false,
+            "Take the caller's address from Snipeshore-Client-Address; only behind a resolver.");
+DEFINE_int32(stop_deadline_ms, 10000, "Longest time of a planned stop.");
+
+namespace {
+
+using namespace snipeshore;
+
+std::vector<std::string> check_settings()
+{
+    settings::checker checks;
+    checks.address("listen", FLAGS_listen, true)
+        .address("agent", FLAGS_agent, true)
+        .range("stop_deadline_ms", FLAGS_stop_deadline_ms, 100, 3'600'000);
+    return checks.problems();
+}
+
+apps::lookup_settings make_settings()
+{
+    const apps::process_settings process = apps::read_process_flags();
+    apps::lookup_settings settings;
+    settings.host = process.host;
+    settings.failure_domain = process.failure_domain;
+    settings.server = process.server;
+    settings.server.address = FLAGS_listen;
+    settings.node = process.node;
+    settings.agent_address = FLAGS_agent;
+    settings.admin_address = process.admin_address;
+    settings.fleet_secret = process.fleet_secret;
+    settings.trust_client_header = FLAGS_trust_client_header;
+    settings.stop_deadline = std::chrono::milliseconds(FLAGS_stop_deadline_ms);
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("tells callers which entry host to use");
+    const std::vector<std::string> unusable = settings::load(&argc, &argv);
+    if (apps::report_problems({unusable, apps::check_process_flags(), check_settings()})) {
+        return 1;
+    }
+    return apps::run_app<apps::lookup_app>("lookup", make_settings());
+}
--- a/src/base/error_answer.cpp
+++ b/src/base/error_answer.cpp
@@ -110,12 +110,12 @@
     return "no";
 }
 
-std::string error_body(const error& failure, std::string_view request_id)
+std::string error_body(const error& failure, std::string_view request_id, bool not_run)
 {
     const error_answer& answer = answer_for(failure.kind);
     const nlohmann::json body{{"error", answer.name},
                               {"detail", failure.detail},
-                              {"not_run", answer.not_run},
+                              {"not_run", not_run && answer.not_run},
                               {"retry", to_string(answer.retry)},
                               {"request_id", request_id}};
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
--- a/src/base/error_answer.h
+++ b/src/base/error_answer.h
@@ -34,7 +34,8 @@
 
 std::string_view to_string(retry_advice advice);
 
-/// JSON body of a refusal: `{"error","detail","not_run","retry","request_id"}`.
-std::string error_body(const error& failure, std::string_view request_id);
+/// JSON body of a refusal: `{"error","detail","not_run","retry","request_id"}`. `not_run` is what
+/// is known about this request; it counts only if the table allows it for the kind.
+std::string error_body(const error& failure, std::string_view request_id, bool not_run);
 
 } // namespace snipeshore::base
--- a/src/base/tests/error_answer_test.cpp
+++ b/src/base/tests/error_answer_test.cpp
@@ -35,9 +35,14 @@
     SUBCASE("the body escapes what a caller put into the detail")
     {
         const error failure{error_kind::bad_request, "header \"x\"\n\xff"};
-        const auto body = nlohmann::json::parse(error_body(failure, "r1"));
+        const auto body = nlohmann::json::parse(error_body(failure, "r1", true));
         CHECK(body["error"] == "bad_request");
         CHECK(body["not_run"] == true);
         CHECK(body["request_id"] == "r1");
     }
+    SUBCASE("a kind that may have run is never shown as not run")
+    {
+        const error failure{error_kind::outcome_unknown, "the owner is gone"};
+        CHECK(nlohmann::json::parse(error_body(failure, "r1", true))["not_run"] == false);
+    }
 }
--- a/src/inner/inner.capnp
+++ b/src/inner/inner.capnp
@@ -39,6 +39,7 @@
   entryIncarnation @9 :UInt64; # 0: no entry process is running
   ticketEpoch @10 :UInt64;
   versions @11 :List(DocumentVersion); # in force on this host
+  entryConfigVersion @12 :UInt64;      # in force in its entry process
 }
 
 struct Cursor {
@@ -63,6 +64,15 @@
   weights @3 :List(SiteWeights); # all, if steeringRevision is newer
   steeringRevision @4 :UInt64;
   contactAgeMs @5 :UInt64; # since the agent last heard from the store or another failure domain
+  listedKnown @6 :Bool;        # the agent has read the platform's host list
+  listedHosts @7 :List(Text);  # hosts on that list, live or leaving
+}
+
+struct RowDemand {
+  # Look-ups per second of one site and service.
+  site @0 :Text;
+  service @1 :Text;
+  rate @2 :Float64;
 }
 
 struct ProcessReport {
@@ -70,6 +80,8 @@
   entryIncarnation @0 :UInt64;
   ticketEpoch @1 :UInt64;
   leaving @2 :Bool;
+  configVersion @3 :UInt64;       # in force in this process; 0: it is not an entry
+  demand @4 :List(RowDemand);     # from a lookup process, since its last report
 }
 
 struct DomainHash {
@@ -106,7 +118,7 @@
 interface Entry {
   borrow @0 (account :Text, rate :Float64, tokens :Float64, borrower :Text,
              borrowerIncarnation :UInt64, configVersion :UInt64)
-      -> (rate :Float64, tokens :Float64, leaseMs :UInt32, loan :UInt64);
+      -> (rate :Float64, tokens :Float64, leaseMs :UInt32, loan :UInt64, burst :Float64);
   # The lease counts for the borrower from when it sent the call.
 
   giveBack @1 (loan :UInt64) -> ();
@@ -114,9 +126,10 @@
   claim @2 (ticket :Text, account :Text, claimer :Text, claimerIncarnation :UInt64, attempt :UInt64)
       -> (verdict :ClaimVerdict, answer :TicketAnswer);
 
-  complete @3 (ticket :Text, attempt :UInt64, answer :TicketAnswer) -> ();
+  complete @3 (ticket :Text, attempt :UInt64, answer :TicketAnswer, claimer :Text,
+               claimerIncarnation :UInt64) -> ();
 
-  release @4 (ticket :Text, attempt :UInt64) -> ();
+  release @4 (ticket :Text, attempt :UInt64, claimer :Text, claimerIncarnation :UInt64) -> ();
   # The claimed request was certainly not sent to any target; the ticket can be claimed again.
 
   reportCrash @5 (reporter :Text, crash :UInt64, target :Text, fingerprints :List(UInt64)) -> ();
--- a/src/inner/types/messages.h
+++ b/src/inner/types/messages.h
@@ -39,6 +39,7 @@
     base::incarnation entry_incarnation; ///< 0: no entry process is running.
     std::uint64_t ticket_epoch = 0;
     std::vector<document_version> versions;
+    std::uint64_t entry_config_version = 0; ///< In force in the entry process.
 };
 
 struct site_weights {
@@ -54,10 +55,19 @@
     std::uint64_t steering_revision = 0;
 };
 
+/// Look-ups per second of one site and service.
+struct row_demand {
+    std::string site;
+    std::string service;
+    double rate = 0;
+};
+
 struct process_report {
     base::incarnation entry_incarnation;
     std::uint64_t ticket_epoch = 0;
     bool leaving = false;
+    std::uint64_t config_version = 0; ///< Of an entry process.
+    std::vector<row_demand> demand;   ///< Of a lookup process, since its last report.
 };
 
 struct snapshot {
@@ -67,6 +77,8 @@
     std::vector<site_weights> weights;
     std::uint64_t steering_revision = 0;
     std::chrono::milliseconds contact_age{0};
+    bool listed_known = false; ///< Whether the agent has read the platform's host list.
+    std::vector<base::host_id> listed_hosts;
 };
 
 struct domain_hash {
@@ -102,6 +114,7 @@
 
 struct borrow_reply {
     double rate = 0;
+    double burst = 0; ///< Bucket capacity lent, at least `tokens`.
     double tokens = 0;
     std::chrono::milliseconds lease{0}; ///< From when the borrower sent the request.
     std::uint64_t loan = 0;
@@ -130,12 +143,16 @@
 
 struct complete_request {
     std::string ticket;
+    std::string claimer;
+    base::incarnation claimer_incarnation;
     std::uint64_t attempt = 0;
     ticket_answer answer;
 };
 
 struct release_request {
     std::string ticket;
+    std::string claimer;
+    base::incarnation claimer_incarnation;
     std::uint64_t attempt = 0;
 };
 
--- /dev/null
+++ b/tests/support/http_session.h
@@ -0,0 +1,72 @@
+/// @file Blocking HTTP requests for tests, on a loop that runs only while one waits.
+#pragma once
+
+#include "base/result.h"
+#include "base/time.h"
+#include "http/client.h"
+#include "http/loop.h"
+#include "http/types/message.h"
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace snipeshore::test {
+
+struct http_reply {
+    base::status outcome; ///< Ok only if the answer is complete.
+    int status = 0;       ///< 0 if no head arrived.
+    http::header_list headers;
+    std::string body;
+    bool request_sent = false;
+
+    std::string header(std::string_view name) const;
+};
+
+struct http_request {
+    std::string address;
+    std::string method = "GET";
+    std::string path = "/";
+    std::string authority;
+    http::header_list headers;
+    std::string body;
+    std::chrono::milliseconds limit{20000};
+};
+
+/// One loop and client; several requests may run at once by `start` and `run_until`.
+class http_session {
+public:
+    using done_callback = std::function<void(const http_reply&)>;
+
+    http_session();
+    ~http_session();
+    http_session(const http_session&) = delete;
+    http_session& operator=(const http_session&) = delete;
+    http_session(http_session&&) = delete;
+    http_session& operator=(http_session&&) = delete;
+
+    /// Sends and waits for the end.
+    http_reply send(const http_request& request);
+
+    /// Sends; `done` comes during `run_until`. The returned number cancels it by `cancel`.
+    std::uint64_t start(const http_request& request, done_callback done);
+    void cancel(std::uint64_t number);
+
+    /// Runs the loop until the condition holds; false at the deadline.
+    bool run_until(const std::function<bool()>& condition, base::time_point deadline);
+
+    http::loop& loop();
+
+private:
+    struct running_call;
+
+    http::loop m_loop;
+    http::client m_client;
+    std::map<std::uint64_t, std::shared_ptr<running_call>> m_calls;
+    std::uint64_t m_next = 1;
+};
+
+} // namespace snipeshore::test
