Add the inner RPC node over Cap'n Proto

The processes of the fleet need one endpoint that hides Cap'n Proto, kj and TLS from the programs.

Calls go through a queue with an eventfd to one kj thread, replies come back through node_settings::post. kj::Executor was ruled out for the way in: executeAsync needs an event loop in the calling thread and executeSync blocks it. Each peer address has one connection, dropped after a failure, 30 s without calls, or a passed deadline with 3 s of silence (a half-open connection would otherwise block until the kernel gives up). Error kinds travel by name in the exception text, so a refusal keeps its "not run" meaning. Certificates must carry the DNS name inner.snipeshore: kj checks a server's name, and hosts have no fixed address.

Interface: the schema gains `Node extends(Agent, Entry)` as bootstrap capability; node_settings gains max_message_bytes and max_inbound_connections. A cut link loses calls silently until their deadline instead of refusing them, as a real one does.

Wire sizes and latency are not measured.

--- a/src/inner/inner.capnp
+++ b/src/inner/inner.capnp
@@ -131,3 +131,8 @@
     invalid @4;
   }
 }
+
+interface Node extends(Agent, Entry) {
+  # Bootstrap capability of every connection. Methods of a service that a process does not have
+  # answer "not_found".
+}
--- /dev/null
+++ b/src/inner/internal/link_filter.h
@@ -0,0 +1,19 @@
+/// @file Test switch that behaves as a cut link.
+#pragma once
+
+#include <functional>
+#include <string>
+
+namespace snipeshore::inner {
+
+/// Belongs to the event loop's thread.
+struct link_filter {
+    std::function<bool(const std::string&)> is_cut;
+
+    bool cuts(const std::string& address) const
+    {
+        return is_cut && !address.empty() && is_cut(address);
+    }
+};
+
+} // namespace snipeshore::inner
--- a/src/inner/node.h
+++ b/src/inner/node.h
@@ -22,6 +22,8 @@
     bool allow_plaintext = false; ///< Allows addresses other than loopback without TLS.
     std::size_t max_calls_per_peer = 64; ///< More calls to one peer are refused as `overloaded`.
     std::size_t max_server_calls = 1024; ///< More calls being answered are refused as `overloaded`.
+    std::size_t max_message_bytes = 32U << 20U; ///< A longer message ends its connection.
+    std::size_t max_inbound_connections = 1024;
     std::function<void(std::function<void()>)> post; ///< Runs work on the owner's thread.
 };
 
@@ -31,7 +33,8 @@
 /// Runs a Cap'n Proto event loop on its own thread. Calls may be made from the owner's thread;
 /// replies and service calls come through `node_settings::post`. A reply after the deadline is
 /// dropped: the callback gets `peer_unavailable` exactly once at the deadline. Connections are kept
-/// per address and opened again after a failure.
+/// per address and opened again after a failure. A call that fails with `peer_unavailable` or
+/// `internal` may have run at the peer.
 class node {
 public:
     explicit node(node_settings settings);
@@ -70,10 +73,12 @@
     void report_success(const std::string& address, std::vector<std::uint64_t> fingerprints,
                         base::time_point deadline, reply_callback<nothing> done);
 
-    /// Stops the thread; no callback comes afterwards.
+    /// Stops the thread; no callback comes afterwards. For the owner's thread.
     void stop();
 
-    /// Test switch: refuses calls from and to these addresses' ports, as a cut link would.
+    /// Test switch: loses calls to these addresses and their replies, as a cut link would, and
+    /// calls from them. A caller is known by its socket address, and in `exchange` and `probe` also
+    /// by the agent address in its record. `is_cut` is called on the node's thread.
     void set_cut(std::function<bool(const std::string& address)> is_cut);
 
 private:
--- a/src/inner/service.h
+++ b/src/inner/service.h
@@ -8,7 +8,8 @@
 
 namespace snipeshore::inner {
 
-/// Sends the reply; may be called from any thread, once.
+/// Sends the reply; may be called from any thread. The first call counts. If all copies are
+/// destroyed without a call, the caller gets `internal`.
 template <typename Reply>
 using reply_to = std::function<void(base::result<Reply>)>;
 
