Add the config module: schema, cross-checks, diff, keys and drains

Operators publish one JSON document that is the whole configuration, and a faulty one would take effect everywhere within seconds. It has to be refused before it is published, with all its faults and their places at once.

config::parse checks the shape against config/schema.json with valijson and, when the shape is right, the parts against each other. CMake embeds the schema texts in the library. valijson's messages do not say what was expected, so the expectation is derived from the schema node at the same place. Its regular expressions recurse once per character; strings above 512 bytes are refused before them. Nesting above 16 levels and repeated field names are refused by the parser's callback, because the JSON value does not show them.

Ruled out: patterns for addresses and blocks (the notation of IPv6 does not fit a pattern; inet_pton reads both) and JSON Patch as the readable diff (it names list positions, operators know identifiers).

Account rates are compared with the capacity of the services that the accounts may use, and their sum with the regions' capacity without headroom.

Extensions: host.admin_addresses (default empty); keys and drains documents; hash_key, random_key and document digests with libsodium.

--- /dev/null
+++ b/src/config/cross_checks.cpp
@@ -0,0 +1,406 @@
+#include "config/internal/cross_checks.h"
+
+#include "config/address.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+namespace snipeshore::config::internal {
+
+namespace {
+
+using pointer = nlohmann::json::json_pointer;
+
+/// Tolerance for sums of decimal fractions.
+constexpr double relative_tolerance = 1e-9;
+
+const pointer root;
+
+pointer item(const char* list, std::size_t index)
+{
+    return root / list / index;
+}
+
+/// Remembers where each name was used first.
+class unique_names {
+public:
+    unique_names(problem_collector& problems, std::string noun)
+        : m_problems(problems), m_noun(std::move(noun))
+    {}
+
+    void add(const std::string& name, const pointer& place)
+    {
+        const auto [first, inserted] = m_first.try_emplace(name, place);
+        if (!inserted) {
+            m_problems.add(place, "a " + m_noun + " that differs from the one at " +
+                                      first->second.to_string());
+        }
+    }
+
+    bool has(const std::string& name) const
+    {
+        return m_first.count(name) != 0;
+    }
+
+    void require(const std::string& name, const pointer& place) const
+    {
+        if (!has(name)) {
+            m_problems.add(place, "the id of a " + m_noun + " in the document");
+        }
+    }
+
+private:
+    problem_collector& m_problems;
+    std::string m_noun;
+    std::unordered_map<std::string, pointer> m_first;
+};
+
+/// All names of the document. Building it reports duplicates.
+struct name_tables {
+    unique_names regions;
+    unique_names failure_domains;
+    unique_names services;
+    unique_names sites;
+
+    explicit name_tables(problem_collector& problems)
+        : regions(problems, "region"), failure_domains(problems, "failure domain"),
+          services(problems, "service"), sites(problems, "site")
+    {}
+};
+
+name_tables collect_names(const document& checked, problem_collector& problems)
+{
+    name_tables names(problems);
+    for (std::size_t i = 0; i < checked.regions.size(); ++i) {
+        names.regions.add(checked.regions[i].id.value(), item("regions", i) / "id");
+    }
+    for (std::size_t i = 0; i < checked.failure_domains.size(); ++i) {
+        names.failure_domains.add(checked.failure_domains[i].id.value(),
+                                  item("failure_domains", i) / "id");
+    }
+    for (std::size_t i = 0; i < checked.services.size(); ++i) {
+        names.services.add(checked.services[i].id.value(), item("services", i) / "id");
+    }
+    for (std::size_t i = 0; i < checked.sites.size(); ++i) {
+        names.sites.add(checked.sites[i].id.value(), item("sites", i) / "id");
+    }
+    return names;
+}
+
+void check_places(const document& checked, const name_tables& names, problem_collector& problems)
+{
+    std::set<std::string> domains_with_host;
+    for (const host& entry : checked.hosts) {
+        domains_with_host.insert(entry.failure_domain.value());
+    }
+    std::set<std::string> regions_with_host;
+    for (std::size_t i = 0; i < checked.failure_domains.size(); ++i) {
+        const failure_domain& domain = checked.failure_domains[i];
+        names.regions.require(domain.region.value(), item("failure_domains", i) / "region");
+        if (domains_with_host.count(domain.id.value()) != 0) {
+            regions_with_host.insert(domain.region.value());
+        } else {
+            problems.add(item("failure_domains", i) / "id",
+                         "a failure domain with at least one entry host");
+        }
+    }
+    for (std::size_t i = 0; i < checked.regions.size(); ++i) {
+        if (regions_with_host.count(checked.regions[i].id.value()) == 0) {
+            problems.add(item("regions", i) / "id", "a region with at least one entry host");
+        }
+    }
+    for (std::size_t i = 0; i < checked.sites.size(); ++i) {
+        names.failure_domains.require(checked.sites[i].nearest.value(),
+                                      item("sites", i) / "nearest");
+    }
+}
+
+void check_links(const document& checked, const name_tables& names, problem_collector& problems)
+{
+    using direction = std::pair<std::string, std::string>;
+    std::map<direction, const link*> by_direction;
+    for (std::size_t i = 0; i < checked.links.size(); ++i) {
+        const link& entry = checked.links[i];
+        names.regions.require(entry.from.value(), item("links", i) / "from");
+        names.regions.require(entry.to.value(), item("links", i) / "to");
+        if (entry.from == entry.to) {
+            problems.add(item("links", i) / "to", "another region than in 'from'");
+        }
+        if (!by_direction.try_emplace({entry.from.value(), entry.to.value()}, &entry).second) {
+            problems.add(item("links", i), "one link for each direction between two regions");
+        }
+    }
+    for (std::size_t i = 0; i < checked.links.size(); ++i) {
+        const link& entry = checked.links[i];
+        const auto found = by_direction.find({entry.to.value(), entry.from.value()});
+        if (found == by_direction.end()) {
+            problems.add(item("links", i), "a link in the opposite direction too");
+            continue;
+        }
+        const link& opposite = *found->second;
+        const auto require_equal = [&](bool equal, const char* field) {
+            if (!equal) {
+                problems.add(item("links", i) / field,
+                             "the same value as in the opposite direction");
+            }
+        };
+        require_equal(entry.capacity == opposite.capacity, "capacity");
+        require_equal(entry.headroom_fraction == opposite.headroom_fraction, "headroom_fraction");
+        require_equal(entry.delay == opposite.delay, "delay");
+    }
+}
+
+void check_address(const std::string& address, const pointer& place, unique_names& addresses,
+                   problem_collector& problems)
+{
+    if (!is_address(address)) {
+        problems.add(place, "an address as 'ip:port' or '[ipv6]:port' with a port above 0");
+    }
+    addresses.add(address, place);
+}
+
+void check_hosts(const document& checked, const name_tables& names, unique_names& addresses,
+                 problem_collector& problems)
+{
+    unique_names ids(problems, "host id");
+    for (std::size_t i = 0; i < checked.hosts.size(); ++i) {
+        const host& entry = checked.hosts[i];
+        const pointer place = item("hosts", i);
+        ids.add(entry.id.value(), place / "id");
+        names.failure_domains.require(entry.failure_domain.value(), place / "failure_domain");
+        check_address(entry.lookup_address, place / "lookup_address", addresses, problems);
+        check_address(entry.entry_address, place / "entry_address", addresses, problems);
+        check_address(entry.entry_inner_address, place / "entry_inner_address", addresses,
+                      problems);
+        check_address(entry.agent_address, place / "agent_address", addresses, problems);
+        for (std::size_t j = 0; j < entry.admin_addresses.size(); ++j) {
+            check_address(entry.admin_addresses[j], place / "admin_addresses" / j, addresses,
+                          problems);
+        }
+    }
+}
+
+void check_routes(const service& checked, const pointer& place, problem_collector& problems)
+{
+    unique_names prefixes(problems, "path prefix");
+    for (std::size_t i = 0; i < checked.routes.size(); ++i) {
+        const route& entry = checked.routes[i];
+        const pointer here = place / "routes" / i;
+        prefixes.add(entry.path_prefix, here / "path_prefix");
+        if (entry.repeats == repeat::once && entry.hedge) {
+            problems.add(here / "hedge", "false, because the route's requests run once");
+        }
+        if (entry.repeats == repeat::once && entry.who == access::open) {
+            problems.add(here / "who", "'account', because a ticket is issued to an account");
+        }
+        unique_names methods(problems, "method");
+        for (std::size_t j = 0; j < entry.methods.size(); ++j) {
+            methods.add(entry.methods[j], here / "methods" / j);
+        }
+    }
+}
+
+void check_services(const document& checked, const name_tables& names, unique_names& addresses,
+                    problem_collector& problems)
+{
+    unique_names host_names(problems, "host name");
+    unique_names target_ids(problems, "target id");
+    for (std::size_t i = 0; i < checked.services.size(); ++i) {
+        const service& entry = checked.services[i];
+        const pointer place = item("services", i);
+        for (std::size_t j = 0; j < entry.host_names.size(); ++j) {
+            host_names.add(entry.host_names[j], place / "host_names" / j);
+        }
+        check_routes(entry, place, problems);
+        for (std::size_t j = 0; j < entry.targets.size(); ++j) {
+            const target& endpoint = entry.targets[j];
+            const pointer here = place / "targets" / j;
+            target_ids.add(endpoint.id.value(), here / "id");
+            names.failure_domains.require(endpoint.failure_domain.value(), here / "failure_domain");
+            check_address(endpoint.address, here / "address", addresses, problems);
+        }
+    }
+}
+
+double capacity_of(const service& entry)
+{
+    return entry.capacity_per_target.value() * static_cast<double>(entry.targets.size());
+}
+
+bool exceeds(double demand, double capacity)
+{
+    return demand > capacity * (1 + relative_tolerance);
+}
+
+std::string rate_text(double rate)
+{
+    return nlohmann::json(rate).dump();
+}
+
+void check_region_capacity(const document& checked, problem_collector& problems)
+{
+    std::map<std::string, std::string> region_of;
+    for (const failure_domain& domain : checked.failure_domains) {
+        region_of[domain.id.value()] = domain.region.value();
+    }
+    std::map<std::string, double> carried;
+    for (const service& entry : checked.services) {
+        for (const target& endpoint : entry.targets) {
+            carried[region_of[endpoint.failure_domain.value()]] +=
+                entry.capacity_per_target.value();
+        }
+    }
+    for (std::size_t i = 0; i < checked.regions.size(); ++i) {
+        const region& entry = checked.regions[i];
+        const double limit = carried[entry.id.value()];
+        if (exceeds(entry.capacity.value(), limit)) {
+            problems.add(item("regions", i) / "capacity",
+                         "at most " + rate_text(limit) + ", the sum over the region's targets");
+        }
+    }
+}
+
+/// Rates of accounts with the same services count together: whatever mix of services the accounts
+/// choose, these services must carry the sum. This condition is necessary; it is also sufficient
+/// as long as the sets of services are nested or disjoint.
+void check_rates(const document& checked, problem_collector& problems)
+{
+    std::map<std::string, double> capacity;
+    for (const service& entry : checked.services) {
+        capacity[entry.id.value()] = capacity_of(entry);
+    }
+    using service_set = std::set<std::string>;
+    std::map<service_set, double> demand;
+    double whole_demand = 0;
+    std::vector<service_set> sets;
+    for (const account& entry : checked.accounts) {
+        service_set services;
+        for (const base::service_id& id : entry.services) {
+            services.insert(id.value());
+        }
+        demand[services] += entry.rate.value();
+        whole_demand += entry.rate.value();
+        sets.push_back(std::move(services));
+    }
+
+    for (std::size_t i = 0; i < checked.accounts.size(); ++i) {
+        const service_set& services = sets[i];
+        double limit = 0;
+        for (const std::string& id : services) {
+            limit += capacity[id];
+        }
+        double sum = 0;
+        for (const auto& [others, rate] : demand) {
+            if (std::includes(services.begin(), services.end(), others.begin(), others.end())) {
+                sum += rate;
+            }
+        }
+        if (exceeds(sum, limit)) {
+            problems.add(item("accounts", i) / "rate",
+                         "rates whose sum over the accounts that use only the same services is "
+                         "at most " +
+                             rate_text(limit) + "; it is " + rate_text(sum));
+        }
+    }
+
+    double free_capacity = 0;
+    for (const region& entry : checked.regions) {
+        free_capacity += entry.capacity.value() * (1 - checked.steering.region_headroom_fraction);
+    }
+    if (exceeds(whole_demand, free_capacity)) {
+        problems.add(root / "accounts", "rates whose sum is at most " + rate_text(free_capacity) +
+                                            ", the capacity of the regions without headroom; it "
+                                            "is " +
+                                            rate_text(whole_demand));
+    }
+}
+
+void check_accounts(const document& checked, const name_tables& names, problem_collector& problems)
+{
+    unique_names ids(problems, "account id");
+    for (std::size_t i = 0; i < checked.accounts.size(); ++i) {
+        const account& entry = checked.accounts[i];
+        const pointer place = item("accounts", i);
+        ids.add(entry.id.value(), place / "id");
+        unique_names services(problems, "service");
+        for (std::size_t j = 0; j < entry.services.size(); ++j) {
+            names.services.require(entry.services[j].value(), place / "services" / j);
+            services.add(entry.services[j].value(), place / "services" / j);
+        }
+    }
+}
+
+void check_blocks(const document& checked, const name_tables& names, problem_collector& problems)
+{
+    std::vector<std::pair<address_block, std::size_t>> blocks;
+    for (std::size_t i = 0; i < checked.client_blocks.size(); ++i) {
+        const client_block& entry = checked.client_blocks[i];
+        const pointer place = item("client_blocks", i);
+        names.sites.require(entry.site.value(), place / "site");
+        if (const auto block = parse_block(entry.cidr)) {
+            blocks.emplace_back(*block, i);
+        } else {
+            problems.add(place / "cidr", "an IPv4 or IPv6 block as 'address/bits' whose host bits "
+                                         "are 0");
+        }
+    }
+    // Blocks are nested or disjoint, so in this order a block follows the blocks that contain it.
+    std::sort(blocks.begin(), blocks.end(), [](const auto& left, const auto& right) {
+        return std::tie(left.first.first, left.first.prefix_bits, left.second) <
+               std::tie(right.first.first, right.first.prefix_bits, right.second);
+    });
+    const std::pair<address_block, std::size_t>* widest = nullptr;
+    for (const auto& block : blocks) {
+        if (widest != nullptr && contains(widest->first, block.first)) {
+            problems.add(item("client_blocks", block.second) / "cidr",
+                         "a block that does not overlap with " +
+                             checked.client_blocks[widest->second].cidr + " at " +
+                             item("client_blocks", widest->second).to_string());
+        } else {
+            widest = &block;
+        }
+    }
+}
+
+void check_settings(const document& checked, problem_collector& problems)
+{
+    const steering_settings& steering = checked.steering;
+    if (steering.shift_cap_fraction > steering.region_headroom_fraction) {
+        problems.add(root / "steering" / "shift_cap_fraction",
+                     "at most the region_headroom_fraction " +
+                         rate_text(steering.region_headroom_fraction));
+    }
+    if (steering.stale_after < steering.interval) {
+        problems.add(root / "steering" / "stale_after",
+                     "at least the interval " + std::to_string(steering.interval.count()));
+    }
+    const key_settings& keys = checked.keys;
+    if (keys.when_cut == keys_when_cut::refuse_after && keys.refuse_after.count() == 0) {
+        problems.add(root / "keys" / "refuse_after",
+                     "at least 1, because when_cut is refuse_after");
+    }
+}
+
+} // namespace
+
+void cross_check(const document& checked, problem_collector& problems)
+{
+    const name_tables names = collect_names(checked, problems);
+    unique_names addresses(problems, "address");
+    check_places(checked, names, problems);
+    check_links(checked, names, problems);
+    check_hosts(checked, names, addresses, problems);
+    check_services(checked, names, addresses, problems);
+    check_accounts(checked, names, problems);
+    check_region_capacity(checked, problems);
+    check_rates(checked, problems);
+    check_blocks(checked, names, problems);
+    check_settings(checked, problems);
+}
+
+} // namespace snipeshore::config::internal
--- a/src/config/types/document.h
+++ b/src/config/types/document.h
@@ -38,6 +38,7 @@
     std::string entry_address;
     std::string entry_inner_address;
     std::string agent_address;
+    std::vector<std::string> admin_addresses; ///< Of its programs, for operators' commands.
 };
 
 enum class access { open, account };
--- /dev/null
+++ b/src/config/types/keys_document.h
@@ -0,0 +1,21 @@
+/// @file The document of valid keys. Field names equal the JSON names.
+#pragma once
+
+#include "base/types/ids.h"
+
+#include <string>
+#include <vector>
+
+namespace snipeshore::config {
+
+struct key_grant {
+    std::string hash; ///< See `hash_key`. The key itself is stored nowhere.
+    base::account_id account;
+    base::document_version granted_at_version;
+};
+
+struct keys_document {
+    std::vector<key_grant> keys;
+};
+
+} // namespace snipeshore::config
--- /dev/null
+++ b/src/config/types/problem.h
@@ -0,0 +1,14 @@
+/// @file A fault found in a document.
+#pragma once
+
+#include <string>
+
+namespace snipeshore::config {
+
+struct problem {
+    std::string pointer;  ///< JSON pointer of the value; "" is the whole document.
+    std::string value;    ///< The value as JSON, shortened; "missing" when there is none.
+    std::string expected; ///< What would have been accepted.
+};
+
+} // namespace snipeshore::config
