Carry the added fields through the inner protocol

Cause: the entry needs the burst of a loan, the platform's host list and the entry versions of other hosts; the agent needs the demand that the lookup measures. Change: wire conversions and round-trip tests of the added fields.

--- a/src/inner/internal/wire.cpp
+++ b/src/inner/internal/wire.cpp
@@ -73,6 +73,8 @@
 static document read(rpc::Document::Reader from);
 static void write(rpc::SiteWeights::Builder to, const site_weights& from);
 static site_weights read(rpc::SiteWeights::Reader from);
+static void write(rpc::RowDemand::Builder to, const row_demand& from);
+static row_demand read(rpc::RowDemand::Reader from);
 static void write(rpc::DomainHash::Builder to, const domain_hash& from);
 static domain_hash read(rpc::DomainHash::Reader from);
 
@@ -153,6 +155,18 @@
     return to;
 }
 
+static void write(rpc::RowDemand::Builder to, const row_demand& from)
+{
+    to.setSite(text(from.site));
+    to.setService(text(from.service));
+    to.setRate(from.rate);
+}
+
+static row_demand read(rpc::RowDemand::Reader from)
+{
+    return {text(from.getSite()), text(from.getService()), from.getRate()};
+}
+
 static void write(rpc::DomainHash::Builder to, const domain_hash& from)
 {
     to.setFailureDomain(text(from.failure_domain));
@@ -202,6 +216,7 @@
     to.setEntryIncarnation(from.entry_incarnation.value());
     to.setTicketEpoch(from.ticket_epoch);
     write_list(to.initVersions(size_of(from.versions.size())), from.versions);
+    to.setEntryConfigVersion(from.entry_config_version);
 }
 
 host_record read(rpc::HostRecord::Reader from)
@@ -219,6 +234,7 @@
     to.entry_incarnation = base::incarnation(from.getEntryIncarnation());
     to.ticket_epoch = from.getTicketEpoch();
     to.versions = read_list<document_version>(from.getVersions());
+    to.entry_config_version = from.getEntryConfigVersion();
     return to;
 }
 
@@ -232,6 +248,8 @@
     state.setEntryIncarnation(report.entry_incarnation.value());
     state.setTicketEpoch(report.ticket_epoch);
     state.setLeaving(report.leaving);
+    state.setConfigVersion(report.config_version);
+    write_list(state.initDemand(size_of(report.demand.size())), report.demand);
 }
 
 cursor read(rpc::Cursor::Reader from)
@@ -242,8 +260,8 @@
 
 process_report read(rpc::ProcessReport::Reader from)
 {
-    return {base::incarnation(from.getEntryIncarnation()), from.getTicketEpoch(),
-            from.getLeaving()};
+    return {base::incarnation(from.getEntryIncarnation()), from.getTicketEpoch(), from.getLeaving(),
+            from.getConfigVersion(), read_list<row_demand>(from.getDemand())};
 }
 
 void write(rpc::Snapshot::Builder to, const snapshot& from)
@@ -254,16 +272,27 @@
     write_list(to.initWeights(size_of(from.weights.size())), from.weights);
     to.setSteeringRevision(from.steering_revision);
     to.setContactAgeMs(static_cast<std::uint64_t>(from.contact_age.count()));
+    to.setListedKnown(from.listed_known);
+    auto listed = to.initListedHosts(size_of(from.listed_hosts.size()));
+    for (unsigned index = 0; index < listed.size(); ++index) {
+        listed.set(index, text(from.listed_hosts[index].value()));
+    }
 }
 
 snapshot read(rpc::Snapshot::Reader from)
 {
+    std::vector<base::host_id> listed;
+    for (const auto host : from.getListedHosts()) {
+        listed.emplace_back(text(host));
+    }
     return {read_list<document>(from.getDocuments()),
             read_list<host_record>(from.getMembers()),
             from.getMembersRevision(),
             read_list<site_weights>(from.getWeights()),
             from.getSteeringRevision(),
-            std::chrono::milliseconds(from.getContactAgeMs())};
+            std::chrono::milliseconds(from.getContactAgeMs()),
+            from.getListedKnown(),
+            std::move(listed)};
 }
 
 void write(rpc::Agent::ExchangeParams::Builder to, const exchange_request& from)
@@ -326,6 +355,7 @@
 void write(rpc::Entry::BorrowResults::Builder to, const borrow_reply& from)
 {
     to.setRate(from.rate);
+    to.setBurst(from.burst);
     to.setTokens(from.tokens);
     to.setLeaseMs(static_cast<std::uint32_t>(from.lease.count()));
     to.setLoan(from.loan);
@@ -333,8 +363,8 @@
 
 borrow_reply read(rpc::Entry::BorrowResults::Reader from)
 {
-    return {from.getRate(), from.getTokens(), std::chrono::milliseconds(from.getLeaseMs()),
-            from.getLoan()};
+    return {from.getRate(), from.getBurst(), from.getTokens(),
+            std::chrono::milliseconds(from.getLeaseMs()), from.getLoan()};
 }
 
 void write(rpc::Entry::ClaimParams::Builder to, const claim_request& from)
@@ -366,24 +396,31 @@
 void write(rpc::Entry::CompleteParams::Builder to, const complete_request& from)
 {
     to.setTicket(text(from.ticket));
+    to.setClaimer(text(from.claimer));
+    to.setClaimerIncarnation(from.claimer_incarnation.value());
     to.setAttempt(from.attempt);
     write(to.initAnswer(), from.answer);
 }
 
 complete_request read(rpc::Entry::CompleteParams::Reader from)
 {
-    return {text(from.getTicket()), from.getAttempt(), read(from.getAnswer())};
+    return {text(from.getTicket()), text(from.getClaimer()),
+            base::incarnation(from.getClaimerIncarnation()), from.getAttempt(),
+            read(from.getAnswer())};
 }
 
 void write(rpc::Entry::ReleaseParams::Builder to, const release_request& from)
 {
     to.setTicket(text(from.ticket));
+    to.setClaimer(text(from.claimer));
+    to.setClaimerIncarnation(from.claimer_incarnation.value());
     to.setAttempt(from.attempt);
 }
 
 release_request read(rpc::Entry::ReleaseParams::Reader from)
 {
-    return {text(from.getTicket()), from.getAttempt()};
+    return {text(from.getTicket()), text(from.getClaimer()),
+            base::incarnation(from.getClaimerIncarnation()), from.getAttempt()};
 }
 
 void write(rpc::Entry::ReportCrashParams::Builder to, const crash_report& from)
--- a/src/inner/tests/node_test.cpp
+++ b/src/inner/tests/node_test.cpp
@@ -44,6 +44,7 @@
     record.entry_inner_address = "127.0.0.9:4";
     record.entry_incarnation = base::incarnation(9);
     record.ticket_epoch = 11;
+    record.entry_config_version = 12;
     record.versions = {{"config", 4}, {"keys", 5}};
     return record;
 }
@@ -61,6 +62,7 @@
     CHECK(got.entry_inner_address == wanted.entry_inner_address);
     CHECK(got.entry_incarnation == wanted.entry_incarnation);
     CHECK(got.ticket_epoch == wanted.ticket_epoch);
+    CHECK(got.entry_config_version == wanted.entry_config_version);
     REQUIRE(got.versions.size() == wanted.versions.size());
     for (std::size_t index = 0; index < got.versions.size(); ++index) {
         CHECK(got.versions[index].name == wanted.versions[index].name);
@@ -176,12 +178,15 @@
             answer.weights = {{"site", "service", {"fd1", "fd2"}, {65535, 1}}};
             answer.steering_revision = 22;
             answer.contact_age = 23ms;
+            answer.listed_known = true;
+            answer.listed_hosts = {base::host_id("h9")};
             reply(answer);
         };
         REQUIRE(base::is_ok(server.start(agent, {})));
         outcome<snapshot> result;
         client.watch(server.bound_address(), {{{"config", 3}}, 19, 20},
-                     {base::incarnation(5), 6, true}, in(5s), result.callback());
+                     {base::incarnation(5), 6, true, 7, {{"site", "service", 1.5}}}, in(5s),
+                     result.callback());
         await(owner, result);
         const snapshot& got = result.reply();
         CHECK(seen.versions.at(0).version == 3);
@@ -190,6 +195,9 @@
         CHECK(reported.entry_incarnation.value() == 5);
         CHECK(reported.ticket_epoch == 6);
         CHECK(reported.leaving);
+        CHECK(reported.config_version == 7);
+        CHECK(reported.demand.at(0).service == "service");
+        CHECK(reported.demand.at(0).rate == 1.5);
         REQUIRE(got.documents.size() == 2);
         CHECK(got.documents[0].text == R"({"a":1})");
         CHECK(got.documents[0].patches.empty());
@@ -201,6 +209,8 @@
         CHECK(got.weights.at(0).weights == std::vector<std::uint32_t>{65535, 1});
         CHECK(got.steering_revision == 22);
         CHECK(got.contact_age == 23ms);
+        CHECK(got.listed_known);
+        CHECK(got.listed_hosts.at(0).value() == "h9");
     }
     SUBCASE("exchange, push and probe")
     {
@@ -269,7 +279,7 @@
     std::vector<std::uint64_t> succeeded;
     entry.borrow = [&](borrow_request request, const reply_to<borrow_reply>& reply) {
         borrowed = std::move(request);
-        reply(borrow_reply{1.5, 2.5, 3000ms, 4});
+        reply(borrow_reply{1.5, 3.5, 2.5, 3000ms, 4});
     };
     entry.give_back = [&](std::uint64_t loan, const reply_to<nothing>& reply) {
         given_back = loan;
@@ -312,6 +322,7 @@
         CHECK(borrowed.borrower_incarnation.value() == 3);
         CHECK(borrowed.config_version == 4);
         CHECK(borrow.reply().rate == 1.5);
+        CHECK(borrow.reply().burst == 3.5);
         CHECK(borrow.reply().tokens == 2.5);
         CHECK(borrow.reply().lease == 3000ms);
         CHECK(borrow.reply().loan == 4);
@@ -336,14 +347,20 @@
         CHECK(claim.reply().answer.headers == answer.headers);
         CHECK(claim.reply().answer.body == all_bytes);
         outcome<nothing> complete;
-        client.complete(address, {"ticket", 8, answer}, in(5s), complete.callback());
+        client.complete(address, {"ticket", "h1", base::incarnation(3), 8, answer}, in(5s),
+                        complete.callback());
         await(owner, complete);
         CHECK(completed.ticket == "ticket");
+        CHECK(completed.claimer == "h1");
+        CHECK(completed.claimer_incarnation.value() == 3);
         CHECK(completed.attempt == 8);
         CHECK(completed.answer.body == all_bytes);
         outcome<nothing> release;
-        client.release(address, {"ticket", 9}, in(5s), release.callback());
+        client.release(address, {"ticket", "h2", base::incarnation(4), 9}, in(5s),
+                       release.callback());
         await(owner, release);
+        CHECK(released.claimer == "h2");
+        CHECK(released.claimer_incarnation.value() == 4);
         CHECK(released.attempt == 9);
         CHECK(release.error() == base::error_kind::stale);
         CHECK(base::error_of(**release.value).detail == "old: epoch");
--- a/tests/support/http_session.cpp
+++ b/tests/support/http_session.cpp
@@ -23,9 +23,7 @@
     return std::string(http::find_header(headers, name).value_or(""));
 }
 
-http_session::http_session() : m_client(m_loop, {.max_connections_per_address = 256})
-{
-}
+http_session::http_session() : m_client(m_loop, {.max_connections_per_address = 256}) {}
 
 http_session::~http_session()
 {
@@ -67,7 +65,9 @@
         running->reply.status = head.status;
         running->reply.headers = head.headers;
     };
-    callbacks.on_body = [running](std::string_view piece) { running->reply.body.append(piece); };
+    callbacks.on_body = [running](std::string_view piece) {
+        running->reply.body.append(piece);
+    };
     callbacks.on_end = [this, running, number](const http::call_end& end) {
         running->reply.outcome = end.outcome;
         running->reply.request_sent = end.request_sent;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -35,8 +35,8 @@
     posix_spawn_file_actions_t actions{};
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 0, "/dev/null", O_RDONLY, 0);
-    posix_spawn_file_actions_addopen(&actions, 1, log_file.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_addopen(&actions, 1, log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                     0644);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
     posix_spawnattr_t attributes{};
     posix_spawnattr_init(&attributes);
@@ -65,8 +65,7 @@
 process::process(const std::string& program, const std::vector<std::string>& arguments,
                  const std::string& log_file)
     : m_pid(spawn(program, arguments, log_file)), m_log_file(log_file)
-{
-}
+{}
 
 process::~process()
 {
