--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -17,9 +17,6 @@
 /// instead.
 constexpr std::uint64_t h2o_timeout_never_ms = 10ULL * 365 * 24 * 3600 * 1000;
 
-/// h2o does not limit the size of a response head; its growth is checked at this interval.
-constexpr std::chrono::milliseconds head_check_interval{20};
-
 /// Cancels the call when it is destroyed.
 class call_handle final : public client_call {
 public:
@@ -188,7 +185,6 @@
     }
     ++to->active;
     call->is_active = true;
-    schedule_head_check();
     call->start(*to);
 }
 
@@ -267,36 +263,10 @@
         to.queue.pop_front();
         ++to.active;
         call->is_active = true;
-        schedule_head_check();
         call->start(to);
     }
 }
 
-void client::impl::schedule_head_check()
-{
-    if (m_is_head_check_due) {
-        return;
-    }
-    m_is_head_check_due = true;
-    owner.schedule(base::boot_clock::now() + head_check_interval, [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-            self->check_heads();
-        }
-    });
-}
-
-void client::impl::check_heads()
-{
-    m_is_head_check_due = false;
-    const std::vector<std::shared_ptr<call_state>> calls(m_calls.begin(), m_calls.end());
-    for (const auto& call : calls) {
-        call->check_head_size();
-    }
-    if (!m_calls.empty() && !is_shut_down) {
-        schedule_head_check();
-    }
-}
-
 void client::impl::shut_down()
 {
     is_shut_down = true;
--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -4,6 +4,7 @@
 #include "http/internal/message_check.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -14,7 +15,25 @@
 /// Bounds what the kernel buffers for one connection, and so what one read returns.
 constexpr int receive_buffer_bytes = 256 << 10;
 
-constexpr std::string_view parse_failure = "failed to parse the response";
+/// h2o accepts as many headers.
+constexpr std::size_t max_headers = 100;
+
+/// Digits of a content-length; h2o's own conversion refuses longer ones.
+constexpr std::size_t max_length_digits = 15;
+
+constexpr int status_switching_protocols = 101;
+constexpr int first_final_status = 200;
+
+constexpr int parse_incomplete = -2;
+
+using parsed_headers = std::array<phr_header, max_headers>;
+
+std::string lower_case(std::string_view text)
+{
+    std::string out(text);
+    h2o_strtolower(out.data(), out.size());
+    return out;
+}
 
 std::string to_string(const h2o_iovec_t& text)
 {
@@ -51,12 +70,30 @@
 {
     std::uint64_t value = 0;
     const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (failure != std::errc() || text.empty() || end != text.data() + text.size()) {
+    if (failure != std::errc() || text.empty() || text.size() > max_length_digits ||
+        end != text.data() + text.size()) {
         return std::nullopt;
     }
     return value;
 }
 
+/// Whether h2o understands the headers that describe the length of the body.
+bool has_plain_framing(const parsed_headers& headers, std::size_t count)
+{
+    return std::all_of(headers.begin(), headers.begin() + static_cast<std::ptrdiff_t>(count),
+                       [](const phr_header& one) {
+                           if (one.name == nullptr) {
+                               return true;
+                           }
+                           const std::string name = lower_case({one.name, one.name_len});
+                           const std::string_view value(one.value, one.value_len);
+                           if (name == "transfer-encoding") {
+                               return value == "chunked";
+                           }
+                           return name != "content-length" || parse_length(value).has_value();
+                       });
+}
+
 } // namespace
 
 call_state::call_state(std::shared_ptr<client::impl> owner, client_request request,
@@ -151,6 +188,80 @@
     m_wire_piece = h2o_iovec_init(m_wire.data(), m_wire.size());
     m_phase = phase::waiting_for_head;
     m_is_sent = true;
+    // h2o sets its callbacks on the socket after this one; it reads in a later round of the loop.
+    m_owner->owner.schedule(base::boot_clock::now(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->guard_head();
+        }
+    });
+}
+
+void call_state::guard_head()
+{
+    if (m_phase != phase::waiting_for_head || m_h2o == nullptr) {
+        return;
+    }
+    h2o_socket_t* socket = m_h2o->sock;
+    if (socket->_cb.write != nullptr) {
+        m_write_done = std::exchange(socket->_cb.write, on_request_written);
+        return;
+    }
+    m_head_reader = std::exchange(socket->_cb.read, on_head_bytes);
+}
+
+void call_state::on_request_written(h2o_socket_t* socket, const char* failure)
+{
+    const auto* h2o = static_cast<h2o_http1client_t*>(socket->data);
+    const auto self = static_cast<call_state*>(h2o->data)->shared_from_this();
+    self->m_write_done(socket, failure);
+    self->guard_head();
+}
+
+void call_state::on_head_bytes(h2o_socket_t* socket, const char* failure)
+{
+    const auto* h2o = static_cast<h2o_http1client_t*>(socket->data);
+    const auto self = static_cast<call_state*>(h2o->data)->shared_from_this();
+    if (failure == nullptr) {
+        const auto fault = self->head_fault({socket->input->bytes, socket->input->size});
+        if (!fault.empty()) {
+            self->end_and_close(
+                make_error(base::error_kind::answer_invalid, self->address(), fault));
+            return;
+        }
+    }
+    self->m_head_reader(socket, failure);
+}
+
+std::string_view call_state::head_fault(std::string_view bytes) const
+{
+    std::size_t head_bytes = 0;
+    while (head_bytes < bytes.size()) {
+        parsed_headers headers{};
+        std::size_t count = headers.size();
+        int minor_version = 0;
+        int status = 0;
+        const char* message = nullptr;
+        std::size_t message_length = 0;
+        const int length =
+            phr_parse_response(bytes.data() + head_bytes, bytes.size() - head_bytes, &minor_version,
+                               &status, &message, &message_length, headers.data(), &count, 0);
+        if (length == parse_incomplete) {
+            head_bytes = bytes.size();
+            break;
+        }
+        if (length < 0) {
+            return "response head is malformed";
+        }
+        head_bytes += static_cast<std::size_t>(length);
+        if (!has_plain_framing(headers, count)) {
+            return "response has no usable length";
+        }
+        if (status >= first_final_status || status == status_switching_protocols) {
+            break;
+        }
+    }
+    return head_bytes > m_owner->settings.max_header_bytes ? "response head is too large"
+                                                           : std::string_view();
 }
 
 h2o_http1client_body_cb call_state::on_head(h2o_http1client_t* h2o, const char* failure,
@@ -227,7 +338,7 @@
     }
     if (!has_response_body(m_request.head.method, m_head.status)) {
         // A response to an upgrade is not expected; nothing of ours asks for one.
-        return m_head.status >= 200;
+        return m_head.status >= first_final_status;
     }
     // h2o keeps the length and the chunk decoder in the same place, so both must not occur.
     if (is_chunked == m_head.content_length.has_value()) {
@@ -340,16 +451,6 @@
     return make_error(kind, address(), cause);
 }
 
-void call_state::check_head_size()
-{
-    if (m_phase != phase::waiting_for_head || m_h2o == nullptr || m_h2o->sock == nullptr ||
-        m_h2o->sock->input->size <= m_owner->settings.max_header_bytes) {
-        return;
-    }
-    end_and_close(
-        make_error(base::error_kind::answer_invalid, address(), "response head is too large"));
-}
-
 void call_state::deadline_passed()
 {
     const auto kind =
--- a/src/http/internal/call_state.h
+++ b/src/http/internal/call_state.h
@@ -34,9 +34,6 @@
     void pause();
     void resume();
 
-    /// Ends the call if its response head is larger than allowed.
-    void check_head_size();
-
     bool request_sent() const;
 
     /// Whether the head can be written without changing the framing.
@@ -60,6 +57,14 @@
                                            int head_length);
     static int on_body(h2o_http1client_t* h2o, const char* failure);
 
+    /// h2o 2.2.5 aborts the process on a response whose transfer-encoding or content-length it does
+    /// not understand, and it does not limit the size of a head. So the head is checked before h2o
+    /// reads it.
+    void guard_head();
+    static void on_request_written(h2o_socket_t* socket, const char* failure);
+    static void on_head_bytes(h2o_socket_t* socket, const char* failure);
+    std::string_view head_fault(std::string_view bytes) const;
+
     void write_request();
     bool read_head(int status, const h2o_header_t* headers, std::size_t count,
                    std::size_t head_length);
@@ -85,8 +90,10 @@
     h2o_http1client_t* m_h2o = nullptr;
     h2o_iovec_t m_wire_piece{};
     std::string m_wire;
-    h2o_socket_cb m_reader = nullptr; ///< h2o's reader, while reading is paused.
-    bool m_is_in_h2o = false;         ///< A callback of h2o runs; it closes the connection itself.
+    h2o_socket_cb m_write_done = nullptr;  ///< h2o's callback behind `on_request_written`.
+    h2o_socket_cb m_head_reader = nullptr; ///< h2o's reader behind `on_head_bytes`.
+    h2o_socket_cb m_reader = nullptr;      ///< h2o's reader, while reading is paused.
+    bool m_is_in_h2o = false; ///< A callback of h2o runs; it closes the connection itself.
     bool m_is_paused = false;
     bool m_is_sent = false;
     timer_id m_deadline_timer = 0;
--- a/src/http/internal/client_impl.h
+++ b/src/http/internal/client_impl.h
@@ -50,13 +50,10 @@
     void remove_unused_peers();
     void schedule_pump(peer& which);
     void pump(const std::string& address);
-    void schedule_head_check();
-    void check_heads();
 
     h2o_timeout_t m_io_timeout{};
     std::unordered_map<std::string, std::unique_ptr<peer>> m_peers;
     std::unordered_set<std::shared_ptr<call_state>> m_calls;
-    bool m_is_head_check_due = false;
 };
 
 } // namespace snipeshore::http
--- a/src/http/internal/h2o.h
+++ b/src/http/internal/h2o.h
@@ -5,4 +5,16 @@
 #include <h2o.h>
 #include <h2o/http1.h>
 #include <h2o/http2.h>
+
+// The parser inside libh2o. The library exports it, but the package has no header for it.
+struct phr_header {
+    const char* name;
+    size_t name_len;
+    const char* value;
+    size_t value_len;
+};
+
+int phr_parse_response(const char* buffer, size_t length, int* minor_version, int* status,
+                       const char** message, size_t* message_length, struct phr_header* headers,
+                       size_t* header_count, size_t last_length);
 }
