--- /dev/null
+++ b/tests/system/control_test.cpp
@@ -0,0 +1,179 @@
+#include "tests/support/fleet.h"
+#include "tests/system/test_routes.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+
+using namespace snipeshore;
+using namespace snipeshore::test;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+// Bounds of the stated target: a change is in force within 15 s, a withdrawn key stops within 5 s.
+constexpr auto config_bound = 15s;
+constexpr auto key_bound = 5s;
+
+fleet_settings three_hosts()
+{
+    fleet_settings settings;
+    settings.failure_domains = {"tunis-a", "tunis-b", "sfax-a"};
+    settings.hosts_per_domain = 1;
+    settings.edit = add_test_routes;
+    return settings;
+}
+
+http_request get(const std::string& path, const std::string& key)
+{
+    http_request request;
+    request.path = path;
+    request.headers = {{"authorization", "Bearer " + key}};
+    return request;
+}
+
+bool is_in_force(fleet& fleet, const std::string& name, std::uint64_t version)
+{
+    for (const std::string& host : fleet.host_ids()) {
+        const json dump = fleet.entry_dump(host);
+        if (!dump.is_object() || dump["versions"][name] != version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool works_everywhere(fleet& fleet, const std::string& key)
+{
+    for (const std::string& host : fleet.host_ids()) {
+        if (fleet.send(host, "order-desk", get("/echo", key)).status != 200) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool stopped_everywhere(fleet& fleet, const std::string& key)
+{
+    for (const std::string& host : fleet.host_ids()) {
+        if (fleet.send(host, "order-desk", get("/echo", key)).status != 401) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+// Guards against a change that some host misses, a withdrawn key that goes on working, and a
+// configuration that reverts after an outage, a restart or a restored store.
+TEST_CASE("configuration and keys are in force everywhere and never revert")
+{
+    fleet fleet(three_hosts());
+    REQUIRE(fleet.await_ready(30s));
+    const std::string key = fleet.grant_key(fleet.document()["accounts"][0]["id"]);
+    REQUIRE(fleet.session().run_until([&] { return works_everywhere(fleet, key); },
+                                      base::boot_clock::now() + 20s));
+
+    SUBCASE("a key is withdrawn while its caller is connected")
+    {
+        REQUIRE(fleet.ctl({"keys", "withdraw", key}).status == 0);
+        CHECK(fleet.session().run_until([&] { return stopped_everywhere(fleet, key); },
+                                        base::boot_clock::now() + key_bound));
+    }
+    SUBCASE("a new configuration is in force within the bound on every host")
+    {
+        fleet.document()["accounts"][0]["rate"] = 7;
+        REQUIRE(fleet.publish().status == 0);
+        CHECK(fleet.session().run_until([&] { return is_in_force(fleet, "config", 2); },
+                                        base::boot_clock::now() + config_bound));
+    }
+    SUBCASE("the store goes down: traffic goes on, and a restarted host is served by its peers")
+    {
+        const std::string restarted = fleet.host_ids().front();
+        fleet.switch_platform({{"down", true}});
+        CHECK(works_everywhere(fleet, key));
+        host_processes& host = fleet.host(restarted);
+        for (process* child : {host.agent.get(), host.entry_program.get()}) {
+            child->send_signal(SIGKILL);
+            child->wait_exit(base::boot_clock::now() + 5s);
+        }
+        fleet.start_agent(host);
+        fleet.start_entry(host);
+        CHECK(fleet.session().run_until([&] { return is_in_force(fleet, "config", 1); },
+                                        base::boot_clock::now() + config_bound));
+        CHECK(fleet.session().run_until([&] { return works_everywhere(fleet, key); },
+                                        base::boot_clock::now() + 15s));
+    }
+    SUBCASE("the store is restored to an older state: nothing reverts, publishing goes on above it")
+    {
+        REQUIRE(fleet.session()
+                    .send({.address = fleet.platform_address(), .method = "POST",
+                           .path = "/snapshot"})
+                    .status < 300);
+        fleet.document()["accounts"][0]["rate"] = 7;
+        REQUIRE(fleet.publish().status == 0);
+        REQUIRE(fleet.session().run_until([&] { return is_in_force(fleet, "config", 2); },
+                                          base::boot_clock::now() + config_bound));
+        fleet.switch_platform({{"restore", true}});
+        // A restarted agent reads the older store and must still end up with the newer version.
+        const std::string restarted = fleet.host_ids().front();
+        fleet.host(restarted).agent->send_signal(SIGKILL);
+        fleet.host(restarted).agent->wait_exit(base::boot_clock::now() + 5s);
+        fleet.start_agent(fleet.host(restarted));
+        REQUIRE(fleet.session().run_until(
+            [&] {
+                const json dump = fleet.agent_dump(restarted);
+                return dump.is_object() && dump["versions"]["config"] == 2;
+            },
+            base::boot_clock::now() + config_bound));
+        CHECK(is_in_force(fleet, "config", 2));
+    }
+    SUBCASE("an agent is frozen while a key is withdrawn, and resumed")
+    {
+        const std::string frozen = fleet.host_ids().back();
+        fleet.host(frozen).agent->send_signal(SIGSTOP);
+        REQUIRE(fleet.ctl({"keys", "withdraw", key}).status == 0);
+        REQUIRE(fleet.session().run_until(
+            [&] {
+                return fleet.send(fleet.host_ids().front(), "order-desk", get("/echo", key))
+                           .status == 401;
+            },
+            base::boot_clock::now() + key_bound));
+        fleet.host(frozen).agent->send_signal(SIGCONT);
+        CHECK(fleet.session().run_until([&] { return stopped_everywhere(fleet, key); },
+                                        base::boot_clock::now() + key_bound));
+    }
+    SUBCASE("two operators publish at once: one wins, the other is told")
+    {
+        json first = fleet.document();
+        first["accounts"][0]["rate"] = 8;
+        json second = fleet.document();
+        second["accounts"][0]["rate"] = 9;
+        const std::string first_path = fleet.folder() + "/first.json";
+        const std::string second_path = fleet.folder() + "/second.json";
+        std::ofstream(first_path) << first.dump();
+        std::ofstream(second_path) << second.dump();
+        const command_result won =
+            fleet.ctl({"publish", first_path, "--expected_version=1"});
+        const command_result lost =
+            fleet.ctl({"publish", second_path, "--expected_version=1"});
+        CHECK(won.status == 0);
+        CHECK(lost.status != 0);
+        CHECK(lost.output.find("rate") != std::string::npos);
+        CHECK(fleet.session().run_until([&] { return is_in_force(fleet, "config", 2); },
+                                        base::boot_clock::now() + config_bound));
+    }
+    SUBCASE("a publication whose reply was lost is found and not made twice")
+    {
+        fleet.document()["accounts"][0]["rate"] = 7;
+        fleet.switch_platform({{"lose_replies", 1}});
+        const command_result published = fleet.publish();
+        CHECK(published.status == 0);
+        CHECK(fleet.session().run_until([&] { return is_in_force(fleet, "config", 2); },
+                                        base::boot_clock::now() + config_bound));
+    }
+}
--- /dev/null
+++ b/tests/system/path_test.cpp
@@ -0,0 +1,154 @@
+#include "tests/support/fleet.h"
+#include "tests/system/test_routes.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+
+using namespace snipeshore;
+using namespace snipeshore::test;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+fleet_settings two_domains()
+{
+    fleet_settings settings;
+    settings.failure_domains = {"tunis-a", "sfax-a"};
+    settings.hosts_per_domain = 1;
+    settings.edit = add_test_routes;
+    return settings;
+}
+
+http_request get(const std::string& path, const std::string& key)
+{
+    http_request request;
+    request.path = path;
+    request.headers = {{"authorization", "Bearer " + key}};
+    return request;
+}
+
+json body_of(const http_reply& reply)
+{
+    return json::parse(reply.body, nullptr, false);
+}
+
+} // namespace
+
+// Guards against a break anywhere on the way from look-up to target, and against refusals that do
+// not name their cause or claim too much.
+TEST_CASE("a caller looks up an entry host and gets the answer of a target")
+{
+    fleet fleet(two_domains());
+    REQUIRE(fleet.await_ready(30s));
+    const std::string account = fleet.document()["accounts"][0]["id"];
+    const std::string key = fleet.grant_key(account);
+    const std::string host = fleet.host_ids().front();
+    REQUIRE(fleet.session().run_until(
+        [&] { return fleet.lookup(host, "order-desk", key).status == 200; },
+        base::boot_clock::now() + 15s));
+    const json found = body_of(fleet.lookup(host, "order-desk", key));
+    const std::string entry = found.at("host");
+    REQUIRE(fleet.session().run_until(
+        [&] { return fleet.send(entry, "order-desk", get("/stock/1", key)).status == 200; },
+        base::boot_clock::now() + 15s));
+
+    {
+        INFO("the look-up names a host of the fleet, and any host answers look-ups");
+        CHECK(found.at("address") == fleet.address_of(entry, "entry_address"));
+        for (const std::string& id : fleet.host_ids()) {
+            CHECK(fleet.lookup(id, "order-desk", key).status == 200);
+        }
+    }
+    {
+        INFO("the target sees the account and the deadline and no key");
+        http_request request = get("/echo", key);
+        request.headers.push_back({"snipeshore-deadline-ms", "5000"});
+        const http_reply reply = fleet.send(entry, "order-desk", request);
+        REQUIRE(reply.status == 200);
+        CHECK(reply.body.find(key) == std::string::npos);
+        CHECK(reply.body.find("authorization") == std::string::npos);
+        CHECK(reply.body.find(account) != std::string::npos);
+        CHECK(reply.body.find("snipeshore-deadline-ms") != std::string::npos);
+        CHECK(reply.body.find("traceparent") != std::string::npos);
+        CHECK(reply.header("snipeshore-host") == entry);
+    }
+    {
+        INFO("bad requests are refused with their kind, as not run");
+        const auto refused = [&](http_request request, const std::string& kind, int status) {
+            const http_reply reply = fleet.send(entry, "order-desk", std::move(request));
+            CHECK_MESSAGE(reply.status == status, kind, reply.body);
+            CHECK(reply.header("snipeshore-error") == kind);
+            CHECK(reply.header("snipeshore-not-run") == "1");
+            CHECK(body_of(reply)["error"] == kind);
+            CHECK(body_of(reply)["detail"].get<std::string>().size() > 10);
+        };
+        refused({.path = "/stock/1"}, "key_missing", 401);
+        refused(get("/stock/1", "wrong-key-0123456789"), "key_unknown", 401);
+        refused(get("/no-such-route", key), "route_unknown", 404);
+        http_request wrong_method = get("/stock/1", key);
+        wrong_method.method = "DELETE";
+        refused(wrong_method, "method_not_allowed", 405);
+        http_request bad_deadline = get("/stock/1", key);
+        bad_deadline.headers.push_back({"snipeshore-deadline-ms", "soon"});
+        refused(bad_deadline, "bad_request", 400);
+        http_request no_ticket = get("/run", key);
+        no_ticket.method = "POST";
+        refused(no_ticket, "ticket_missing", 428);
+        http_request wrong_host = get("/stock/1", key);
+        wrong_host.address = fleet.address_of(entry, "entry_address");
+        wrong_host.authority = "elsewhere.example";
+        CHECK(fleet.session().send(wrong_host).status == 421);
+    }
+    {
+        INFO("a forged ticket is refused and never said to be not run");
+        http_request forged = get("/run", key);
+        forged.method = "POST";
+        forged.headers.push_back({"snipeshore-ticket", "forged"});
+        const http_reply reply = fleet.send(entry, "order-desk", forged);
+        CHECK(reply.header("snipeshore-error") == "ticket_invalid");
+        CHECK(reply.header("snipeshore-not-run").empty());
+    }
+    {
+        INFO("an open route needs no key");
+        CHECK(fleet.send(entry, "order-desk", {.path = "/open"}).status == 200);
+    }
+    {
+        INFO("a truncated answer never looks complete");
+        const http_reply reply = fleet.send(entry, "order-desk", get("/truncated", key));
+        CHECK_FALSE((base::is_ok(reply.outcome) && reply.status == 200));
+    }
+    {
+        INFO("a large answer arrives whole and is not buffered in the entry");
+        constexpr std::size_t size = 256ULL << 20U;
+        const pid_t pid = fleet.host(entry).entry_program->pid();
+        const std::size_t before = resident_bytes(pid);
+        std::size_t most = before;
+        bool has_ended = false;
+        http_reply reply;
+        http_request request = get("/bytes?n=" + std::to_string(size), key);
+        request.address = fleet.address_of(entry, "entry_address");
+        request.authority = fleet.service_host_name("order-desk");
+        request.limit = 60s;
+        fleet.session().start(request, [&](const http_reply& end) {
+            reply = end;
+            has_ended = true;
+        });
+        CHECK(fleet.session().run_until(
+            [&] {
+                most = std::max(most, resident_bytes(pid));
+                return has_ended;
+            },
+            base::boot_clock::now() + 60s));
+        CHECK(base::is_ok(reply.outcome));
+        CHECK(reply.body.size() == size);
+        constexpr std::size_t allowed_growth = 64ULL << 20U;
+        CHECK(most - before < allowed_growth);
+    }
+    {
+        INFO("the key appears in no log");
+        CHECK(fleet.all_logs().find(key) == std::string::npos);
+    }
+}
--- /dev/null
+++ b/tests/system/test_routes.h
@@ -0,0 +1,12 @@
+/// @file Routes to the endpoints of the target stand-in, for system tests.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+namespace snipeshore::test {
+
+/// Adds the stand-in's own paths to every service: idempotent ones, `/run` that runs once and
+/// `/open` that needs no key.
+void add_test_routes(nlohmann::json& document);
+
+} // namespace snipeshore::test
