Add steering: block table, look-up, shift decisions

Cause: callers need a host, and shifts between failure domains must stay under the cap and within every region whatever the measurements say.

Each decider owns a fixed part of regions, links and the shift cap, so the sum holds with any views. Ruled out: dividing the measured headroom alone (two deciders with measurements of different age can both use the same headroom), and one refused part per row (losing one failure domain redistributes the blocks of the others). Weights therefore carry the refused part per failure domain.

--- a/src/steering/block_table.h
+++ b/src/steering/block_table.h
@@ -21,7 +21,10 @@
         std::uint64_t high = 0;
         std::uint64_t low = 0;
 
-        friend auto operator<=>(const ipv6_start&, const ipv6_start&) = default;
+        friend bool operator<(const ipv6_start& left, const ipv6_start& right)
+        {
+            return left.high != right.high ? left.high < right.high : left.low < right.low;
+        }
     };
     /// Start of a range and the block it belongs to; `no_block` for gaps.
     struct ipv4_range {
--- a/src/steering/decide.h
+++ b/src/steering/decide.h
@@ -47,17 +47,17 @@
 decision decide(const plan& plan, const inputs& inputs, const steering_state& previous,
                 base::time_point now);
 
-/// State of a decider that finds `weights` in force. Counts all of it as not yet visible in
-/// measurements and as a shift made at `now`.
+/// State of a decider that finds `weights` in force. Its earlier shifts are unknown, so it shifts
+/// nothing into a region until a measurement shows the load that the weights in force cause.
 steering_state restore_state(const plan& plan, const weight_table& weights, base::time_point now);
 
 /// Carries a state over to a plan of another document version; entries are matched by id. Rows that
 /// are new start from the baseline plan.
 steering_state carry_over(const plan& old_plan, const plan& new_plan, const steering_state& state);
 
-/// Fraction of a row's callers whose answer changes to another failure domain, or from refused to
-/// admitted, when the row's weights change; exact for the look-up's weighted rendezvous hashing.
-double moved_fraction(const std::uint32_t* before, const std::uint32_t* after, std::size_t domains);
+/// Fraction of a row's look-ups that are admitted at a failure domain where they were not admitted
+/// before; exact for the weighted rendezvous hashing of `choose_entry`.
+double moved_fraction(const weight_table& before, const weight_table& after, std::size_t row);
 
 /// Memory held by the state.
 std::size_t memory_of(const steering_state& state);
--- /dev/null
+++ b/src/steering/lookup.cpp
@@ -0,0 +1,110 @@
+#include "steering/lookup.h"
+
+#include "base/hash.h"
+#include "base/types/error.h"
+
+#include <cmath>
+#include <limits>
+
+namespace snipeshore::steering {
+
+namespace {
+
+/// Finalizer of MurmurHash3: spreads any change of the input over all bits of the result.
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33U;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33U;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    value ^= value >> 33U;
+    return value;
+}
+
+/// Uniform in (0, 1), the same for a block and failure domain on every host.
+double uniform(std::uint32_t salt, std::uint64_t domain_key)
+{
+    const std::uint64_t hash = mix(domain_key ^ mix(salt));
+    return (static_cast<double>(hash >> 11U) + 0.5) * 0x1.0p-53;
+}
+
+/// Weighted rendezvous hashing: the chance of a failure domain is its part of the sum of weights.
+std::size_t choose_domain(const weight_table& table, std::size_t row, std::uint32_t salt)
+{
+    std::size_t best = 0;
+    double best_arrival = std::numeric_limits<double>::infinity();
+    for (std::size_t domain = 0; domain < table.domains; ++domain) {
+        const std::size_t cell = row * table.domains + domain;
+        const std::uint32_t weight = table.weights[cell] + table.refused[cell];
+        if (weight == 0) {
+            continue;
+        }
+        if (weight == full_weight) {
+            return domain;
+        }
+        const double arrival = -std::log(uniform(salt, table.domain_keys[domain])) / weight;
+        if (arrival < best_arrival) {
+            best_arrival = arrival;
+            best = domain;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+weight_table make_weight_table(const plan& plan)
+{
+    weight_table table;
+    table.domains = plan.domains.size();
+    for (const plan_domain& domain : plan.domains) {
+        table.domain_keys.push_back(base::stable_hash(domain.id.value()));
+    }
+    const std::size_t cells = plan.sites.size() * plan.services.size() * table.domains;
+    table.weights.assign(cells, 0);
+    table.refused.assign(cells, 0);
+    return table;
+}
+
+base::result<lookup_choice> choose_entry(const weight_table& weights, std::size_t row,
+                                         std::uint32_t salt, std::uint16_t draw,
+                                         const entry_hosts& hosts)
+{
+    const std::size_t end = (row + 1) * weights.domains;
+    if (weights.domains == 0 || end > weights.weights.size() || end > weights.refused.size() ||
+        weights.domain_keys.size() < weights.domains) {
+        return base::error{base::error_kind::not_ready, "no steering weights for the service"};
+    }
+    std::uint64_t total = 0;
+    for (std::size_t cell = end - weights.domains; cell < end; ++cell) {
+        total += weights.weights[cell] + weights.refused[cell];
+    }
+    const base::error full{base::error_kind::region_full, "no region has headroom left"};
+    if (draw >= total) {
+        return full;
+    }
+    const std::size_t domain = choose_domain(weights, row, salt);
+    const std::size_t cell = end - weights.domains + domain;
+    const std::uint64_t placed = weights.weights[cell] + weights.refused[cell];
+    // `draw` is uniform below `total`; the part weights / placed of that range is admitted.
+    if (draw * placed >= weights.weights[cell] * total) {
+        return full;
+    }
+    if (domain >= hosts.size() || hosts[domain].empty()) {
+        return base::error{base::error_kind::not_ready,
+                           "the failure domain has no live entry host"};
+    }
+    const entry_host* best = nullptr;
+    std::uint64_t best_weight = 0;
+    for (const entry_host& host : hosts[domain]) {
+        const std::uint64_t weight = mix(host.key_hash ^ mix(salt));
+        if (best == nullptr || weight > best_weight ||
+            (weight == best_weight && host.key_hash < best->key_hash)) {
+            best = &host;
+            best_weight = weight;
+        }
+    }
+    return lookup_choice{static_cast<std::uint16_t>(domain), best->host};
+}
+
+} // namespace snipeshore::steering
--- a/src/steering/types/decision_record.h
+++ b/src/steering/types/decision_record.h
@@ -23,6 +23,7 @@
     none,
     shift_cap,           ///< The decider's part of the shift cap is used up.
     interval,            ///< The last shift is less than one interval ago.
+    receiver_lost,       ///< No other failure domain is healthy and in service.
     receiver_full,       ///< No receiver has headroom left.
     receiver_warming,    ///< Receivers may take more only as they warm up.
     link_full,           ///< No link to a receiver has headroom left.
