Add a stand-in for the platform's table, objects and host list

Tests and the demo need the platform's store with its faults: outages, slow calls, replies that are lost after the write took effect, clients that are cut off, a restore to an older state, and a host list that lags.

The stand-in is a server over http::server; its code is also a library, so that tests can run it in their own process. A fault breaks the connection off in the middle of a reply instead of answering 5xx, because a status would tell the client more than an outage does. A slow request takes effect after the delay even if its sender has given up. Lost replies can be limited to a number of writes.

--- /dev/null
+++ b/tests/standins/platform/platform_server.h
@@ -0,0 +1,88 @@
+/// @file HTTP server of the stand-in for the platform.
+///
+/// | request | answer |
+/// |---|---|
+/// | `GET /table/KEY` | 200 with `{"key","value","version"}`, or 404 |
+/// | `PUT /table/KEY`, `If-Match: VERSION` or `If-None-Match: *` | 200 with the new row, or 412 |
+/// | `GET /objects/NAME` | 200 with the content, or 404 |
+/// | `PUT /objects/NAME` | 200, or 409 if the name has other content |
+/// | `GET /hosts` | `{"hosts":[{"host_id","failure_domain","agent_address","leaving"}]}` |
+/// | `PUT /hosts/ID`, `DELETE /hosts/ID` | 200; listings show it after the lag |
+/// | `POST /switch` | sets faults, see `fault_switches`; `{"restore":true}` restores the snapshot |
+/// | `POST /snapshot` | keeps a copy of the state |
+/// | `GET /stats` | `{"reads","writes","broken_off","lost_replies"}` |
+#pragma once
+
+#include "base/result.h"
+#include "http/loop.h"
+#include "http/server.h"
+#include "tests/standins/platform/platform_state.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace snipeshore::http {
+class exchange;
+} // namespace snipeshore::http
+
+namespace snipeshore::standins {
+
+/// Faults, by their names in the JSON of `POST /switch`. Control requests are not affected.
+struct fault_switches {
+    std::chrono::milliseconds slow_ms{0}; ///< Delay before a request takes effect.
+    bool down = false;                    ///< Connections break off and nothing takes effect.
+    /// Writes that take effect while their connection breaks off; `true` in the JSON means all.
+    std::uint64_t lose_replies = 0;
+    std::set<std::string> cut; ///< Clients, by header `Snipeshore-Client`, treated as with `down`.
+    std::chrono::milliseconds host_list_lag_ms{0};
+};
+
+struct platform_stats {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t broken_off = 0;
+    std::uint64_t lost_replies = 0;
+};
+
+/// Belongs to the loop's thread.
+class platform_server {
+public:
+    explicit platform_server(http::loop& owner, fault_switches faults = {});
+
+    base::status listen(const std::string& address);
+    std::string bound_address() const;
+
+    platform_state& state();
+    fault_switches& faults();
+    const platform_stats& stats() const;
+    void take_snapshot();
+    void restore_snapshot();
+
+private:
+    using exchange_ptr = std::shared_ptr<http::exchange>;
+
+    void handle(const exchange_ptr& from);
+    void handle_control(const exchange_ptr& from);
+    void handle_data(const exchange_ptr& from);
+    void get_row(const exchange_ptr& from, const std::string& key);
+    void put_row(const exchange_ptr& from, const std::string& key);
+    void get_object(const exchange_ptr& from, const std::string& name);
+    void put_object(const exchange_ptr& from, const std::string& name);
+    void list_hosts(const exchange_ptr& from);
+    void change_host(const exchange_ptr& from, const std::string& id);
+    void set_switches(const exchange_ptr& from);
+    void reply_to_write(const exchange_ptr& from, int status, const std::string& body);
+    void break_off(const exchange_ptr& from);
+
+    http::loop* m_loop;
+    http::server m_server;
+    platform_state m_state;
+    platform_state m_snapshot;
+    fault_switches m_faults;
+    platform_stats m_stats;
+};
+
+} // namespace snipeshore::standins
--- /dev/null
+++ b/tests/standins/platform/platform_state.h
@@ -0,0 +1,48 @@
+/// @file State of the stand-in for the platform: table, objects, host list.
+#pragma once
+
+#include "base/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipeshore::standins {
+
+struct table_row {
+    std::string value;
+    std::uint64_t version = 0; ///< Rises by one with each write of the row.
+};
+
+/// Host as JSON text, without its id.
+using host_text = std::string;
+
+/// Change of the host list that listings do not show yet.
+struct pending_host {
+    base::time_point visible_at;
+    std::string id;
+    std::optional<host_text> record; ///< Empty: the host was removed.
+};
+
+struct platform_state {
+    std::map<std::string, table_row> rows;
+    std::map<std::string, std::string> objects;
+    std::map<std::string, host_text> hosts;
+    std::vector<pending_host> pending_hosts;
+};
+
+enum class write_outcome { written, unchanged, conflict };
+
+/// Writes only if the row's version is `expected_version`; 0 means that there must be none.
+write_outcome put_row(platform_state& state, const std::string& key, std::uint64_t expected_version,
+                      std::string value);
+
+/// An object is written once: other content under the same name is a conflict.
+write_outcome put_object(platform_state& state, const std::string& name, std::string content);
+
+/// Applies the changes of the host list that are visible by now.
+void apply_pending_hosts(platform_state& state, base::time_point now);
+
+} // namespace snipeshore::standins
