Add the platform store over HTTP

Publisher and agents need the platform's table, objects and host list behind the interface of store.h, without ever taking a write of unknown outcome for one without effect.

http_store maps a call that was not sent, a refused connection and a full queue to store_unavailable; a write that was sent and got no valid reply, or a status from 500, to store_unknown, because a proxy may answer 5xx while the write goes on behind it. 412 and 409 are version_conflict. A row that does not exist reads as version 0. Calls over max_pending are refused.

Ruled out: retries inside the store. Only the caller knows whether sending a write again is safe.

--- /dev/null
+++ b/src/platform/http_store.cpp
@@ -0,0 +1,186 @@
+#include "platform/http_store.h"
+
+#include "http/client.h"
+#include "http/loop.h"
+#include "platform/internal/replies.h"
+
+#include <unordered_map>
+#include <utility>
+
+namespace snipeshore::platform {
+
+using internal::call_kind;
+
+namespace {
+
+constexpr std::size_t max_row_bytes = 1U << 20U;
+constexpr std::size_t max_host_list_bytes = 16U << 20U;
+constexpr std::size_t max_status_body_bytes = 64U << 10U;
+
+using reply = base::result<std::pair<http::response_head, std::string>>;
+
+/// What happens with the end of a call.
+using reply_callback = std::function<void(const reply& outcome, bool request_sent)>;
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// Body of a successful reply, or the error that the call ends with.
+base::result<std::string> body_of(call_kind kind, const reply& outcome, bool request_sent)
+{
+    if (!base::is_ok(outcome)) {
+        return internal::error_without_reply(kind, request_sent, base::error_of(outcome));
+    }
+    const auto& [head, body] = base::value_of(outcome);
+    if (!is_success(head.status)) {
+        return internal::error_of_status(kind, head.status);
+    }
+    return body;
+}
+
+} // namespace
+
+struct http_store::impl : std::enable_shared_from_this<http_store::impl> {
+    impl(http::loop& owner, store_settings wanted)
+        : loop(owner), settings(std::move(wanted)),
+          client(owner, {.max_connections_per_address = settings.max_pending})
+    {}
+
+    http::loop& loop;
+    store_settings settings;
+    http::client client;
+    std::uint64_t last_call = 0;
+    std::unordered_map<std::uint64_t, std::unique_ptr<http::client_call>> calls;
+
+    void call(const std::string& method, const std::string& folder, const std::string& name,
+              http::header_list headers, std::string body, std::size_t max_body,
+              reply_callback done);
+    void refuse(const std::string& detail, reply_callback done);
+};
+
+void http_store::impl::call(const std::string& method, const std::string& folder,
+                            const std::string& name, http::header_list headers, std::string body,
+                            std::size_t max_body, reply_callback done)
+{
+    if (calls.size() >= settings.max_pending) {
+        refuse("too many pending calls", std::move(done));
+        return;
+    }
+    if (!name.empty() && !internal::is_store_name(name)) {
+        refuse("invalid name " + name, std::move(done));
+        return;
+    }
+    http::client_request request;
+    request.address = settings.address;
+    request.head.method = method;
+    request.head.path = name.empty() ? folder : folder + "/" + name;
+    request.head.authority = settings.address;
+    request.head.headers = std::move(headers);
+    request.head.headers.push_back({"snipeshore-client", settings.client_id});
+    request.body = std::move(body);
+    request.deadline = base::boot_clock::now() + settings.deadline;
+
+    const std::uint64_t id = ++last_call;
+    auto on_end = [weak = weak_from_this(), id, done = std::move(done)](const reply& outcome,
+                                                                        bool request_sent) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        self->calls.erase(id);
+        done(outcome, request_sent);
+    };
+    calls.emplace(id, client.fetch(std::move(request), max_body, std::move(on_end)));
+}
+
+void http_store::impl::refuse(const std::string& detail, reply_callback done)
+{
+    loop.post([weak = weak_from_this(), detail, done = std::move(done)] {
+        if (!weak.expired()) {
+            done(base::error{base::error_kind::store_unavailable, detail}, false);
+        }
+    });
+}
+
+http_store::http_store(http::loop& owner, store_settings settings)
+    : m_impl(std::make_shared<impl>(owner, std::move(settings)))
+{}
+
+http_store::~http_store() = default;
+
+void http_store::read_row(const std::string& key, row_callback done)
+{
+    m_impl->call("GET", "/table", key, {}, "", max_row_bytes,
+                 [key, done = std::move(done)](const reply& outcome, bool request_sent) {
+                     const auto body = body_of(call_kind::read, outcome, request_sent);
+                     if (base::is_ok(body)) {
+                         done(internal::read_row_body(call_kind::read, key, base::value_of(body)));
+                     } else if (base::error_of(body).kind == base::error_kind::not_found) {
+                         done(row{key, "", 0});
+                     } else {
+                         done(base::error_of(body));
+                     }
+                 });
+}
+
+void http_store::write_row(const std::string& key, std::uint64_t expected_version,
+                           const std::string& value, row_callback done)
+{
+    http::header condition{"if-none-match", "*"};
+    if (expected_version != 0) {
+        condition = {"if-match", std::to_string(expected_version)};
+    }
+    m_impl->call("PUT", "/table", key, {condition}, value, max_row_bytes,
+                 [key, done = std::move(done)](const reply& outcome, bool request_sent) {
+                     const auto body = body_of(call_kind::write, outcome, request_sent);
+                     if (base::is_ok(body)) {
+                         done(internal::read_row_body(call_kind::write, key, base::value_of(body)));
+                     } else {
+                         done(base::error_of(body));
+                     }
+                 });
+}
+
+void http_store::read_object(const std::string& name, text_callback done)
+{
+    m_impl->call("GET", "/objects", name, {}, "", m_impl->settings.max_object_bytes,
+                 [done = std::move(done)](const reply& outcome, bool request_sent) {
+                     done(body_of(call_kind::read, outcome, request_sent));
+                 });
+}
+
+void http_store::write_object(const std::string& name, const std::string& content,
+                              status_callback done)
+{
+    m_impl->call("PUT", "/objects", name, {}, content, max_status_body_bytes,
+                 [done = std::move(done)](const reply& outcome, bool request_sent) {
+                     const auto body = body_of(call_kind::write, outcome, request_sent);
+                     if (base::is_ok(body)) {
+                         done(std::monostate{});
+                     } else {
+                         done(base::error_of(body));
+                     }
+                 });
+}
+
+void http_store::list_hosts(hosts_callback done)
+{
+    m_impl->call("GET", "/hosts", "", {}, "", max_host_list_bytes,
+                 [done = std::move(done)](const reply& outcome, bool request_sent) {
+                     const auto body = body_of(call_kind::read, outcome, request_sent);
+                     if (base::is_ok(body)) {
+                         done(internal::read_hosts_body(base::value_of(body)));
+                     } else {
+                         done(base::error_of(body));
+                     }
+                 });
+}
+
+std::size_t http_store::pending_calls() const
+{
+    return m_impl->calls.size();
+}
+
+} // namespace snipeshore::platform
--- /dev/null
+++ b/src/platform/replies.cpp
@@ -0,0 +1,99 @@
+#include "platform/internal/replies.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cctype>
+
+namespace snipeshore::platform::internal {
+
+namespace {
+
+using base::error_kind;
+using nlohmann::json;
+
+error_kind kind_without_certainty(call_kind kind)
+{
+    return kind == call_kind::write ? error_kind::store_unknown : error_kind::store_unavailable;
+}
+
+} // namespace
+
+base::error error_without_reply(call_kind kind, bool request_sent, const base::error& cause)
+{
+    if (!request_sent) {
+        return {error_kind::store_unavailable, "platform store, not sent: " + cause.detail};
+    }
+    return {kind_without_certainty(kind), "platform store, no reply: " + cause.detail};
+}
+
+base::error error_of_status(call_kind kind, int status)
+{
+    const std::string detail = "platform store, status " + std::to_string(status);
+    switch (status) {
+    case 404:
+        return {error_kind::not_found, detail};
+    case 409:
+    case 412:
+        return {error_kind::version_conflict, detail};
+    case 429:
+        return {error_kind::store_unavailable, detail};
+    default:
+        break;
+    }
+    // Statuses from 500 may come from a proxy behind which the write went on.
+    if (status >= 500) {
+        return {kind_without_certainty(kind), detail};
+    }
+    return {error_kind::internal, detail};
+}
+
+base::error error_of_body(call_kind kind)
+{
+    return {kind_without_certainty(kind), "platform store, reply is malformed"};
+}
+
+base::result<row> read_row_body(call_kind kind, const std::string& key, const std::string& body)
+{
+    try {
+        const json value = json::parse(body);
+        row read;
+        read.key = value.at("key").get<std::string>();
+        read.value = value.at("value").get<std::string>();
+        read.version = value.at("version").get<std::uint64_t>();
+        if (read.key == key && read.version != 0) {
+            return read;
+        }
+    } catch (const json::exception&) {
+        return error_of_body(kind);
+    }
+    return error_of_body(kind);
+}
+
+base::result<std::vector<listed_host>> read_hosts_body(const std::string& body)
+{
+    try {
+        std::vector<listed_host> hosts;
+        const json value = json::parse(body);
+        for (const json& entry : value.at("hosts")) {
+            listed_host host;
+            host.host_id = entry.at("host_id").get<std::string>();
+            host.failure_domain = entry.value("failure_domain", "");
+            host.agent_address = entry.value("agent_address", "");
+            host.leaving = entry.value("leaving", false);
+            hosts.push_back(std::move(host));
+        }
+        return hosts;
+    } catch (const json::exception&) {
+        return error_of_body(call_kind::read);
+    }
+}
+
+bool is_store_name(const std::string& name)
+{
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '/' || c == '-' || c == '_' || c == '.';
+    });
+}
+
+} // namespace snipeshore::platform::internal
