Hedge slow idempotent requests; carry refused weights to the lookup

Cause: steering refuses per failure domain, so a row has a refused part per failure domain; routes with hedge had no second copy. Change: SiteWeights.refused in the inner protocol; request tasks hold up to two attempts and pass on the first response head.

--- /dev/null
+++ b/bench/support/open_loop.cpp
@@ -0,0 +1,79 @@
+#include "bench/support/open_loop.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace snipeshore::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+struct run_state {
+    test::http_session& session;
+    base::time_point begun;
+    std::size_t count;
+    double rate;
+    std::function<test::http_request(std::size_t)> make;
+    load_result result;
+    std::size_t sent = 0;
+    std::size_t ended = 0;
+};
+
+base::time_point planned(const run_state& run, std::size_t index)
+{
+    const std::chrono::duration<double> offset(static_cast<double>(index) / run.rate);
+    return run.begun + std::chrono::duration_cast<base::duration>(offset);
+}
+
+void send_due(run_state& run)
+{
+    while (run.sent < run.count && planned(run, run.sent) <= base::boot_clock::now()) {
+        const base::time_point due = planned(run, run.sent);
+        run.session.start(run.make(run.sent), [&run, due](const test::http_reply& reply) {
+            ++run.ended;
+            if (!base::is_ok(reply.outcome) || reply.status != 200) {
+                ++run.result.failed;
+                return;
+            }
+            run.result.latencies.push_back(base::boot_clock::now() - due);
+        });
+        ++run.sent;
+    }
+    if (run.sent < run.count) {
+        run.session.loop().schedule(planned(run, run.sent), [&run] { send_due(run); });
+    }
+}
+
+} // namespace
+
+load_result run_open_loop(test::http_session& session, double rate,
+                          std::chrono::milliseconds length,
+                          const std::function<test::http_request(std::size_t)>& make)
+{
+    const auto count =
+        static_cast<std::size_t>(rate * std::chrono::duration<double>(length).count());
+    run_state run{session, base::boot_clock::now(), count, rate, make, {}};
+    session.loop().post([&run] { send_due(run); });
+    session.run_until([&] { return run.ended == run.count; },
+                      base::boot_clock::now() + length + 30s);
+    std::sort(run.result.latencies.begin(), run.result.latencies.end());
+    return std::move(run.result);
+}
+
+base::duration percentile(const load_result& result, double fraction)
+{
+    if (result.latencies.empty()) {
+        return base::duration::max();
+    }
+    const auto rank = static_cast<std::size_t>(
+        std::ceil(fraction * static_cast<double>(result.latencies.size())));
+    return result.latencies[std::min(rank, result.latencies.size()) - (rank > 0 ? 1 : 0)];
+}
+
+double to_ms(base::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+} // namespace snipeshore::bench
--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -13,6 +13,7 @@
 #include "base/hash.h"
 #include "config/types/document.h"
 #include "http/exchange.h"
+#include "http/loop.h"
 #include "retries/decide.h"
 #include "retries/quarantine.h"
 #include "retries/retry_budget.h"
@@ -289,11 +290,8 @@
 void request_task::start_call(std::uint32_t target)
 {
     const base::time_point now = base::boot_clock::now();
-    m_target = target;
+    const unsigned number = ++m_attempts;
     m_tried.push_back(target);
-    ++m_attempts;
-    m_attempt_started = now;
-    m_is_attempt_open = true;
     balancing::on_start(m_pool->balancer, target, now);
     add_running(*m_pool, target, m_fingerprint);
 
@@ -304,43 +302,83 @@
         now);
     request.body = std::string(m_exchange->body());
     request.deadline = m_deadline;
+    m_open_attempts.push_back({number, target, now, nullptr});
+    m_open_attempts.back().call = m_services.client.send(std::move(request), callbacks_of(number));
+    consider_hedge();
+}
+
+http::call_callbacks request_task::callbacks_of(unsigned number)
+{
     http::call_callbacks callbacks;
     const auto weak = weak_from_this();
-    callbacks.on_head = [weak](const http::response_head& head) {
+    callbacks.on_head = [weak, number](const http::response_head& head) {
         if (const auto self = weak.lock()) {
-            self->on_head(head);
+            self->on_head(number, head);
         }
     };
-    callbacks.on_body = [weak](std::string_view piece) {
+    callbacks.on_body = [weak, number](std::string_view piece) {
         if (const auto self = weak.lock()) {
-            self->on_body(piece);
+            self->on_body(number, piece);
         }
     };
-    callbacks.on_end = [weak](const http::call_end& end) {
+    callbacks.on_end = [weak, number](const http::call_end& end) {
         if (const auto self = weak.lock()) {
-            self->on_end(end);
+            self->on_end(number, end);
         }
     };
-    m_call = m_services.client.send(std::move(request), std::move(callbacks));
+    return callbacks;
 }
 
-void request_task::on_head(const http::response_head& head)
+void request_task::consider_hedge()
 {
-    m_has_sent = true;
+    if (m_open_attempts.empty() || m_stream != nullptr || m_has_left) {
+        return;
+    }
     const base::time_point now = base::boot_clock::now();
-    if (targets::is_load_shed(head)) {
-        balancing::on_end(m_pool->balancer, m_target, balancing::outcome::load_shed,
-                          now - m_attempt_started, now);
-        remove_running(*m_pool, m_target, m_fingerprint);
-        m_is_attempt_open = false;
-        if (retry_instead_of(head)) {
-            return;
+    const retries::slow_request slow{!is_once(),
+                                     m_match.route->hedge,
+                                     m_is_hedged,
+                                     m_stream != nullptr,
+                                     m_open_attempts.front().started,
+                                     m_deadline,
+                                     p95_of(m_pool->latencies)};
+    const retries::hedge_decision decision = retries::decide_hedge(slow, m_pool->budget, now);
+    if (!decision.hedge) {
+        if (decision.ask_again < m_deadline) {
+            m_services.loop.schedule(decision.ask_again, [weak = weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->consider_hedge();
+                }
+            });
         }
+        return;
+    }
+    const base::result<std::uint32_t> other = choose_target();
+    if (!base::is_ok(other)) {
+        return;
+    }
+    m_is_hedged = true;
+    m_services.metrics
+        .counter("snipeshore_hedges_total", "Second copies of slow idempotent requests.")
+        .Increment();
+    start_call(base::value_of(other));
+}
+
+void request_task::on_head(unsigned number, const http::response_head& head)
+{
+    m_has_sent = true;
+    if (find_attempt(number) == nullptr || m_winner != 0) {
+        return;
     }
+    if (targets::is_load_shed(head) && retry_instead_of(number, head)) {
+        return;
+    }
+    m_winner = number;
+    end_other_attempts(number);
     const std::uint64_t limit = m_match.route->max_answer.value();
     if (head.content_length.value_or(0) > limit) {
-        m_call.reset();
-        end_attempt(true);
+        m_winner = 0;
+        end_attempt(number, balancing::outcome::failure);
         decide_after_failure({error_kind::answer_invalid,
                               "the target's answer has " + std::to_string(*head.content_length) +
                                   " bytes, the route allows " + std::to_string(limit)});
@@ -360,20 +398,23 @@
     m_stream->start(std::move(passed_on));
 }
 
-bool request_task::retry_instead_of(const http::response_head& shed)
+bool request_task::retry_instead_of(unsigned number, const http::response_head& shed)
 {
     if (is_once()) {
         return false;
     }
-    const retries::failed_attempt attempt{true,
-                                          true,
-                                          false,
-                                          m_deadline,
-                                          p95_of(m_pool->latencies),
-                                          m_attempts,
-                                          error_kind::target_failed};
-    const auto decision = retries::decide_retry(attempt, m_pool->budget, base::boot_clock::now());
-    if (!decision.retry) {
+    if (m_open_attempts.size() > 1) {
+        end_attempt(number, balancing::outcome::load_shed);
+        return true;
+    }
+    const retries::failed_attempt failed{true,
+                                         true,
+                                         false,
+                                         m_deadline,
+                                         p95_of(m_pool->latencies),
+                                         m_attempts,
+                                         error_kind::target_failed};
+    if (!retries::decide_retry(failed, m_pool->budget, base::boot_clock::now()).retry) {
         return false;
     }
     const base::result<std::uint32_t> other = choose_target();
@@ -382,14 +423,15 @@
     }
     telemetry::log_event(telemetry::severity::info, "retry_after_shed",
                          {{"request_id", m_request_id}, {"status", shed.status}});
-    m_call.reset();
+    end_attempt(number, balancing::outcome::load_shed);
     start_call(base::value_of(other));
     return true;
 }
 
-void request_task::on_body(std::string_view piece)
+void request_task::on_body(unsigned number, std::string_view piece)
 {
-    if (m_stream == nullptr) {
+    attempt* current = find_attempt(number);
+    if (m_stream == nullptr || current == nullptr || number != m_winner) {
         return;
     }
     if (is_once() && !m_is_kept_too_large) {
@@ -401,30 +443,29 @@
     if (m_is_caller_gone) {
         return;
     }
-    m_stream->write(piece, *m_call);
+    m_stream->write(piece, *current->call);
     if (m_stream->bytes() > m_match.route->max_answer.value()) {
         m_stream->abort();
-        m_call.reset();
-        end_attempt(true);
-        record_end(m_status, "answer_invalid");
+        end_attempt(number, balancing::outcome::failure);
+        record_end(m_status, base::answer_for(error_kind::answer_invalid).name);
         leave();
     }
 }
 
-void request_task::on_end(const http::call_end& end)
+void request_task::on_end(unsigned number, const http::call_end& end)
 {
     m_has_sent = m_has_sent || end.request_sent;
-    if (m_stream != nullptr) {
-        m_stream->forget_call();
+    if (find_attempt(number) == nullptr) {
+        return;
     }
     if (base::is_ok(end.outcome)) {
-        on_complete();
+        on_complete(number);
         return;
     }
     const error cause = base::error_of(end.outcome);
     if (m_stream != nullptr) {
-        end_attempt(true);
         m_stream->abort();
+        end_attempt(number, balancing::outcome::failure);
         record_end(m_status, base::answer_for(cause.kind).name);
         leave();
         return;
@@ -432,23 +473,19 @@
     const bool is_broken = end.request_sent && (cause.kind == error_kind::target_failed ||
                                                 cause.kind == error_kind::answer_invalid);
     if (is_broken) {
-        on_broken(cause);
+        on_broken(number, cause);
         return;
     }
-    end_attempt(cause.kind != error_kind::deadline_exceeded || end.request_sent);
+    end_attempt(number, balancing::outcome::failure);
     decide_after_failure(cause);
 }
 
-void request_task::on_complete()
+void request_task::on_complete(unsigned number)
 {
-    const base::time_point now = base::boot_clock::now();
-    if (m_is_attempt_open) {
-        add_latency(m_pool->latencies, now - m_attempt_started);
-        balancing::on_end(m_pool->balancer, m_target, outcome_of(m_status), now - m_attempt_started,
-                          now);
-        remove_running(*m_pool, m_target, m_fingerprint);
-        m_is_attempt_open = false;
-    }
+    const attempt* current = find_attempt(number);
+    add_latency(m_pool->latencies, base::boot_clock::now() - current->started);
+    m_stream->forget_call();
+    end_attempt(number, outcome_of(m_status));
     m_services.crashes.on_success(m_fingerprint);
     if (is_once() && !m_is_kept_too_large) {
         m_services.tickets.complete(*m_claim, std::move(m_kept));
@@ -466,12 +503,13 @@
     });
 }
 
-void request_task::on_broken(const error& cause)
+void request_task::on_broken(unsigned number, const error& cause)
 {
-    crash_monitor::broken_connection broken{
-        m_pool->balancer.targets[m_target].info.id.value(), m_pool->addresses[m_target],
-        m_match.service->health_path, m_pool->running[m_target]};
-    end_attempt(true);
+    const std::uint32_t target = find_attempt(number)->target;
+    crash_monitor::broken_connection broken{m_pool->balancer.targets[target].info.id.value(),
+                                            m_pool->addresses[target], m_match.service->health_path,
+                                            m_pool->running[target]};
+    end_attempt(number, balancing::outcome::failure);
     m_services.crashes.on_broken_connection(std::move(broken), [weak = weak_from_this(), cause] {
         const auto self = weak.lock();
         if (self != nullptr && !self->m_has_left) {
@@ -480,21 +518,48 @@
     });
 }
 
-void request_task::end_attempt(bool failed)
+request_task::attempt* request_task::find_attempt(unsigned number)
+{
+    const auto found =
+        std::find_if(m_open_attempts.begin(), m_open_attempts.end(),
+                     [&](const attempt& candidate) { return candidate.number == number; });
+    return found == m_open_attempts.end() ? nullptr : &*found;
+}
+
+void request_task::end_attempt(unsigned number, balancing::outcome result)
 {
-    if (!m_is_attempt_open) {
+    const auto found =
+        std::find_if(m_open_attempts.begin(), m_open_attempts.end(),
+                     [&](const attempt& candidate) { return candidate.number == number; });
+    if (found == m_open_attempts.end()) {
         return;
     }
     const base::time_point now = base::boot_clock::now();
-    m_is_attempt_open = false;
-    balancing::on_end(m_pool->balancer, m_target,
-                      failed ? balancing::outcome::failure : balancing::outcome::cancelled,
-                      now - m_attempt_started, now);
-    remove_running(*m_pool, m_target, m_fingerprint);
+    balancing::on_end(m_pool->balancer, found->target, result, now - found->started, now);
+    remove_running(*m_pool, found->target, m_fingerprint);
+    m_open_attempts.erase(found);
+}
+
+void request_task::end_other_attempts(unsigned winner)
+{
+    while (m_open_attempts.size() > 1) {
+        const bool is_first = m_open_attempts.front().number == winner;
+        end_attempt(m_open_attempts[is_first ? 1 : 0].number, balancing::outcome::cancelled);
+    }
+}
+
+void request_task::end_all_attempts()
+{
+    while (!m_open_attempts.empty()) {
+        end_attempt(m_open_attempts.front().number, balancing::outcome::cancelled);
+    }
 }
 
 void request_task::decide_after_failure(const error& cause)
 {
+    if (!m_open_attempts.empty()) {
+        return; // The other copy of a hedged request is still running.
+    }
     if (m_is_caller_gone) {
         record_end(0, base::answer_for(cause.kind).name);
         leave();
@@ -506,11 +571,11 @@
                 "requests like this one crashed their targets; last cause: " + cause.detail});
         return;
     }
-    const retries::failed_attempt attempt{
+    const retries::failed_attempt failed{
         !is_once(), m_has_sent, m_stream != nullptr, m_deadline, p95_of(m_pool->latencies),
         m_attempts, cause.kind};
     const retries::retry_decision decision =
-        retries::decide_retry(attempt, m_pool->budget, base::boot_clock::now());
+        retries::decide_retry(failed, m_pool->budget, base::boot_clock::now());
     if (decision.retry) {
         send_to_target();
         return;
@@ -528,10 +593,8 @@
         m_stream->forget_call();
     }
     // The answer of a request that runs once is still read, so that a repeat gets it.
-    if (is_once() && m_is_attempt_open) {
-        if (m_call != nullptr) {
-            m_call->resume();
-        }
+    if (is_once() && !m_open_attempts.empty()) {
+        m_open_attempts.front().call->resume();
         return;
     }
     if (m_wait != 0) {
@@ -540,8 +603,7 @@
     if (m_is_claim_held && !m_has_sent) {
         m_services.tickets.release(*m_claim);
     }
-    m_call.reset();
-    end_attempt(false);
+    end_all_attempts();
     record_end(0, "caller_gone");
     leave();
 }
--- a/src/apps/entry/request_task.h
+++ b/src/apps/entry/request_task.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "apps/entry/routing.h"
+#include "balancing/types/outcome.h"
 #include "base/result.h"
 #include "base/time.h"
 #include "base/types/ids.h"
@@ -58,17 +59,30 @@
     void admit();
     void on_admission(const limits::admission& verdict);
 
+    /// One copy of the request at one target. There are two while a hedge runs.
+    struct attempt {
+        unsigned number = 0;
+        std::uint32_t target = 0;
+        base::time_point started;
+        std::unique_ptr<http::client_call> call;
+    };
+
     void send_to_target();
     base::result<std::uint32_t> choose_target();
     void start_call(std::uint32_t target);
-    void on_head(const http::response_head& head);
-    void on_body(std::string_view piece);
-    void on_end(const http::call_end& end);
-    void on_complete();
-    void on_broken(const base::error& cause);
-    void end_attempt(bool failed);
+    http::call_callbacks callbacks_of(unsigned number);
+    void on_head(unsigned number, const http::response_head& head);
+    void on_body(unsigned number, std::string_view piece);
+    void on_end(unsigned number, const http::call_end& end);
+    void on_complete(unsigned number);
+    void on_broken(unsigned number, const base::error& cause);
+    attempt* find_attempt(unsigned number);
+    void end_attempt(unsigned number, balancing::outcome result);
+    void end_other_attempts(unsigned winner);
+    void end_all_attempts();
+    void consider_hedge();
     void decide_after_failure(const base::error& cause);
-    bool retry_instead_of(const http::response_head& shed);
+    bool retry_instead_of(unsigned number, const http::response_head& shed);
 
     void on_caller_gone();
     void refuse(base::error cause);
@@ -96,11 +110,10 @@
 
     service_pool* m_pool = nullptr;
     std::vector<std::uint32_t> m_tried;
-    std::unique_ptr<http::client_call> m_call;
-    std::uint32_t m_target = 0;
-    base::time_point m_attempt_started;
-    unsigned m_attempts = 0;
-    bool m_is_attempt_open = false;
+    std::vector<attempt> m_open_attempts;
+    unsigned m_attempts = 0; ///< Started so far; the number of the latest.
+    unsigned m_winner = 0;   ///< Attempt whose response is passed on; 0: none yet.
+    bool m_is_hedged = false;
     bool m_has_sent = false; ///< A byte was written to any target.
 
     std::shared_ptr<answer_stream> m_stream; ///< Set once a response head was passed on.
--- a/src/apps/lookup/lookup_table.cpp
+++ b/src/apps/lookup/lookup_table.cpp
@@ -34,6 +34,11 @@
     return index;
 }
 
+std::uint32_t value_at(const std::vector<std::uint32_t>& values, std::size_t index)
+{
+    return index < values.size() ? values[index] : 0;
+}
+
 bool can_be_named(const fleet_state& fleet, const inner::host_record& record)
 {
     return record.status == inner::host_status::live && record.entry_incarnation.value() != 0 &&
@@ -57,8 +62,7 @@
     table.plan = std::move(base::value_of(plan));
     table.blocks = std::move(base::value_of(blocks));
     const std::size_t rows = table.plan.sites.size() * table.plan.services.size();
-    table.weights.domains = table.plan.domains.size();
-    table.weights.weights.resize(rows * table.plan.domains.size());
+    table.weights = steering::make_weight_table(table.plan);
     table.has_weights.resize(rows);
     table.demand.resize(rows);
     table.hosts.resize(table.plan.domains.size());
@@ -78,13 +82,18 @@
             continue;
         }
         const std::size_t row = site->second * table.plan.services.size() + service->second;
-        std::uint32_t* values = table.weights.row(row);
-        std::fill_n(values, table.weights.domains, 0);
+        const std::size_t first = row * table.weights.domains;
+        for (std::size_t domain = 0; domain < table.weights.domains; ++domain) {
+            table.weights.weights[first + domain] = 0;
+            table.weights.refused[first + domain] = 0;
+        }
         for (std::size_t index = 0; index < entry.failure_domains.size(); ++index) {
             const auto domain = domains.find(entry.failure_domains[index]);
-            if (domain != domains.end() && index < entry.weights.size()) {
-                values[domain->second] = entry.weights[index];
+            if (domain == domains.end()) {
+                continue;
             }
+            table.weights.weights[first + domain->second] = value_at(entry.weights, index);
+            table.weights.refused[first + domain->second] = value_at(entry.refused, index);
         }
         table.has_weights[row] = true;
     }
--- a/src/inner/inner.capnp
+++ b/src/inner/inner.capnp
@@ -49,12 +49,13 @@
 }
 
 struct SiteWeights {
-  # Weights of one service's failure domains for callers of one site; they add up to 65536, or
-  # to less when the rest is refused.
+  # Weights of one service's failure domains for callers of one site; weights and refused parts add
+  # up to 65536.
   site @0 :Text;
   service @1 :Text;
   failureDomains @2 :List(Text);
   weights @3 :List(UInt32);
+  refused @4 :List(UInt32);
 }
 
 struct Snapshot {
--- a/src/inner/internal/wire.cpp
+++ b/src/inner/internal/wire.cpp
@@ -36,6 +36,23 @@
     return items;
 }
 
+void write_numbers(capnp::List<std::uint32_t>::Builder to, const std::vector<std::uint32_t>& from)
+{
+    for (unsigned index = 0; index < to.size(); ++index) {
+        to.set(index, from[index]);
+    }
+}
+
+std::vector<std::uint32_t> read_numbers(capnp::List<std::uint32_t>::Reader from)
+{
+    std::vector<std::uint32_t> items;
+    items.reserve(from.size());
+    for (const auto item : from) {
+        items.push_back(item);
+    }
+    return items;
+}
+
 // A status of a newer release is treated as one that takes no work.
 host_status read_status(rpc::HostStatus status)
 {
@@ -139,20 +156,14 @@
     to.setSite(text(from.site));
     to.setService(text(from.service));
     write_texts(to.initFailureDomains(size_of(from.failure_domains.size())), from.failure_domains);
-    auto weights = to.initWeights(size_of(from.weights.size()));
-    for (unsigned index = 0; index < weights.size(); ++index) {
-        weights.set(index, from.weights[index]);
-    }
+    write_numbers(to.initWeights(size_of(from.weights.size())), from.weights);
+    write_numbers(to.initRefused(size_of(from.refused.size())), from.refused);
 }
 
 static site_weights read(rpc::SiteWeights::Reader from)
 {
-    site_weights to{
-        text(from.getSite()), text(from.getService()), read_texts(from.getFailureDomains()), {}};
-    for (const auto weight : from.getWeights()) {
-        to.weights.push_back(weight);
-    }
-    return to;
+    return {text(from.getSite()), text(from.getService()), read_texts(from.getFailureDomains()),
+            read_numbers(from.getWeights()), read_numbers(from.getRefused())};
 }
 
 static void write(rpc::RowDemand::Builder to, const row_demand& from)
--- a/src/inner/tests/node_test.cpp
+++ b/src/inner/tests/node_test.cpp
@@ -175,7 +175,7 @@
                                 {"keys", 6, 4, "", {"[]", "[1]"}}};
             answer.members = {make_record("h1")};
             answer.members_revision = 21;
-            answer.weights = {{"site", "service", {"fd1", "fd2"}, {65535, 1}}};
+            answer.weights = {{"site", "service", {"fd1", "fd2"}, {65535, 1}, {0, 7}}};
             answer.steering_revision = 22;
             answer.contact_age = 23ms;
             answer.listed_known = true;
@@ -207,6 +207,7 @@
         CHECK(got.members_revision == 21);
         CHECK(got.weights.at(0).failure_domains == std::vector<std::string>{"fd1", "fd2"});
         CHECK(got.weights.at(0).weights == std::vector<std::uint32_t>{65535, 1});
+        CHECK(got.weights.at(0).refused == std::vector<std::uint32_t>{0, 7});
         CHECK(got.steering_revision == 22);
         CHECK(got.contact_age == 23ms);
         CHECK(got.listed_known);
--- a/src/inner/types/messages.h
+++ b/src/inner/types/messages.h
@@ -46,7 +46,8 @@
     std::string site;
     std::string service;
     std::vector<std::string> failure_domains;
-    std::vector<std::uint32_t> weights; ///< Of 65536; the rest is refused.
+    std::vector<std::uint32_t> weights; ///< Admitted part, of 65536.
+    std::vector<std::uint32_t> refused; ///< Refused part, of 65536.
 };
 
 struct cursor {
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -46,8 +46,7 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(lock_port);
-    address.sin_addr.s_addr =
-        htonl((127U << 24U) | (static_cast<unsigned>(network) << 16U) | 1U);
+    address.sin_addr.s_addr = htonl((127U << 24U) | (static_cast<unsigned>(network) << 16U) | 1U);
     if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
         listen(fd, 1) == 0) {
         return fd;
@@ -158,37 +157,34 @@
 
 void fleet::start_agent(host_processes& host)
 {
-    std::vector<std::string> flags{"--host_id=" + host.id,
-                                   "--failure_domain=" + host.failure_domain,
-                                   "--inner_listen=" +
-                                       host.entry.at("agent_address").get<std::string>(),
-                                   "--lookup_address=" +
-                                       host.entry.at("lookup_address").get<std::string>(),
-                                   "--entry_address=" +
-                                       host.entry.at("entry_address").get<std::string>(),
-                                   "--entry_inner_address=" +
-                                       host.entry.at("entry_inner_address").get<std::string>(),
-                                   "--admin_listen=" + admin_address(host, 2),
-                                   "--fleet_secret=" + test_secret,
-                                   "--platform=" + m_platform_address};
+    std::vector<std::string> flags{
+        "--host_id=" + host.id,
+        "--failure_domain=" + host.failure_domain,
+        "--inner_listen=" + host.entry.at("agent_address").get<std::string>(),
+        "--lookup_address=" + host.entry.at("lookup_address").get<std::string>(),
+        "--entry_address=" + host.entry.at("entry_address").get<std::string>(),
+        "--entry_inner_address=" + host.entry.at("entry_inner_address").get<std::string>(),
+        "--admin_listen=" + admin_address(host, 2),
+        "--fleet_secret=" + test_secret,
+        "--platform=" + m_platform_address};
     flags.insert(flags.end(), m_settings.agent_flags.begin(), m_settings.agent_flags.end());
-    host.agent = std::make_unique<process>(program("snipeshore-agent"), flags,
-                                           log_file("agent-" + host.id));
+    host.agent =
+        std::make_unique<process>(program("snipeshore-agent"), flags, log_file("agent-" + host.id));
 }
 
 void fleet::start_entry(host_processes& host)
 {
-    std::vector<std::string> flags{
-        "--host_id=" + host.id,
-        "--failure_domain=" + host.failure_domain,
-        "--listen=" + host.entry.at("entry_address").get<std::string>(),
-        "--inner_listen=" + host.entry.at("entry_inner_address").get<std::string>(),
-        "--agent=" + host.entry.at("agent_address").get<std::string>(),
-        "--admin_listen=" + admin_address(host, 0),
-        "--fleet_secret=" + test_secret};
+    std::vector<std::string> flags{"--host_id=" + host.id,
+                                   "--failure_domain=" + host.failure_domain,
+                                   "--listen=" + host.entry.at("entry_address").get<std::string>(),
+                                   "--inner_listen=" +
+                                       host.entry.at("entry_inner_address").get<std::string>(),
+                                   "--agent=" + host.entry.at("agent_address").get<std::string>(),
+                                   "--admin_listen=" + admin_address(host, 0),
+                                   "--fleet_secret=" + test_secret};
     flags.insert(flags.end(), m_settings.entry_flags.begin(), m_settings.entry_flags.end());
-    host.entry_program = std::make_unique<process>(program("snipeshore-entry"), flags,
-                                                   log_file("entry-" + host.id));
+    host.entry_program =
+        std::make_unique<process>(program("snipeshore-entry"), flags, log_file("entry-" + host.id));
 }
 
 void fleet::start_lookup(host_processes& host)
@@ -314,8 +310,10 @@
 
 void fleet::switch_platform(const json& change)
 {
-    const http_reply reply = m_session.send(
-        {.address = m_platform_address, .method = "POST", .path = "/switch", .body = change.dump()});
+    const http_reply reply = m_session.send({.address = m_platform_address,
+                                             .method = "POST",
+                                             .path = "/switch",
+                                             .body = change.dump()});
     if (reply.status != 200 && reply.status != 204) {
         throw std::runtime_error("the platform's stand-in refused " + change.dump() + ": " +
                                  reply.body);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -1,5 +1,5 @@
-/// @file A small fleet of real processes on loopback addresses, with stand-ins of the platform and of
-/// targets.
+/// @file A small fleet of real processes on loopback addresses, with stand-ins of the platform and
+/// of targets.
 #pragma once
 
 #include "tests/support/http_session.h"
--- a/tests/support/reduced_document.cpp
+++ b/tests/support/reduced_document.cpp
@@ -65,7 +65,8 @@
     for (json& region : document["regions"]) {
         region["capacity"] = ample_capacity;
     }
-    keep_if(document["sites"], [&](const json& item) { return domains.contains(item.at("nearest")); });
+    keep_if(document["sites"],
+            [&](const json& item) { return domains.contains(item.at("nearest")); });
     const std::set<std::string> sites = ids_of(document["sites"]);
     keep_if(document["client_blocks"],
             [&](const json& item) { return sites.contains(item.at("site")); });
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -110,10 +110,10 @@
     }
     SUBCASE("the store is restored to an older state: nothing reverts, publishing goes on above it")
     {
-        REQUIRE(fleet.session()
-                    .send({.address = fleet.platform_address(), .method = "POST",
-                           .path = "/snapshot"})
-                    .status < 300);
+        REQUIRE(
+            fleet.session()
+                .send({.address = fleet.platform_address(), .method = "POST", .path = "/snapshot"})
+                .status < 300);
         fleet.document()["accounts"][0]["rate"] = 7;
         REQUIRE(fleet.publish().status == 0);
         REQUIRE(fleet.session().run_until([&] { return is_in_force(fleet, "config", 2); },
@@ -157,10 +157,8 @@
         const std::string second_path = fleet.folder() + "/second.json";
         std::ofstream(first_path) << first.dump();
         std::ofstream(second_path) << second.dump();
-        const command_result won =
-            fleet.ctl({"publish", first_path, "--expected_version=1"});
-        const command_result lost =
-            fleet.ctl({"publish", second_path, "--expected_version=1"});
+        const command_result won = fleet.ctl({"publish", first_path, "--expected_version=1"});
+        const command_result lost = fleet.ctl({"publish", second_path, "--expected_version=1"});
         CHECK(won.status == 0);
         CHECK(lost.status != 0);
         CHECK(lost.output.find("rate") != std::string::npos);
--- a/tests/system/limits_test.cpp
+++ b/tests/system/limits_test.cpp
@@ -138,14 +138,13 @@
             http_request request;
             request.path = "/echo";
             request.headers = {{"authorization", "Bearer " + modest}};
-            const http_reply reply =
-                fleet.send(hosts[static_cast<std::size_t>(round) % hosts.size()], "order-desk",
-                           request);
+            const http_reply reply = fleet.send(
+                hosts[static_cast<std::size_t>(round) % hosts.size()], "order-desk", request);
             refused += reply.status == 200 ? 0 : 1;
         }
         CHECK(refused == 0);
     }
     all.stop();
-    CHECK(fleet.session().run_until([&] { return all.running == 0; },
-                                    base::boot_clock::now() + 20s));
+    CHECK(
+        fleet.session().run_until([&] { return all.running == 0; }, base::boot_clock::now() + 20s));
 }
--- a/tests/system/once_test.cpp
+++ b/tests/system/once_test.cpp
@@ -95,8 +95,8 @@
         REQUIRE(fleet.session().run_until([&] { return fleet.total_runs() == 1; },
                                           base::boot_clock::now() + 10s));
         fleet.host(other).entry_program->send_signal(SIGKILL);
-        REQUIRE(fleet.session().run_until([&] { return has_ended; },
-                                          base::boot_clock::now() + 10s));
+        REQUIRE(
+            fleet.session().run_until([&] { return has_ended; }, base::boot_clock::now() + 10s));
         const http_reply repeat =
             fleet.send(owner, "order-desk", run_request(key, ticket, "order"));
         CHECK(repeat.header("snipeshore-error") == "outcome_unknown");
@@ -108,16 +108,14 @@
         REQUIRE(fleet.send(owner, "order-desk", run_request(key, ticket, "order")).status == 200);
         fleet.host(owner).entry_program->send_signal(SIGKILL);
         fleet.host(owner).entry_program->wait_exit(base::boot_clock::now() + 5s);
-        const http_reply gone =
-            fleet.send(other, "order-desk", run_request(key, ticket, "order"));
+        const http_reply gone = fleet.send(other, "order-desk", run_request(key, ticket, "order"));
         CHECK(gone.header("snipeshore-error") == "outcome_unknown");
         CHECK(gone.header("snipeshore-not-run").empty());
         fleet.start_entry(fleet.host(owner));
         REQUIRE(fleet.session().run_until(
             [&] { return fleet.send(owner, "order-desk", {.path = "/open"}).status == 200; },
             base::boot_clock::now() + 15s));
-        const http_reply again =
-            fleet.send(owner, "order-desk", run_request(key, ticket, "order"));
+        const http_reply again = fleet.send(owner, "order-desk", run_request(key, ticket, "order"));
         CHECK(again.header("snipeshore-error") == "outcome_unknown");
         CHECK(again.header("snipeshore-not-run").empty());
         CHECK(fleet.total_runs() == 1);
--- a/tests/system/stop_test.cpp
+++ b/tests/system/stop_test.cpp
@@ -28,7 +28,8 @@
 /// Callers that ask the look-up before each request, one request at a time each.
 class callers {
 public:
-    callers(fleet& fleet, std::string key, std::size_t count) : m_fleet(fleet), m_key(std::move(key))
+    callers(fleet& fleet, std::string key, std::size_t count)
+        : m_fleet(fleet), m_key(std::move(key))
     {
         for (std::size_t index = 0; index < count; ++index) {
             look_up();
