--- /dev/null
+++ b/tests/docs/docs_test.cpp
@@ -0,0 +1,108 @@
+#include "base/error_answer.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace snipeshore;
+
+namespace {
+
+std::string read_source(const std::string& path)
+{
+    std::ifstream file(std::string(SNIPESHORE_SOURCE_DIR) + "/" + path, std::ios::binary);
+    REQUIRE_MESSAGE(file.good(), path);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+std::set<std::string> matches(const std::string& text, const std::string& pattern, std::size_t group)
+{
+    const std::regex expression(pattern);
+    std::set<std::string> found;
+    for (std::sregex_iterator it(text.begin(), text.end(), expression), end; it != end; ++it) {
+        found.insert((*it)[group].str());
+    }
+    return found;
+}
+
+std::string row_of(const base::error_answer& answer)
+{
+    return "| `" + std::string(answer.name) + "` | " + std::to_string(answer.http_status) + " | " +
+           (answer.not_run ? "yes" : "no") + " | `" + std::string(base::to_string(answer.retry)) +
+           "` | " + std::string(answer.meaning) + " |";
+}
+
+std::string sources_of_metrics()
+{
+    std::string all;
+    for (const char* path : {"src/apps/entry/dump.cpp", "src/apps/entry/entry_app.cpp",
+                             "src/apps/entry/request_task.cpp", "src/apps/lookup/lookup_app.cpp",
+                             "src/apps/agent/agent_metrics.cpp"}) {
+        all += read_source(path);
+    }
+    return all;
+}
+
+std::set<std::string> defined_flags()
+{
+    std::set<std::string> flags;
+    for (const char* path : {"src/apps/common/process_flags.cpp", "src/apps/entry/main.cpp",
+                             "src/apps/lookup/main.cpp", "src/apps/agent/main.cpp",
+                             "src/apps/ctl/flags.cpp"}) {
+        const auto found = matches(read_source(path), "DEFINE_\\w+\\(\\s*(\\w+)", 1);
+        flags.insert(found.begin(), found.end());
+    }
+    return flags;
+}
+
+} // namespace
+
+// Guards against pages that tell callers another status, or operators another flag or metric, than
+// the programs have.
+TEST_CASE("the pages agree with the programs")
+{
+    SUBCASE("docs/interface.md has the row of every error kind")
+    {
+        const std::string page = read_source("docs/interface.md");
+        for (std::uint8_t index = 0; index < base::error_kind_count; ++index) {
+            const std::string row =
+                row_of(base::answer_for(static_cast<base::error_kind>(index)));
+            CHECK_MESSAGE(page.find(row) != std::string::npos, row);
+        }
+    }
+    SUBCASE("every metric in the alert rules and in docs/operations.md is exported")
+    {
+        const std::string sources = sources_of_metrics();
+        const std::string pages =
+            read_source("deploy/prometheus/alerts.yml") + read_source("docs/operations.md");
+        const auto names = matches(pages, "snipeshore_[a-z_]+", 0);
+        CHECK(names.size() > 5);
+        for (std::string name : names) {
+            const std::size_t suffix = name.rfind("_bucket");
+            name = name.substr(0, suffix);
+            CHECK_MESSAGE(sources.find("\"" + name + "\"") != std::string::npos, name);
+        }
+    }
+    SUBCASE("every flag in docs/operations.md and the units exists")
+    {
+        const std::set<std::string> flags = defined_flags();
+        const std::string page = read_source("docs/operations.md");
+        const auto named = matches(page, "--([a-z][a-z_]+)", 1);
+        CHECK(named.size() > 5);
+        for (const std::string& name : named) {
+            CHECK_MESSAGE((flags.contains(name) || name == "help"), name);
+        }
+        for (const std::string& variable : matches(page, "SNIPESHORE_([A-Z_]+)=", 1)) {
+            std::string name;
+            for (const char c : variable) {
+                name += static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+            }
+            CHECK_MESSAGE(flags.contains(name), name);
+        }
+    }
+}
