Test the server: abort, bounds, TLS, HTTP/2, drain, lost callers

A response to a request that was already running when a drain began kept its HTTP/1.1 connection open; it now tells the caller to close it.

--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -238,6 +238,9 @@
 void server_exchange::begin_response(const response_head& head)
 {
     m_phase = phase::open;
+    if (m_owner->is_draining()) {
+        m_request->http1_is_persistent = 0;
+    }
     m_has_body = has_response_body(m_head.method, head.status);
     m_length = head.content_length;
     m_request->res.status = head.status;
--- a/src/http/internal/server_impl.h
+++ b/src/http/internal/server_impl.h
@@ -32,6 +32,7 @@
     void shut_down();
 
     bool is_closed() const override;
+    bool is_draining() const;
 
     void connection_closed(std::uint64_t id);
     void exchange_began(const std::shared_ptr<server_exchange>& exchange);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -317,6 +317,11 @@
     return connections.empty();
 }
 
+bool server::impl::is_draining() const
+{
+    return m_is_draining;
+}
+
 server::server(loop& owner, request_handler handler)
     : m_impl(std::make_shared<impl>(owner, std::move(handler)))
 {}
--- /dev/null
+++ b/src/http/tests/server_test.cpp
@@ -0,0 +1,517 @@
+#include "http/tests/test_support.h"
+
+#include <doctest/doctest.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <future>
+
+namespace snipeshore::http::tests {
+
+namespace {
+
+server_settings loopback()
+{
+    server_settings settings;
+    settings.address = "127.0.0.1:0";
+    return settings;
+}
+
+/// Runs `work` on a thread while the loop runs here.
+template <typename Work>
+auto beside(loop& on, Work work)
+{
+    auto running = std::async(std::launch::async, work);
+    CHECK(run_until(on, [&] {
+        return running.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+    }));
+    return running.get();
+}
+
+struct raw_answer {
+    std::string text;
+    bool was_reset = false;
+};
+
+/// Sends bytes on a new connection and reads to its end.
+raw_answer ask(loop& on, const std::string& address, const std::string& bytes)
+{
+    return beside(on, [&] {
+        raw_answer seen;
+        const int descriptor = connect_to(address);
+        write_all(descriptor, bytes);
+        seen.text = read_all(descriptor, &seen.was_reset);
+        close(descriptor);
+        return seen;
+    });
+}
+
+struct command_result {
+    int code = 0;
+    std::string output;
+};
+
+command_result run_command(loop& on, const std::string& command)
+{
+    return beside(on, [&] {
+        command_result seen;
+        FILE* pipe = popen((command + " 2>&1").c_str(), "r");
+        std::array<char, 4096> piece{};
+        std::size_t count = 0;
+        while ((count = fread(piece.data(), 1, piece.size(), pipe)) > 0) {
+            seen.output.append(piece.data(), count);
+        }
+        seen.code = WEXITSTATUS(pclose(pipe));
+        return seen;
+    });
+}
+
+/// A self-signed certificate in a folder of its own.
+class test_certificate {
+public:
+    test_certificate()
+    {
+        std::string pattern =
+            (std::filesystem::temp_directory_path() / "http_test_XXXXXX").string();
+        m_folder = mkdtemp(pattern.data());
+        const std::string command =
+            "openssl req -x509 -newkey ec -pkeyopt "
+            "ec_paramgen_curve:prime256v1 -nodes -days 2 -subj /CN=localhost "
+            "-addext subjectAltName=IP:127.0.0.1 -keyout " +
+            key() + " -out " + certificate() + " 2>/dev/null";
+        REQUIRE(std::system(command.c_str()) == 0); // NOLINT(cert-env33-c)
+    }
+
+    ~test_certificate()
+    {
+        std::filesystem::remove_all(m_folder);
+    }
+
+    test_certificate(const test_certificate&) = delete;
+    test_certificate& operator=(const test_certificate&) = delete;
+    test_certificate(test_certificate&&) = delete;
+    test_certificate& operator=(test_certificate&&) = delete;
+
+    std::string key() const
+    {
+        return m_folder + "/key.pem";
+    }
+
+    std::string certificate() const
+    {
+        return m_folder + "/certificate.pem";
+    }
+
+    const std::string& folder() const
+    {
+        return m_folder;
+    }
+
+private:
+    std::string m_folder;
+};
+
+/// Breaks its response off after a piece.
+void answer_and_abort(const std::shared_ptr<exchange>& from, std::optional<std::uint64_t> length)
+{
+    response_head head;
+    head.content_length = length;
+    from->on_writable([from] { from->abort(); });
+    from->start_answer(head);
+    from->write("12345");
+}
+
+} // namespace
+
+TEST_CASE("a response that was aborted never looks complete")
+{
+    loop on;
+    std::optional<std::uint64_t> length;
+    server serving(on,
+                   [&](const std::shared_ptr<exchange>& from) { answer_and_abort(from, length); });
+    REQUIRE(base::is_ok(serving.listen(loopback())));
+
+    SUBCASE("with chunks")
+    {
+        const auto seen = ask(on, serving.bound_address(), "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+        CHECK(seen.text.find("12345") != std::string::npos);
+        CHECK(seen.text.find("\r\n0\r\n") == std::string::npos);
+    }
+    SUBCASE("with a length")
+    {
+        length = 10;
+        const auto seen = ask(on, serving.bound_address(), "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+        CHECK(seen.text.find("Content-Length: 10") != std::string::npos);
+        CHECK(seen.text.substr(seen.text.size() - 5) == "12345");
+    }
+    SUBCASE("to HTTP/1.0, where the close ends a response")
+    {
+        const auto seen = ask(on, serving.bound_address(), "GET / HTTP/1.0\r\nhost: a\r\n\r\n");
+        CHECK(seen.was_reset);
+    }
+    SUBCASE("to our client")
+    {
+        client calling(on, {});
+        call_record seen;
+        const auto call = record(calling, get(serving.bound_address(), "/"), seen);
+        REQUIRE(run_until(on, [&] { return seen.end.has_value(); }));
+        CHECK(base::error_of(seen.end->outcome).kind == base::error_kind::answer_invalid);
+    }
+    SUBCASE("to a caller with HTTP/2")
+    {
+        const auto seen = run_command(on, "curl -sS --http2-prior-knowledge http://" +
+                                              serving.bound_address() + "/");
+        CHECK(seen.code != 0);
+    }
+}
+
+TEST_CASE("a response whose length does not hold is broken off")
+{
+    loop on;
+    std::string piece;
+    SUBCASE("too short")
+    {
+        piece = "1234";
+    }
+    SUBCASE("too long")
+    {
+        piece = "123456";
+    }
+    server serving(on, [&](const std::shared_ptr<exchange>& from) {
+        response_head head;
+        head.content_length = 5;
+        from->start_answer(head);
+        from->write(piece);
+        from->finish();
+    });
+    REQUIRE(base::is_ok(serving.listen(loopback())));
+    client calling(on, {});
+    call_record seen;
+    const auto call = record(calling, get(serving.bound_address(), "/"), seen);
+    REQUIRE(run_until(on, [&] { return seen.end.has_value(); }));
+    CHECK_FALSE(base::is_ok(seen.end->outcome));
+}
+
+TEST_CASE("a request body over the bound is refused")
+{
+    loop on;
+    int handled = 0;
+    server serving(on, [&](const std::shared_ptr<exchange>& from) {
+        ++handled;
+        from->answer({}, "");
+    });
+    server_settings settings = loopback();
+    settings.max_request_bytes = 1000;
+    REQUIRE(base::is_ok(serving.listen(settings)));
+
+    SUBCASE("announced by its length")
+    {
+        const auto seen = ask(on, serving.bound_address(),
+                              "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1001\r\n\r\n");
+        CHECK(seen.text.substr(0, 12) == "HTTP/1.1 413");
+        CHECK(seen.text.find("2.2.5") == std::string::npos);
+    }
+    SUBCASE("in chunks")
+    {
+        const auto seen =
+            ask(on, serving.bound_address(),
+                "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3e9\r\n" +
+                    std::string(1001, 'x') + "\r\n0\r\n\r\n");
+        CHECK(seen.text.substr(0, 12) == "HTTP/1.1 413");
+    }
+    SUBCASE("with HTTP/2")
+    {
+        const auto seen =
+            run_command(on, "head -c 1001 /dev/zero | curl -sS -o /dev/null -w '%{http_code}' "
+                            "--http2-prior-knowledge --data-binary @- http://" +
+                                serving.bound_address() + "/");
+        // h2o resets the stream instead of a response with 413.
+        CHECK(seen.output.find("200") == std::string::npos);
+    }
+    CHECK(handled == 0);
+}
+
+TEST_CASE("malformed requests get no version and reach no handler")
+{
+    loop on;
+    int handled = 0;
+    server serving(on, [&](const std::shared_ptr<exchange>& from) {
+        ++handled;
+        from->answer({}, "");
+    });
+    REQUIRE(base::is_ok(serving.listen(loopback())));
+    for (const char* bytes :
+         {"nonsense\r\n\r\n", "GET / HTTP/1.1\r\ncontent-length: x\r\n\r\n",
+          "POST / HTTP/1.1\r\ntransfer-encoding: gzip\r\n\r\n",
+          "POST / HTTP/1.1\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n"}) {
+        CAPTURE(bytes);
+        const auto seen = ask(on, serving.bound_address(), bytes);
+        CHECK(seen.text.find("2.2") == std::string::npos);
+        CHECK(seen.text.find("h2o") == std::string::npos);
+    }
+    CHECK(handled == 0);
+}
+
+TEST_CASE("HTTP/2 and TLS")
+{
+    loop on;
+    const test_certificate files;
+    server serving(on, [](const std::shared_ptr<exchange>& from) {
+        response_head head;
+        head.headers.push_back({"x-authority", from->head().authority});
+        from->answer(head, from->head().method + from->head().path + std::string(from->body()));
+    });
+    server_settings settings = loopback();
+    settings.certificate_file = files.certificate();
+    settings.key_file = files.key();
+    REQUIRE(base::is_ok(serving.listen(settings)));
+    const std::string url = "https://" + serving.bound_address() + "/a?b";
+    const std::string curl =
+        "curl -sS --cacert " + files.certificate() + " -w ' %{http_version} %{http_code}' ";
+
+    SUBCASE("HTTP/2 by ALPN")
+    {
+        const auto seen = run_command(on, curl + url);
+        CHECK(seen.output == "GET/a?b 2 200");
+    }
+    SUBCASE("HTTP/1.1 by ALPN")
+    {
+        const auto seen = run_command(on, curl + "--http1.1 -d work " + url);
+        CHECK(seen.output == "POST/a?bwork 1.1 200");
+    }
+    SUBCASE("with TLS 1.2")
+    {
+        const auto seen = run_command(on, curl + "--tls-max 1.2 " + url);
+        CHECK(seen.output == "GET/a?b 2 200");
+    }
+    SUBCASE("not with TLS 1.1")
+    {
+        const auto seen = run_command(on, curl + "--tls-max 1.1 " + url);
+        CHECK(seen.code != 0);
+    }
+    SUBCASE("unencrypted HTTP/2 needs no certificate")
+    {
+        server plain(on, [](const std::shared_ptr<exchange>& from) { from->answer({}, "x"); });
+        REQUIRE(base::is_ok(plain.listen(loopback())));
+        const auto seen =
+            run_command(on, "curl -sS -w ' %{http_version}' --http2-prior-knowledge http://" +
+                                plain.bound_address() + "/");
+        CHECK(seen.output == "x 2");
+    }
+}
+
+TEST_CASE("a large response streams over HTTP/2 and TLS with back-pressure")
+{
+    loop on;
+    const test_certificate files;
+    constexpr std::size_t size = 32U << 20U;
+    std::size_t left = size;
+    server serving(on, [&](const std::shared_ptr<exchange>& from) {
+        from->on_writable([&, from] {
+            const std::size_t piece = std::min<std::size_t>(left, 65536);
+            left -= piece;
+            if (piece == 0) {
+                from->finish();
+                return;
+            }
+            from->write(std::string(piece, 'x'));
+        });
+        left -= 10;
+        from->start_answer({});
+        from->write("0123456789");
+    });
+    server_settings settings = loopback();
+    settings.certificate_file = files.certificate();
+    settings.key_file = files.key();
+    REQUIRE(base::is_ok(serving.listen(settings)));
+    const std::int64_t before = resident_kib();
+    const auto seen = run_command(on, "curl -sS --cacert " + files.certificate() + " https://" +
+                                          serving.bound_address() + "/ | wc -c");
+    CHECK(std::stoul(seen.output) == size);
+    CHECK((!measures_memory || resident_kib() - before < 12288));
+}
+
+TEST_CASE("a caller that goes away while its request runs is noticed")
+{
+    loop on;
+    const test_certificate files;
+    int closed = 0;
+    std::vector<std::shared_ptr<exchange>> held;
+    server serving(on, [&](const std::shared_ptr<exchange>& from) {
+        held.push_back(from);
+        from->on_closed([&] { ++closed; });
+    });
+    server_settings settings = loopback();
+    std::string options = "--http1.1 http://";
+    SUBCASE("HTTP/1.1") {}
+    SUBCASE("HTTP/2")
+    {
+        options = "--http2-prior-knowledge http://";
+    }
+    SUBCASE("HTTP/1.1 with TLS")
+    {
+        settings.certificate_file = files.certificate();
+        settings.key_file = files.key();
+        options = "-k --http1.1 https://";
+    }
+    SUBCASE("HTTP/2 with TLS")
+    {
+        settings.certificate_file = files.certificate();
+        settings.key_file = files.key();
+        options = "-k https://";
+    }
+    REQUIRE(base::is_ok(serving.listen(settings)));
+    run_command(on, "curl -sS --max-time 0.1 " + options + serving.bound_address() + "/");
+    CHECK(run_until(on, [&] { return closed == 1 && serving.open_connections() == 0; }));
+    CHECK(held.size() == 1);
+}
+
+TEST_CASE("a missing certificate is a setting error")
+{
+    loop on;
+    server serving(on, {});
+    server_settings settings = loopback();
+    settings.certificate_file = "/nonexistent/certificate.pem";
+    settings.key_file = "/nonexistent/key.pem";
+    const auto outcome = serving.listen(settings);
+    REQUIRE_FALSE(base::is_ok(outcome));
+    CHECK(base::error_of(outcome).kind == base::error_kind::bad_setting);
+}
+
+TEST_CASE("an address serves only one server")
+{
+    loop on;
+    server first(on, {});
+    server second(on, {});
+    REQUIRE(base::is_ok(first.listen(loopback())));
+    server_settings settings = loopback();
+    settings.address = first.bound_address();
+    CHECK_FALSE(base::is_ok(second.listen(settings)));
+}
+
+TEST_CASE("a drain lets running requests finish")
+{
+    loop on;
+    std::shared_ptr<exchange> held;
+    server serving(on, [&](const std::shared_ptr<exchange>& from) { held = from; });
+    REQUIRE(base::is_ok(serving.listen(loopback())));
+    const std::string address = serving.bound_address();
+    bool is_idle = false;
+
+    SUBCASE("with HTTP/1.1")
+    {
+        client calling(on, {});
+        call_record seen;
+        const auto call = record(calling, get(address, "/"), seen);
+        REQUIRE(run_until(on, [&] { return held != nullptr; }));
+        serving.drain([&] { is_idle = true; });
+        // The listener is closed, the request runs on.
+        call_record refused;
+        const auto late = record(calling, get(address, "/"), refused);
+        REQUIRE(run_until(on, [&] { return refused.end.has_value(); }));
+        CHECK(base::error_of(refused.end->outcome).kind == base::error_kind::connect_failed);
+        CHECK_FALSE(is_idle);
+        held->start_answer({});
+        held->write("part ");
+        held->write("whole");
+        held->finish();
+        REQUIRE(run_until(on, [&] { return seen.end && is_idle; }));
+        CHECK(base::is_ok(seen.end->outcome));
+        CHECK(seen.body == "part whole");
+        // The response told the caller to close.
+        CHECK(run_until(on, [&] { return serving.open_connections() == 0; }));
+    }
+    SUBCASE("with HTTP/2")
+    {
+        std::string output;
+        auto running = std::async(std::launch::async, [&] {
+            FILE* pipe = popen(
+                ("curl -sS --http2-prior-knowledge http://" + address + "/ 2>&1").c_str(), "r");
+            std::array<char, 256> piece{};
+            std::size_t count = 0;
+            while ((count = fread(piece.data(), 1, piece.size(), pipe)) > 0) {
+                output.append(piece.data(), count);
+            }
+            return pclose(pipe);
+        });
+        REQUIRE(run_until(on, [&] { return held != nullptr; }));
+        serving.drain([&] { is_idle = true; });
+        held->answer({}, "whole");
+        REQUIRE(run_until(on, [&] {
+            return is_idle &&
+                   running.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+        }));
+        CHECK(running.get() == 0);
+        CHECK(output == "whole");
+    }
+}
+
+TEST_CASE("a request on an idle connection at the start of a drain is still served")
+{
+    loop on;
+    server serving(on, [&](const std::shared_ptr<exchange>& from) { from->answer({}, "x"); });
+    REQUIRE(base::is_ok(serving.listen(loopback())));
+    client calling(on, {});
+    call_record first;
+    const auto call = record(calling, get(serving.bound_address(), "/"), first);
+    REQUIRE(run_until(on, [&] { return first.end.has_value(); }));
+    bool is_idle = false;
+    serving.drain([&] { is_idle = true; });
+    call_record second;
+    const auto next = record(calling, get(serving.bound_address(), "/"), second);
+    REQUIRE(run_until(on, [&] { return second.end && is_idle; }));
+    CHECK(base::is_ok(second.end->outcome));
+}
+
+TEST_CASE("connections over the bound wait until one closes")
+{
+    loop on;
+    server serving(on, [](const std::shared_ptr<exchange>& from) { from->answer({}, "x"); });
+    server_settings settings = loopback();
+    settings.max_connections = 1;
+    REQUIRE(base::is_ok(serving.listen(settings)));
+    const int first = connect_to(serving.bound_address());
+    REQUIRE(run_until(on, [&] { return serving.open_connections() == 1; }));
+    std::atomic<bool> is_answered{false};
+    std::thread second([&] {
+        const int descriptor = connect_to(serving.bound_address());
+        write_all(descriptor, "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+        is_answered = !read_until(descriptor, "\r\n\r\n").empty();
+        close(descriptor);
+    });
+    int rounds = 0;
+    REQUIRE(run_until(on, [&] { return ++rounds > 20; }));
+    CHECK_FALSE(is_answered);
+    CHECK(serving.open_connections() == 1);
+    close(first);
+    CHECK(run_until(on, [&] { return is_answered.load(); }));
+    second.join();
+}
+
+TEST_CASE("a server that is destroyed calls no callback and closes its connections")
+{
+    loop on;
+    bool is_called = false;
+    std::shared_ptr<exchange> held;
+    auto serving = std::make_unique<server>(on, [&](const std::shared_ptr<exchange>& from) {
+        held = from;
+        from->on_closed([&] { is_called = true; });
+    });
+    REQUIRE(base::is_ok(serving->listen(loopback())));
+    client calling(on, {});
+    call_record seen;
+    const auto call = record(calling, get(serving->bound_address(), "/"), seen);
+    REQUIRE(run_until(on, [&] { return held != nullptr; }));
+    serving.reset();
+    REQUIRE(run_until(on, [&] { return seen.end.has_value(); }));
+    CHECK_FALSE(base::is_ok(seen.end->outcome));
+    CHECK_FALSE(is_called);
+    held->answer({}, "late");
+}
+
+} // namespace snipeshore::http::tests
