--- a/src/balancing/balancer.h
+++ b/src/balancing/balancer.h
@@ -35,7 +35,8 @@
 };
 
 struct request_info {
-    std::uint64_t hash = 0;                  ///< Breaks the last ties; any well spread number.
+    std::uint64_t hash = 0; ///< Breaks the last ties; any well spread number.
+    bool may_try = true;    ///< May test an ejected target; false for a request that runs once.
     std::span<const std::uint32_t> excluded; ///< Targets tried before.
 };
 
@@ -48,7 +49,8 @@
 base::result<std::uint32_t> choose(balancer_state& state, const request_info& request,
                                    base::time_point now);
 
-/// Must be called for the chosen target before the next `choose`.
+/// Must be called for the chosen target before the next `choose`. An index that is out of range is
+/// ignored by this and the following functions.
 void on_start(balancer_state& state, std::uint32_t target, base::time_point now);
 
 /// Must be called once for every `on_start`. `latency` is the time to the response head.
