--- a/tests/demo/main.cpp
+++ b/tests/demo/main.cpp
@@ -1,5 +1,5 @@
-/// @file `make run`: starts a small fleet of each deployment with stand-ins, sends real requests and
-/// prints who answered and how long it took.
+/// @file `make run`: starts a small fleet of each deployment with stand-ins, sends real requests
+/// and prints who answered and how long it took.
 
 #include "tests/support/fleet.h"
 
@@ -91,7 +91,9 @@
     const json answer = json::parse(found.body);
     const std::string host = answer.at("host");
     const http_request request = make_request(wanted, key, answer.value("ticket", ""));
-    const auto send = [&] { return fleet.send(host, wanted.service, request); };
+    const auto send = [&] {
+        return fleet.send(host, wanted.service, request);
+    };
     bool is_fine = is_served(timed(wanted.what, host, send));
     if (wanted.once) {
         is_fine = is_served(timed(wanted.what + ", sent again", host, send)) && is_fine;
--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -20,7 +20,8 @@
     return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
-std::set<std::string> matches(const std::string& text, const std::string& pattern, std::size_t group)
+std::set<std::string> matches(const std::string& text, const std::string& pattern,
+                              std::size_t group)
 {
     const std::regex expression(pattern);
     std::set<std::string> found;
@@ -51,9 +52,9 @@
 std::set<std::string> defined_flags()
 {
     std::set<std::string> flags;
-    for (const char* path : {"src/apps/common/process_flags.cpp", "src/apps/entry/main.cpp",
-                             "src/apps/lookup/main.cpp", "src/apps/agent/main.cpp",
-                             "src/apps/ctl/flags.cpp"}) {
+    for (const char* path :
+         {"src/apps/common/process_flags.cpp", "src/apps/entry/main.cpp",
+          "src/apps/lookup/main.cpp", "src/apps/agent/main.cpp", "src/apps/ctl/flags.cpp"}) {
         const auto found = matches(read_source(path), "DEFINE_\\w+\\(\\s*(\\w+)", 1);
         flags.insert(found.begin(), found.end());
     }
@@ -70,8 +71,7 @@
     {
         const std::string page = read_source("docs/interface.md");
         for (std::uint8_t index = 0; index < base::error_kind_count; ++index) {
-            const std::string row =
-                row_of(base::answer_for(static_cast<base::error_kind>(index)));
+            const std::string row = row_of(base::answer_for(static_cast<base::error_kind>(index)));
             CHECK_MESSAGE(page.find(row) != std::string::npos, row);
         }
     }
