--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -42,7 +42,7 @@
     settings.hosts_per_domain = 1;
     settings.targets_per_domain = targets;
     settings.edit = raise_limits;
-    settings.target_flags = {"--service_time_us=2000", "--max_connections=2000", "--slots=1000"};
+    settings.target_flags = {"--service_ms=2", "--max_connections=2000", "--slots=1000"};
     return settings;
 }
 
--- a/src/apps/common/request_headers.cpp
+++ b/src/apps/common/request_headers.cpp
@@ -20,7 +20,6 @@
 
 constexpr std::size_t max_request_id = 64;
 constexpr std::int64_t max_deadline_ms = 86'400'000;
-constexpr std::size_t traceparent_length = 55;
 
 std::string random_hex(std::size_t bytes)
 {
@@ -36,11 +35,6 @@
     return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '.' || c == '_' || c == '-';
 }
 
-bool is_trace_char(char c)
-{
-    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || c == '-';
-}
-
 const config::account* find_account(const config::document& document, const base::account_id& id)
 {
     const auto found =
@@ -67,14 +61,6 @@
     return usable ? std::string(*given) : random_hex(12);
 }
 
-std::string traceparent_of(const http::request_head& head)
-{
-    const auto given = http::find_header(head.headers, "traceparent");
-    const bool usable = given.has_value() && given->size() == traceparent_length &&
-                        std::all_of(given->begin(), given->end(), is_trace_char);
-    return usable ? std::string(*given) : "00-" + random_hex(16) + "-" + random_hex(8) + "-01";
-}
-
 base::result<base::account_id> authenticate(const fleet_state& fleet, std::string_view secret,
                                             const http::request_head& head, base::time_point now)
 {
--- a/src/apps/common/request_headers.h
+++ b/src/apps/common/request_headers.h
@@ -21,9 +21,6 @@
 /// The caller's `Snipeshore-Request-Id` if it is well formed, else a new one.
 std::string request_id_of(const http::request_head& head);
 
-/// The caller's `traceparent` if it is well formed, else a new one (W3C trace context).
-std::string traceparent_of(const http::request_head& head);
-
 /// Account of the key in the request. Errors: `key_missing`, `key_unknown`, `key_stale`.
 base::result<base::account_id> authenticate(const fleet_state& fleet, std::string_view secret,
                                             const http::request_head& head, base::time_point now);
--- a/src/apps/entry/entry_app.cpp
+++ b/src/apps/entry/entry_app.cpp
@@ -51,6 +51,7 @@
       m_services{
           m_settings.identity, loop, m_client, m_metrics, m_snapshots.state(), m_shares, m_tickets,
           m_crashes,           {},   {},       {},        m_settings.max_tasks},
+      m_targets(loop, m_client, m_services.pools),
       m_server(loop,
                [this](std::shared_ptr<http::exchange> exchange) {
                    request_task::start(m_services, std::move(exchange));
@@ -153,6 +154,7 @@
         update_pool(pool->second, service, fleet, m_settings.identity.host,
                     m_settings.identity.failure_domain, now);
     }
+    m_targets.update();
 }
 
 void entry_app::stop()
--- a/src/apps/entry/entry_app.h
+++ b/src/apps/entry/entry_app.h
@@ -6,6 +6,7 @@
 #include "apps/entry/crash_monitor.h"
 #include "apps/entry/entry_services.h"
 #include "apps/entry/share_manager.h"
+#include "apps/entry/target_watch.h"
 #include "apps/entry/ticket_desk.h"
 #include "base/result.h"
 #include "http/client.h"
@@ -65,6 +66,7 @@
     ticket_desk m_tickets;
     crash_monitor m_crashes;
     entry_services m_services;
+    target_watch m_targets;
     http::server m_server;
     admin_server m_admin;
     bool m_is_leaving = false;
--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -17,12 +17,14 @@
 #include "retries/decide.h"
 #include "retries/quarantine.h"
 #include "retries/retry_budget.h"
-#include "targets/forward.h"
+#include "targets/forwarded_head.h"
+#include "targets/response_signs.h"
 #include "telemetry/event_log.h"
 #include "telemetry/metrics.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/histogram.h>
+#include <sodium.h>
 
 #include <algorithm>
 #include <chrono>
@@ -44,6 +46,13 @@
     return std::max(seconds, std::chrono::seconds(1));
 }
 
+std::string make_trace(const http::request_head& head)
+{
+    targets::trace_random random;
+    randombytes_buf(&random, sizeof random);
+    return targets::make_traceparent(http::find_header(head.headers, "traceparent"), random);
+}
+
 balancing::outcome outcome_of(int status)
 {
     return status >= 500 ? balancing::outcome::failure : balancing::outcome::success;
@@ -68,7 +77,7 @@
 void request_task::run()
 {
     m_request_id = request_id_of(m_exchange->head());
-    m_traceparent = traceparent_of(m_exchange->head());
+    m_traceparent = make_trace(m_exchange->head());
     m_exchange->on_closed([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->on_caller_gone();
@@ -298,8 +307,7 @@
     http::client_request request;
     request.address = m_pool->addresses[target];
     request.head = targets::make_forwarded_head(
-        m_exchange->head(), {m_account, m_request_id, m_traceparent, m_deadline, request.address},
-        now);
+        m_exchange->head(), {m_account, m_request_id, m_deadline, now, m_traceparent});
     request.body = std::string(m_exchange->body());
     request.deadline = m_deadline;
     m_open_attempts.push_back({number, target, now, nullptr});
@@ -370,9 +378,14 @@
     if (find_attempt(number) == nullptr || m_winner != 0) {
         return;
     }
-    if (targets::is_load_shed(head) && retry_instead_of(number, head)) {
+    const targets::response_signs signs = targets::read_signs(head);
+    if (signs.is_draining) {
+        announce_leaving(*m_pool, find_attempt(number)->target, true);
+    }
+    if (signs.is_shed && retry_instead_of(number, head)) {
         return;
     }
+    m_is_shed = signs.is_shed;
     m_winner = number;
     end_other_attempts(number);
     const std::uint64_t limit = m_match.route->max_answer.value();
@@ -485,7 +498,7 @@
     const attempt* current = find_attempt(number);
     add_latency(m_pool->latencies, base::boot_clock::now() - current->started);
     m_stream->forget_call();
-    end_attempt(number, outcome_of(m_status));
+    end_attempt(number, m_is_shed ? balancing::outcome::load_shed : outcome_of(m_status));
     m_services.crashes.on_success(m_fingerprint);
     if (is_once() && !m_is_kept_too_large) {
         m_services.tickets.complete(*m_claim, std::move(m_kept));
--- a/src/apps/entry/request_task.h
+++ b/src/apps/entry/request_task.h
@@ -114,6 +114,7 @@
     unsigned m_attempts = 0; ///< Started so far; the number of the latest.
     unsigned m_winner = 0;   ///< Attempt whose response is passed on; 0: none yet.
     bool m_is_hedged = false;
+    bool m_is_shed = false;  ///< The response passed on is a refusal for load.
     bool m_has_sent = false; ///< A byte was written to any target.
 
     std::shared_ptr<answer_stream> m_stream; ///< Set once a response head was passed on.
--- a/src/apps/entry/service_pool.cpp
+++ b/src/apps/entry/service_pool.cpp
@@ -11,6 +11,12 @@
 
 constexpr std::size_t min_latency_samples = 20;
 
+void set_leaving(service_pool& pool, std::uint32_t target)
+{
+    pool.balancer.targets[target].info.leaving =
+        pool.drained[target] || pool.announced_leaving[target];
+}
+
 balancing::target_info to_target_info(const config::target& target, const fleet_state& fleet)
 {
     const bool leaving =
@@ -65,15 +71,30 @@
         }
     }
     balancing::set_targets(pool.balancer, set, now);
-    pool.addresses.resize(pool.balancer.targets.size());
-    pool.running.resize(pool.balancer.targets.size());
+    pool.health_path = service.health_path;
+    pool.load_path = service.load_path;
+    const std::size_t count = pool.balancer.targets.size();
+    pool.addresses.resize(count);
+    pool.running.resize(count);
+    pool.drained.resize(count);
+    pool.announced_leaving.resize(count);
     for (const config::target& target : service.targets) {
-        if (const auto index = balancing::find_target(pool.balancer, target.id)) {
-            pool.addresses[*index] = target.address;
+        const auto index = balancing::find_target(pool.balancer, target.id);
+        if (!index.has_value()) {
+            continue;
         }
+        pool.addresses[*index] = target.address;
+        pool.drained[*index] = pool.balancer.targets[*index].info.leaving;
+        set_leaving(pool, *index);
     }
 }
 
+void announce_leaving(service_pool& pool, std::uint32_t target, bool is_leaving)
+{
+    pool.announced_leaving[target] = is_leaving;
+    set_leaving(pool, target);
+}
+
 void add_running(service_pool& pool, std::uint32_t target, std::uint64_t fingerprint)
 {
     pool.running[target].push_back(fingerprint);
--- a/src/apps/entry/service_pool.h
+++ b/src/apps/entry/service_pool.h
@@ -39,6 +39,10 @@
     balancing::balancer_state balancer;
     std::vector<std::string> addresses;
     std::vector<std::vector<std::uint64_t>> running; ///< Fingerprints in flight per target.
+    std::vector<bool> drained;                       ///< By an operator.
+    std::vector<bool> announced_leaving;             ///< By the target itself.
+    std::string health_path;
+    std::string load_path;
     retries::retry_budget budget;
     latency_window latencies;
 };
@@ -50,6 +54,9 @@
                  const base::host_id& self, const base::failure_domain_id& domain,
                  base::time_point now);
 
+/// The target says that it leaves, or that it is back.
+void announce_leaving(service_pool& pool, std::uint32_t target, bool is_leaving);
+
 void add_running(service_pool& pool, std::uint32_t target, std::uint64_t fingerprint);
 void remove_running(service_pool& pool, std::uint32_t target, std::uint64_t fingerprint);
 
--- a/tests/standins/target/fake_target.cpp
+++ b/tests/standins/target/fake_target.cpp
@@ -41,6 +41,14 @@
     return path.substr(0, path.find('?'));
 }
 
+/// Last segment of the path, so that routes with a prefix reach the same endpoints.
+std::string_view endpoint_of(const http::exchange& from)
+{
+    const std::string_view path = path_of(from);
+    const std::size_t slash = path.rfind('/');
+    return slash == std::string_view::npos ? path : path.substr(slash);
+}
+
 base::time_point deadline_of(const http::request_head& head)
 {
     const auto text = http::find_header(head.headers, "snipeshore-deadline-ms");
@@ -205,6 +213,10 @@
     job->is_running = true;
     ++m_running;
     sample();
+    // The effect comes first, so that a request that is cut off later has run.
+    if (is_run(*job->from)) {
+        count_run(job);
+    }
     const auto time = service_time(*job->from);
     if (time.count() == 0) {
         execute(job);
@@ -227,7 +239,7 @@
         finish(job);
         return;
     }
-    const auto path = path_of(*job->from);
+    const auto path = endpoint_of(*job->from);
     const std::string& full = job->from->head().path;
     if (path == "/bytes" || path == "/overlong") {
         const bool is_bytes = path == "/bytes";
@@ -240,8 +252,8 @@
         truncate(job);
         return;
     }
-    if (path == "/run" && job->from->head().method == "POST") {
-        run_once(job);
+    if (is_run(*job->from)) {
+        answer_json(*job->from, 200, job->run_answer);
     } else if (path == "/echo") {
         answer_json(*job->from, 200, echo_body(job->from->head()));
     } else {
@@ -250,7 +262,12 @@
     finish(job);
 }
 
-void fake_target::run_once(const job_ptr& job)
+bool fake_target::is_run(const http::exchange& from)
+{
+    return endpoint_of(from) == "/run" && from.head().method == "POST";
+}
+
+void fake_target::count_run(const job_ptr& job)
 {
     std::string key(job->from->body());
     if (key.empty()) {
@@ -259,8 +276,7 @@
     }
     const std::uint64_t count = ++m_runs[key];
     const nlohmann::json body = {{"id", m_settings.id}, {"key", key}, {"count", count}};
-    answer_json(*job->from, 200,
-                body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    job->run_answer = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 void fake_target::stream(const job_ptr& job, bool has_length)
@@ -343,7 +359,7 @@
 std::chrono::milliseconds fake_target::service_time(const http::exchange& from)
 {
     auto time = m_settings.service_time;
-    if (path_of(from) == "/slow") {
+    if (endpoint_of(from) == "/slow" || is_run(from)) {
         time += std::chrono::milliseconds(query_number(from.head().path, "ms", 0));
     }
     const auto age = base::boot_clock::now() - m_started;
--- a/tests/standins/target/fake_target.h
+++ b/tests/standins/target/fake_target.h
@@ -44,6 +44,7 @@
     http::timer_id timer = 0;
     std::uint64_t random = 0; ///< State of the generator behind `/bytes`.
     std::uint64_t bytes_left = 0;
+    std::string run_answer; ///< Of `/run`.
     bool is_running = false;
     bool is_done = false;
 };
@@ -76,7 +77,8 @@
     void shed(http::exchange& from);
     void start(const job_ptr& job);
     void execute(const job_ptr& job);
-    void run_once(const job_ptr& job);
+    static bool is_run(const http::exchange& from);
+    void count_run(const job_ptr& job);
     void stream(const job_ptr& job, bool has_length);
     void write_next(const job_ptr& job);
     void truncate(const job_ptr& job);
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -149,7 +149,7 @@
 
 void fleet::start_target(const std::string& id)
 {
-    std::vector<std::string> flags{"--id=" + id, "--listen=" + m_target_addresses.at(id)};
+    std::vector<std::string> flags{"--id=" + id, "--address=" + m_target_addresses.at(id)};
     flags.insert(flags.end(), m_settings.target_flags.begin(), m_settings.target_flags.end());
     m_targets[id] =
         std::make_unique<process>(program("standin_target"), flags, log_file("target-" + id));
@@ -368,8 +368,13 @@
 {
     std::size_t total = 0;
     for (const auto& [id, child] : m_targets) {
-        const json runs = target_runs(id);
-        total += runs.is_object() ? runs.value("total", std::size_t{0}) : 0;
+        const json answer = target_runs(id);
+        if (!answer.is_object()) {
+            continue;
+        }
+        for (const json& count : answer.at("runs")) {
+            total += count.get<std::size_t>();
+        }
     }
     return total;
 }
