--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -155,6 +155,15 @@
         std::make_unique<process>(program("standin_target"), flags, log_file("target-" + id));
 }
 
+std::string fleet::seed_agents() const
+{
+    std::string addresses;
+    for (const json& host : m_document["hosts"]) {
+        addresses += (addresses.empty() ? "" : ",") + host["agent_address"].get<std::string>();
+    }
+    return addresses;
+}
+
 void fleet::start_agent(host_processes& host)
 {
     std::vector<std::string> flags{
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -103,6 +103,7 @@
 private:
     void lock_addresses();
     void write_document();
+    std::string seed_agents() const;
     std::string log_file(const std::string& name) const;
 
     fleet_settings m_settings;
