--- a/bench/steering_faults.cpp
+++ b/bench/steering_faults.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cstdint>
 #include <cstdio>
+#include <future>
+#include <vector>
 
 using namespace snipeshore::bench;
 
@@ -14,10 +16,23 @@
 constexpr std::uint64_t schedules = 1000;
 constexpr int seconds = 120;
 
-schedule_result run_all(shift_method method)
+/// Schedules are independent of each other, so they are spread over a few threads.
+constexpr std::uint64_t threads = 4;
+
+void add(schedule_result& total, const schedule_result& one)
+{
+    total.decisions += one.decisions;
+    total.shift_cap_violations += one.shift_cap_violations;
+    total.region_overload_violations += one.region_overload_violations;
+    total.link_violations += one.link_violations;
+    total.worst_true_load = std::max(total.worst_true_load, one.worst_true_load);
+    total.refused_fraction += one.refused_fraction;
+}
+
+schedule_result run_part(std::uint64_t first, shift_method method)
 {
     schedule_result total;
-    for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+    for (std::uint64_t seed = first; seed <= schedules; seed += threads) {
         const schedule_result one = run_schedule(seed, seconds, method);
         if (method == shift_method::decider &&
             one.shift_cap_violations + one.region_overload_violations + one.link_violations > 0) {
@@ -27,13 +42,22 @@
                         static_cast<unsigned long long>(one.region_overload_violations),
                         static_cast<unsigned long long>(one.link_violations));
         }
-        total.decisions += one.decisions;
-        total.shift_cap_violations += one.shift_cap_violations;
-        total.region_overload_violations += one.region_overload_violations;
-        total.link_violations += one.link_violations;
-        total.worst_true_load = std::max(total.worst_true_load, one.worst_true_load);
-        total.refused_fraction += one.refused_fraction / schedules;
+        add(total, one);
+    }
+    return total;
+}
+
+schedule_result run_all(shift_method method)
+{
+    std::vector<std::future<schedule_result>> parts;
+    for (std::uint64_t part = 1; part <= threads; ++part) {
+        parts.push_back(std::async(std::launch::async, run_part, part, method));
+    }
+    schedule_result total;
+    for (auto& part : parts) {
+        add(total, part.get());
     }
+    total.refused_fraction /= schedules;
     return total;
 }
 
--- a/bench/steering_model.cpp
+++ b/bench/steering_model.cpp
@@ -300,6 +300,19 @@
     return moved;
 }
 
+/// Returns the traffic that the decision moved.
+double decide_once(const steering::plan& plan, const steering::inputs& inputs,
+                   model_decider& decider, base::time_point now, shift_method method)
+{
+    const steering::weight_table before = decider.state.weights;
+    decider.state = method == shift_method::decider
+                        ? steering::decide(plan, inputs, decider.state, now).state
+                        : shift_all(plan, inputs);
+    return before.weights.empty()
+               ? 0
+               : moved_traffic(before, decider.state.weights, decider.state.demand);
+}
+
 std::uint64_t count_over(const std::vector<double>& sum, const std::vector<double>& limit)
 {
     std::uint64_t count = 0;
@@ -418,13 +431,12 @@
                 !is_hit(fleet, fault::restart, index, second - 1) && second > 0) {
                 decider.state = steering::restore_state(plan, decider.state.weights, now);
             }
-            const steering::weight_table before = decider.state.weights;
-            decider.state = method == shift_method::decider
-                                ? steering::decide(plan, inputs, decider.state, now).state
-                                : shift_all(plan, inputs);
+            moved += decide_once(plan, inputs, decider, now, method);
             ++result.decisions;
-            if (!before.weights.empty()) {
-                moved += moved_traffic(before, decider.state.weights, decider.state.demand);
+            // Changes of membership or documents cause decisions between the regular ones.
+            if (pick(fleet, 0, 9) == 0) {
+                moved += decide_once(plan, inputs, decider, now + 300ms, method);
+                ++result.decisions;
             }
         }
         double known_demand = 0;
@@ -440,7 +452,7 @@
                 decider.recent.pop_front();
             }
         }
-        // Deciders decide once a second, so each second is one interval.
+        // Regular decisions are a second apart, so each second is one interval.
         if (moved > plan.settings.shift_cap_fraction * known_demand * (1 + tolerance)) {
             ++result.shift_cap_violations;
         }
