--- a/src/apps/entry/dump.cpp
+++ b/src/apps/entry/dump.cpp
@@ -107,7 +107,7 @@
                                 {"waiting", account.waiting},   {"held_loans", std::move(loans)}};
     }
     return {{"accounts", std::move(accounts)},
-            {"loans_granted", ledger.granted_loans},
+            {"loans_granted", limits::figures_of(ledger).loans_granted},
             {"uses_full_share", limits::uses_full_share(ledger, now)}};
 }
 
--- a/src/apps/entry/entry_app.cpp
+++ b/src/apps/entry/entry_app.cpp
@@ -128,7 +128,7 @@
     report.entry_incarnation = m_incarnation;
     report.ticket_epoch = m_tickets.epoch();
     report.leaving = m_is_leaving;
-    report.config_version = m_snapshots.state().config_version;
+    report.config_version = limits::version_in_force(m_shares.ledger()).value();
     return report;
 }
 
--- a/src/apps/entry/share_manager.cpp
+++ b/src/apps/entry/share_manager.cpp
@@ -35,7 +35,10 @@
 {
     limits::fleet_view view;
     for (const inner::host_record& record : fleet.members) {
-        view.in_force.push_back({record.host, base::document_version(record.entry_config_version)});
+        if (record.status != inner::host_status::dead) {
+            view.in_force.push_back(
+                {record.host, base::document_version(record.entry_config_version)});
+        }
     }
     view.listed_known = fleet.listed_known;
     view.listed = fleet.listed_hosts;
@@ -69,13 +72,18 @@
     }
     const wait_id id = m_next_wait++;
     m_waiting[account].push_back({id, verdict.wait_ends, std::move(done)});
-    m_loop.schedule(verdict.wait_ends, [weak = std::weak_ptr(m_alive), account] {
+    serve_at(account, verdict.check_at);
+    send(limits::plan_loans(m_ledger, account, base::boot_clock::now()));
+    return id;
+}
+
+void share_manager::serve_at(const base::account_id& account, base::time_point when)
+{
+    m_loop.schedule(when, [weak = std::weak_ptr(m_alive), account] {
         if (const auto self = weak.lock()) {
             (*self)->serve_waiting(account);
         }
     });
-    send(limits::plan_loans(m_ledger, account, base::boot_clock::now()));
-    return id;
 }
 
 void share_manager::cancel(const base::account_id& account, wait_id id)
@@ -98,6 +106,7 @@
         const limits::admission verdict = limits::admit_waiting(
             m_ledger, account, queue->second.front().ends, base::boot_clock::now());
         if (verdict.verdict == limits::admit_verdict::wait) {
+            serve_at(account, verdict.check_at);
             return;
         }
         const verdict_callback done = std::move(queue->second.front().done);
--- a/src/apps/entry/share_manager.h
+++ b/src/apps/entry/share_manager.h
@@ -70,6 +70,7 @@
     void on_loan(const base::account_id& account, std::uint64_t request,
                  const base::result<inner::borrow_reply>& reply);
     void serve_waiting(const base::account_id& account);
+    void serve_at(const base::account_id& account, base::time_point when);
     void schedule_tick();
     void tick();
 
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -76,6 +76,7 @@
 {
     std::string folder = "/tmp/snipeshore-test-XXXXXX";
     m_folder = mkdtemp(folder.data());
+    std::ofstream(m_folder + "/secret") << test_secret;
     lock_addresses();
     std::string text = read_file(source_path(m_settings.document));
     replace_all(text, "\"127.1.", "\"" + m_prefix);
@@ -214,7 +215,7 @@
 {
     std::vector<std::string> all = arguments;
     all.push_back("--platform=" + m_platform_address);
-    all.push_back("--fleet_secret=" + test_secret);
+    all.push_back("--fleet_secret_file=" + m_folder + "/secret");
     return run_command(program("snipeshorectl"), all, 30s);
 }
 
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -157,8 +157,8 @@
         const std::string second_path = fleet.folder() + "/second.json";
         std::ofstream(first_path) << first.dump();
         std::ofstream(second_path) << second.dump();
-        const command_result won = fleet.ctl({"publish", first_path, "--expected_version=1"});
-        const command_result lost = fleet.ctl({"publish", second_path, "--expected_version=1"});
+        const command_result won = fleet.ctl({"publish", first_path, "--base=1"});
+        const command_result lost = fleet.ctl({"publish", second_path, "--base=1"});
         CHECK(won.status == 0);
         CHECK(lost.status != 0);
         CHECK(lost.output.find("rate") != std::string::npos);
