Add snipeshore-agent: documents, membership and watch of one host

agent_core holds the logic without sockets and is driven by ticks; tests run several of them on a fake network. One agent per failure domain, the live one with the lowest hash, reads the rows each second. The election is fixed and does not rotate by interval: boot clocks of hosts differ, so they would not agree on an interval. A host that gets a version starts its next exchange at once. The reply of an exchange carries the age of the peer's last contact, because an agent that is not elected may never hear from the store itself. A host that was frozen waits for a peer's answer before it marks others dead or changes weights.

Weights are a first version: each row goes to the nearest usable failure domain, without shift cap and headroom.

Interface: Document gets a digest (patches are refused without it), exchange a contact age.

--- /dev/null
+++ b/src/apps/agent/agent_app.h
@@ -0,0 +1,55 @@
+/// @file The agent program: the core with its sockets and timers.
+#pragma once
+
+#include "apps/agent/agent_core.h"
+#include "apps/agent/node_calls.h"
+#include "apps/common/admin_server.h"
+#include "inner/node.h"
+#include "platform/http_store.h"
+#include "telemetry/metrics.h"
+
+#include <chrono>
+#include <string>
+
+namespace snipeshore::http {
+class loop;
+}
+
+namespace snipeshore::apps {
+
+struct agent_app_settings {
+    agent_settings core; ///< Without the agent's address.
+    inner::node_settings node;
+    std::string platform_address;
+    std::string admin_address;
+    std::chrono::milliseconds stop_deadline{10000};
+};
+
+/// Belongs to the loop's thread.
+class agent_app {
+public:
+    agent_app(http::loop& loop, agent_app_settings settings);
+
+    base::status start();
+
+    /// Sends the record as leaving, then ends the loop.
+    void stop();
+
+private:
+    void tick();
+    void finish();
+    void refresh_metrics();
+
+    http::loop& m_loop;
+    agent_app_settings m_settings;
+    telemetry::metrics m_metrics;
+    inner::node m_node;
+    node_calls m_calls;
+    platform::http_store m_store;
+    agent_core m_core;
+    admin_server m_admin;
+    bool m_is_stopping = false;
+    bool m_is_finished = false;
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/agent/agent_core.h
@@ -0,0 +1,169 @@
+/// @file The agent without sockets: documents, membership, snapshots for local processes.
+#pragma once
+
+#include "apps/agent/document_set.h"
+#include "apps/agent/store_poller.h"
+#include "config/types/document.h"
+#include "config/types/drains_document.h"
+#include "inner/service.h"
+#include "membership/types/detection.h"
+#include "membership/types/table.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace snipeshore::platform {
+class store;
+}
+
+namespace snipeshore::apps {
+
+class peer_calls;
+
+struct agent_settings {
+    inner::host_record self; ///< Without versions and state of the entry.
+    std::uint64_t seed = 0;  ///< For the choice of peers.
+    /// Agents to ask besides the platform's list, so that a host can start while that is down.
+    std::vector<std::string> seed_addresses;
+    std::chrono::milliseconds exchange_interval{1000};
+    std::chrono::milliseconds probe_interval{1000};
+    std::chrono::milliseconds call_limit{1000};
+    std::chrono::milliseconds beat_interval{2000};
+    std::chrono::milliseconds watch_limit{1000}; ///< Longest wait of a `watch`.
+    /// An entry reports about each second; without reports it counts as dead.
+    std::chrono::milliseconds entry_silence{3000};
+    std::size_t max_watches = 64;
+};
+
+struct agent_callbacks {
+    std::function<base::time_point()> now;
+    /// Another process runs under this host id; this one has to stop.
+    std::function<void()> on_superseded;
+};
+
+/// Driven by `tick`, about ten times a second, and by the calls of peers and local processes. All
+/// on one thread.
+class agent_core {
+public:
+    agent_core(agent_settings settings, platform::store& store, peer_calls& peers,
+               agent_callbacks callbacks);
+    ~agent_core();
+    agent_core(const agent_core&) = delete;
+    agent_core& operator=(const agent_core&) = delete;
+    agent_core(agent_core&&) = delete;
+    agent_core& operator=(agent_core&&) = delete;
+
+    void tick();
+
+    /// Handlers for `inner::node`.
+    inner::agent_service service();
+
+    /// Marks the record `leaving` and sends it to peers; `done` runs when all of them answered or
+    /// their calls failed.
+    void leave(const std::function<void()>& done);
+
+    const document_set& documents() const
+    {
+        return m_documents;
+    }
+
+    const store_poller& poller() const
+    {
+        return m_poller;
+    }
+
+    const membership::table& members() const
+    {
+        return m_members;
+    }
+
+    const inner::host_record& self() const
+    {
+        return m_settings.self;
+    }
+
+    const std::vector<inner::site_weights>& weights() const
+    {
+        return m_weights;
+    }
+
+    bool may_act() const;
+    std::chrono::milliseconds contact_age() const;
+    std::size_t pending_watches() const
+    {
+        return m_watches.size();
+    }
+
+private:
+    struct pending_watch {
+        inner::cursor from;
+        base::time_point answer_at;
+        inner::reply_to<inner::snapshot> reply;
+    };
+
+    void watch(inner::cursor from, const inner::process_report& report,
+               inner::reply_to<inner::snapshot> reply);
+    void on_exchange(const inner::exchange_request& request,
+                     const inner::reply_to<inner::exchange_reply>& reply);
+    void on_push(const inner::push_request& request, const inner::reply_to<inner::nothing>& reply);
+    void on_probe(const inner::host_record& sender,
+                  const inner::reply_to<inner::host_record>& reply);
+
+    void exchange_round(base::time_point now);
+    void on_exchange_reply(const std::string& address, base::time_point sent,
+                           const inner::exchange_reply& reply);
+    void probe_round(base::time_point now);
+    void after_gap(base::time_point now);
+
+    void absorb(const std::vector<inner::host_record>& records);
+    void absorb_documents(const std::vector<inner::document>& offered);
+    void take_report(const inner::process_report& report);
+    void drop_silent_entry(base::time_point now);
+    void publish_self();
+    void on_documents_changed();
+    void on_contact(base::time_point when);
+    void refresh_weights(base::time_point now);
+    bool has_news(const inner::cursor& from) const;
+    inner::snapshot snapshot_for(const inner::cursor& from) const;
+    void answer_watches();
+    std::vector<inner::host_record> member_records() const;
+    /// The platform's host list, the addresses in the settings, and the hosts in the configuration.
+    std::vector<membership::seed> seeds() const;
+    template <typename Callback>
+    auto guarded(Callback callback);
+
+    agent_settings m_settings;
+    peer_calls& m_peers;
+    agent_callbacks m_callbacks;
+    document_set m_documents;
+    store_poller m_poller;
+    membership::table m_members;
+    membership::detection m_detection;
+    membership::gap_state m_gap;
+    std::mt19937_64 m_random;
+    bool m_joining = true;
+    bool m_leaving = false;
+    bool m_entry_leaving = false;
+    std::optional<base::time_point> m_entry_reported;
+    base::time_point m_next_exchange{};
+    base::time_point m_next_probe{};
+    base::time_point m_next_beat{};
+    std::optional<base::time_point> m_last_contact;
+    std::optional<config::document> m_config;
+    config::drains_document m_drains;
+    std::vector<inner::site_weights> m_weights;
+    std::set<base::failure_domain_id> m_usable;
+    std::uint64_t m_steering_revision;
+    bool m_weights_stale = true;
+    std::vector<pending_watch> m_watches;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/agent/store_poller.cpp
@@ -0,0 +1,224 @@
+#include "apps/agent/store_poller.h"
+
+#include "apps/agent/document_set.h"
+#include "documents/publishing.h"
+#include "documents/replica.h"
+#include "telemetry/event_log.h"
+
+#include <utility>
+
+namespace snipeshore::apps {
+
+/// A document that is being fetched.
+struct store_poller::fetch {
+    std::string name;
+    documents::publication record;
+    documents::update update;
+};
+
+namespace {
+
+bool answered(const base::error& failure)
+{
+    return failure.kind != base::error_kind::store_unavailable &&
+           failure.kind != base::error_kind::store_unknown;
+}
+
+} // namespace
+
+store_poller::store_poller(platform::store& store, document_set& documents,
+                           poller_settings settings, poller_callbacks callbacks)
+    : m_store(store), m_documents(documents), m_settings(settings),
+      m_callbacks(std::move(callbacks))
+{}
+
+store_poller::~store_poller() = default;
+
+template <typename Callback>
+auto store_poller::guarded(Callback callback)
+{
+    return [weak = std::weak_ptr(m_alive), callback = std::move(callback)](const auto& outcome) {
+        if (weak.lock() != nullptr) {
+            callback(outcome);
+        }
+    };
+}
+
+void store_poller::tick(base::time_point now, bool elected)
+{
+    m_last_tick = now;
+    if (now >= m_next_list) {
+        m_next_list = now + (m_listed_known ? m_settings.list_interval : m_settings.list_retry);
+        read_list(now);
+    }
+    if (!elected || now < m_next_rows) {
+        return;
+    }
+    m_next_rows = now + m_settings.row_interval;
+    for (const std::string& name : document_names()) {
+        read_row(name, now);
+    }
+}
+
+documents::store_state store_poller::state_of(const std::string& name) const
+{
+    const auto found = m_states.find(name);
+    return found == m_states.end() ? documents::store_state::same : found->second;
+}
+
+void store_poller::read_row(const std::string& name, base::time_point now)
+{
+    if (std::exchange(m_reading[name], true)) {
+        return;
+    }
+    m_store.read_row(documents::row_key(name),
+                     guarded([this, name, now](const base::result<platform::row>& row) {
+                         if (base::is_ok(row) || answered(base::error_of(row))) {
+                             m_callbacks.on_contact(now);
+                         }
+                         on_row(name, row);
+                     }));
+}
+
+void store_poller::on_row(const std::string& name, const base::result<platform::row>& row)
+{
+    const documents::replica& held = m_documents.get(name);
+    const bool missing = base::is_ok(row) ? base::value_of(row).version == 0
+                                          : base::error_of(row).kind == base::error_kind::not_found;
+    if (missing) {
+        set_state(name, held.version.value() > 0 ? documents::store_state::older
+                                                 : documents::store_state::same);
+        finish(name, false);
+        return;
+    }
+    if (!base::is_ok(row)) {
+        finish(name, false);
+        return;
+    }
+    auto record = documents::decode(base::value_of(row).value);
+    if (!base::is_ok(record)) {
+        telemetry::log_event(telemetry::severity::failure, "row_invalid",
+                             {{"name", name}, {"cause", base::error_of(record).detail}});
+        finish(name, false);
+        return;
+    }
+    const auto state = documents::compare(base::value_of(record), held.version, held.digest);
+    set_state(name, state);
+    if (state != documents::store_state::newer) {
+        finish(name, false);
+        return;
+    }
+    start_fetch(name, std::move(base::value_of(record)));
+}
+
+void store_poller::start_fetch(const std::string& name, documents::publication record)
+{
+    const auto held = m_documents.get(name).version;
+    auto job = std::make_shared<fetch>();
+    job->name = name;
+    job->update.version = record.version;
+    job->update.base_version = held;
+    job->update.digest = record.digest;
+    job->record = std::move(record);
+    if (documents::fetch_as_patches(held, job->record.version)) {
+        fetch_patch(job);
+        return;
+    }
+    fetch_text(job);
+}
+
+void store_poller::fetch_patch(const std::shared_ptr<fetch>& job)
+{
+    const base::document_version next(job->update.base_version.value() +
+                                      job->update.patches.size() + 1);
+    m_store.read_object(documents::patch_object(job->name, next),
+                        guarded([this, job](const base::result<std::string>& patch) {
+                            if (!base::is_ok(patch)) {
+                                fetch_text(job);
+                                return;
+                            }
+                            job->update.patches.push_back(base::value_of(patch));
+                            const auto reached =
+                                job->update.base_version.value() + job->update.patches.size();
+                            if (reached < job->record.version.value()) {
+                                fetch_patch(job);
+                                return;
+                            }
+                            const auto outcome = m_documents.install(job->name, job->update);
+                            if (outcome == documents::install_outcome::needs_text) {
+                                fetch_text(job);
+                                return;
+                            }
+                            finish(job->name, outcome == documents::install_outcome::installed);
+                        }));
+}
+
+void store_poller::fetch_text(const std::shared_ptr<fetch>& job)
+{
+    m_store.read_object(documents::text_object(job->name, job->record.version),
+                        guarded([this, job](const base::result<std::string>& text) {
+                            if (!base::is_ok(text)) {
+                                finish(job->name, false);
+                                return;
+                            }
+                            job->update.base_version = {};
+                            job->update.patches.clear();
+                            job->update.text = base::value_of(text);
+                            finish(job->name, m_documents.install(job->name, job->update) ==
+                                                  documents::install_outcome::installed);
+                        }));
+}
+
+void store_poller::finish(const std::string& name, bool installed)
+{
+    m_reading[name] = false;
+    if (installed) {
+        set_state(name, documents::store_state::same);
+        m_callbacks.on_installed();
+    }
+}
+
+void store_poller::set_state(const std::string& name, documents::store_state state)
+{
+    const auto before = state_of(name);
+    m_states[name] = state;
+    if (state == before) {
+        return;
+    }
+    const std::uint64_t held = m_documents.get(name).version.value();
+    if (state == documents::store_state::older) {
+        telemetry::log_event(telemetry::severity::failure, "store_restored_older",
+                             {{"name", name}, {"in_force", held}});
+    } else if (state == documents::store_state::diverged) {
+        telemetry::log_event(telemetry::severity::failure, "store_diverged",
+                             {{"name", name}, {"in_force", held}});
+    }
+}
+
+void store_poller::read_list(base::time_point now)
+{
+    if (std::exchange(m_listing, true)) {
+        return;
+    }
+    m_store.list_hosts(
+        guarded([this, now](const base::result<std::vector<platform::listed_host>>& hosts) {
+            m_listing = false;
+            if (base::is_ok(hosts)) {
+                m_callbacks.on_contact(now);
+                on_list(hosts);
+            }
+        }));
+}
+
+void store_poller::on_list(const base::result<std::vector<platform::listed_host>>& hosts)
+{
+    m_seeds.clear();
+    for (const platform::listed_host& host : base::value_of(hosts)) {
+        m_seeds.push_back({base::host_id(host.host_id),
+                           base::failure_domain_id(host.failure_domain), host.agent_address});
+    }
+    m_listed_known = true;
+    m_callbacks.on_listed();
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/agent/store_poller.h
@@ -0,0 +1,90 @@
+/// @file Reads the published documents and the host list from the platform.
+#pragma once
+
+#include "base/time.h"
+#include "documents/types/publication.h"
+#include "membership/peers.h"
+#include "platform/store.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace snipeshore::apps {
+
+class document_set;
+
+struct poller_settings {
+    std::chrono::milliseconds row_interval{1000};
+    /// 1,000 hosts read the list 100 times a second in all, a twentieth of the platform's reads.
+    std::chrono::milliseconds list_interval{10000};
+    std::chrono::milliseconds list_retry{1000};
+};
+
+struct poller_callbacks {
+    std::function<void()> on_installed;               ///< A document changed.
+    std::function<void(base::time_point)> on_contact; ///< The store answered a call sent then.
+    std::function<void()> on_listed;
+};
+
+/// At most one read per document and one of the list are pending. Belongs to the owner's thread.
+class store_poller {
+public:
+    store_poller(platform::store& store, document_set& documents, poller_settings settings,
+                 poller_callbacks callbacks);
+    ~store_poller();
+    store_poller(const store_poller&) = delete;
+    store_poller& operator=(const store_poller&) = delete;
+    store_poller(store_poller&&) = delete;
+    store_poller& operator=(store_poller&&) = delete;
+
+    /// Reads what is due; the rows only if this host is elected to.
+    void tick(base::time_point now, bool elected);
+
+    /// Lagging list of the platform; empty until it was read.
+    const std::vector<membership::seed>& seeds() const
+    {
+        return m_seeds;
+    }
+
+    bool listed_known() const
+    {
+        return m_listed_known;
+    }
+
+    /// What the last row of the document meant: `older` and `diverged` are alarms.
+    documents::store_state state_of(const std::string& name) const;
+
+private:
+    struct fetch;
+
+    void read_row(const std::string& name, base::time_point now);
+    void on_row(const std::string& name, const base::result<platform::row>& row);
+    void start_fetch(const std::string& name, documents::publication record);
+    void fetch_patch(const std::shared_ptr<fetch>& job);
+    void fetch_text(const std::shared_ptr<fetch>& job);
+    void finish(const std::string& name, bool installed);
+    void set_state(const std::string& name, documents::store_state state);
+    void read_list(base::time_point now);
+    void on_list(const base::result<std::vector<platform::listed_host>>& hosts);
+    template <typename Callback>
+    auto guarded(Callback callback);
+
+    platform::store& m_store;
+    document_set& m_documents;
+    poller_settings m_settings;
+    poller_callbacks m_callbacks;
+    base::time_point m_next_rows{};
+    base::time_point m_next_list{};
+    base::time_point m_last_tick{};
+    std::map<std::string, bool> m_reading;
+    std::map<std::string, documents::store_state> m_states;
+    bool m_listing = false;
+    bool m_listed_known = false;
+    std::vector<membership::seed> m_seeds;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/agent/tests/fake_store.h
@@ -0,0 +1,136 @@
+/// @file Platform's store in memory, for tests.
+#pragma once
+
+#include "documents/publishing.h"
+#include "documents/text.h"
+#include "platform/store.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace snipeshore::apps {
+
+/// Answers at once, or later when `hold` is set.
+class fake_store final : public platform::store {
+public:
+    void read_row(const std::string& key, row_callback done) override
+    {
+        ++row_reads;
+        answer([this, key, done = std::move(done)] {
+            if (down) {
+                done(unavailable());
+                return;
+            }
+            const auto found = rows.find(key);
+            done(found == rows.end() ? platform::row{key, "", 0} : found->second);
+        });
+    }
+
+    void write_row(const std::string& key, std::uint64_t /*expected_version*/,
+                   const std::string& value, row_callback done) override
+    {
+        auto& row = rows[key];
+        row = {key, value, row.version + 1};
+        done(row);
+    }
+
+    void read_object(const std::string& name, text_callback done) override
+    {
+        read_objects.push_back(name);
+        answer([this, name, done = std::move(done)] {
+            const auto found = objects.find(name);
+            if (down) {
+                done(unavailable());
+            } else if (found == objects.end()) {
+                done(base::error{base::error_kind::not_found, name});
+            } else {
+                done(found->second);
+            }
+        });
+    }
+
+    void write_object(const std::string& name, const std::string& content,
+                      status_callback done) override
+    {
+        objects[name] = content;
+        done(std::monostate{});
+    }
+
+    void list_hosts(hosts_callback done) override
+    {
+        answer([this, done = std::move(done)] {
+            if (down) {
+                done(unavailable());
+                return;
+            }
+            done(hosts);
+        });
+    }
+
+    /// Publishes the next version of a document as a publisher does.
+    void publish(const std::string& name, const std::string& text)
+    {
+        const auto key = documents::row_key(name);
+        const documents::published_row before = row_of(key);
+        const auto version = documents::highest(before, {});
+        std::string old_text;
+        if (version.value() > 0) {
+            old_text = objects.at(documents::text_object(name, version));
+        }
+        const auto plan = base::value_of(documents::plan_publish(
+            {"id" + std::to_string(++m_publications), version, text}, before, {}, old_text));
+        objects[documents::text_object(name, plan.record.version)] = plan.text;
+        if (!plan.patch.empty()) {
+            objects[documents::patch_object(name, plan.record.version)] = plan.patch;
+        }
+        rows[key] = {key, documents::encode(plan.record), before.row_version + 1};
+    }
+
+    /// Answers the calls that were held.
+    void release()
+    {
+        for (const auto& call : std::exchange(m_held, {})) {
+            call();
+        }
+    }
+
+    bool down = false;
+    bool hold = false;
+    std::size_t row_reads = 0;
+    std::deque<std::string> read_objects;
+    std::map<std::string, platform::row> rows;
+    std::map<std::string, std::string> objects;
+    std::vector<platform::listed_host> hosts;
+
+private:
+    static base::error unavailable()
+    {
+        return {base::error_kind::store_unavailable, "down"};
+    }
+
+    documents::published_row row_of(const std::string& key) const
+    {
+        const auto found = rows.find(key);
+        if (found == rows.end()) {
+            return {};
+        }
+        return {found->second.version, base::value_of(documents::decode(found->second.value))};
+    }
+
+    void answer(std::function<void()> call)
+    {
+        if (hold) {
+            m_held.push_back(std::move(call));
+            return;
+        }
+        call();
+    }
+
+    std::vector<std::function<void()>> m_held;
+    int m_publications = 0;
+};
+
+} // namespace snipeshore::apps
--- a/src/inner/inner.capnp
+++ b/src/inner/inner.capnp
@@ -17,6 +17,7 @@
     patches @3 :List(Text); # JSON Patches, one per version, from baseVersion on
   }
   baseVersion @4 :UInt64;
+  digest @5 :Text; # of the text of `version`; patches are not installed without it
 }
 
 enum HostStatus {
@@ -95,7 +96,8 @@
   # Returns when something is newer than the cursor, at the latest after a second.
 
   exchange @1 (sender :HostRecord, versions :List(DocumentVersion), hashes :List(DomainHash))
-      -> (versions :List(DocumentVersion), documents :List(Document), records :List(HostRecord));
+      -> (versions :List(DocumentVersion), documents :List(Document), records :List(HostRecord),
+          contactAgeMs :UInt64);
   # Returns what the sender lacks: documents newer than its versions, and the records of the
   # failure domains whose hashes differ.
 
--- a/src/inner/internal/wire.cpp
+++ b/src/inner/internal/wire.cpp
@@ -130,6 +130,7 @@
     to.setName(text(from.name));
     to.setVersion(from.version);
     to.setBaseVersion(from.base_version);
+    to.setDigest(text(from.digest));
     if (from.patches.empty()) {
         to.setText(text(from.text));
         return;
@@ -143,6 +144,7 @@
     to.name = text(from.getName());
     to.version = from.getVersion();
     to.base_version = from.getBaseVersion();
+    to.digest = text(from.getDigest());
     if (from.isText()) {
         to.text = text(from.getText());
     } else if (from.isPatches()) {
@@ -324,12 +326,14 @@
     write_list(to.initVersions(size_of(from.versions.size())), from.versions);
     write_list(to.initDocuments(size_of(from.documents.size())), from.documents);
     write_list(to.initRecords(size_of(from.records.size())), from.records);
+    to.setContactAgeMs(static_cast<std::uint64_t>(from.contact_age.count()));
 }
 
 exchange_reply read(rpc::Agent::ExchangeResults::Reader from)
 {
     return {read_list<document_version>(from.getVersions()),
-            read_list<document>(from.getDocuments()), read_list<host_record>(from.getRecords())};
+            read_list<document>(from.getDocuments()), read_list<host_record>(from.getRecords()),
+            std::chrono::milliseconds(from.getContactAgeMs())};
 }
 
 void write(rpc::Agent::PushParams::Builder to, const push_request& from)
--- a/src/inner/tests/node_test.cpp
+++ b/src/inner/tests/node_test.cpp
@@ -169,9 +169,9 @@
         process_report reported;
         agent.watch = [&](cursor from, process_report report, const reply_to<snapshot>& reply) {
             seen = std::move(from);
-            reported = report;
+            reported = std::move(report);
             snapshot answer;
-            answer.documents = {{"config", 4, 0, R"({"a":1})", {}},
+            answer.documents = {{"config", 4, 0, R"({"a":1})", {}, "d4"},
                                 {"keys", 6, 4, "", {"[]", "[1]"}}};
             answer.members = {make_record("h1")};
             answer.members_revision = 21;
@@ -201,6 +201,7 @@
         REQUIRE(got.documents.size() == 2);
         CHECK(got.documents[0].text == R"({"a":1})");
         CHECK(got.documents[0].patches.empty());
+        CHECK(got.documents[0].digest == "d4");
         CHECK(got.documents[1].base_version == 4);
         CHECK(got.documents[1].patches == std::vector<std::string>{"[]", "[1]"});
         check_same(got.members.at(0), make_record("h1"));
@@ -220,7 +221,8 @@
         agent = probe_only("server");
         agent.exchange = [&](exchange_request request, const reply_to<exchange_reply>& reply) {
             exchanged = std::move(request);
-            reply(exchange_reply{{{"keys", 8}}, {{"keys", 8, 0, "{}", {}}}, {make_record("h2")}});
+            reply(exchange_reply{
+                {{"keys", 8}}, {{"keys", 8, 0, "{}", {}}}, {make_record("h2")}, 31ms});
         };
         agent.push = [&](push_request request, const reply_to<nothing>& reply) {
             pushed = std::move(request);
@@ -233,6 +235,7 @@
                         exchange.callback());
         await(owner, exchange);
         check_same(exchanged.sender, make_record("caller"));
+        CHECK(exchange.reply().contact_age == 31ms);
         CHECK(exchanged.versions.at(0).version == 7);
         CHECK(exchanged.hashes.at(0).hash == 99);
         CHECK(exchange.reply().versions.at(0).version == 8);
--- a/src/inner/types/messages.h
+++ b/src/inner/types/messages.h
@@ -22,6 +22,7 @@
     std::uint64_t base_version = 0;   ///< With `patches`: the version they start from.
     std::string text;                 ///< Whole document; empty if `patches` are given.
     std::vector<std::string> patches; ///< JSON Patches, one per version.
+    std::string digest;               ///< Of the text of `version`.
 };
 
 enum class host_status : std::uint8_t { live, leaving, dead };
@@ -97,6 +98,7 @@
     std::vector<document_version> versions;
     std::vector<document> documents;
     std::vector<host_record> records;
+    std::chrono::milliseconds contact_age{0}; ///< As in `snapshot`.
 };
 
 struct push_request {
