Read configuration documents of the target size in linear time

Nesting and repeated names are now checked in a SAX pass of their own, before the plain parse. A test reads a document of this size; with the callback parser it exceeds the time limit of the test.

An account with an unknown service got a second problem about rates, because the unknown service counted as capacity 0. Such accounts are left out of the comparison; a test expects exactly one problem.

--- a/src/config/cross_checks.cpp
+++ b/src/config/cross_checks.cpp
@@ -274,14 +274,20 @@
     for (const service& entry : checked.services) {
         capacity[entry.id.value()] = capacity_of(entry);
     }
+    const auto is_known = [&](const base::service_id& id) {
+        return capacity.count(id.value()) != 0;
+    };
     using service_set = std::set<std::string>;
     std::map<service_set, double> demand;
     double whole_demand = 0;
     std::vector<service_set> sets;
     for (const account& entry : checked.accounts) {
         service_set services;
-        for (const base::service_id& id : entry.services) {
-            services.insert(id.value());
+        // An unknown service is a problem of its own; its capacity is not.
+        if (std::all_of(entry.services.begin(), entry.services.end(), is_known)) {
+            for (const base::service_id& id : entry.services) {
+                services.insert(id.value());
+            }
         }
         demand[services] += entry.rate.value();
         whole_demand += entry.rate.value();
@@ -290,13 +296,17 @@
 
     for (std::size_t i = 0; i < checked.accounts.size(); ++i) {
         const service_set& services = sets[i];
+        if (services.empty()) {
+            continue;
+        }
         double limit = 0;
         for (const std::string& id : services) {
             limit += capacity[id];
         }
         double sum = 0;
         for (const auto& [others, rate] : demand) {
-            if (std::includes(services.begin(), services.end(), others.begin(), others.end())) {
+            if (!others.empty() &&
+                std::includes(services.begin(), services.end(), others.begin(), others.end())) {
                 sum += rate;
             }
         }
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -5,6 +5,7 @@
 #include "config/internal/schema_check.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <unordered_set>
 #include <utility>
@@ -16,70 +17,106 @@
 using nlohmann::json;
 
 /// The deepest field of the documents is at level 7; deeper nesting is refused while reading.
-constexpr int max_depth = 16;
+constexpr std::size_t max_depth = 16;
 
 problem whole_document(const std::string& value, const std::string& expected)
 {
     return {"", value, expected};
 }
 
-/// Watches the parser's events for what a JSON value cannot show afterwards.
-class parse_guard {
+/// Reads a text for what a JSON value does not show: syntax, nesting and repeated names. This is a
+/// pass of its own because the parser's callback takes quadratic time on long lists.
+class structure_check final : public nlohmann::json_sax<json> {
 public:
-    bool operator()(int depth, json::parse_event_t event, const json& value)
+    bool null() override
     {
-        if (depth > max_depth) {
-            m_too_deep = true;
-            return false;
-        }
-        if (event == json::parse_event_t::object_start) {
-            m_names.emplace_back();
-        } else if (event == json::parse_event_t::object_end && !m_names.empty()) {
-            m_names.pop_back();
-        } else if (event == json::parse_event_t::key && !m_names.empty()) {
-            const std::string name = value.get<std::string>();
-            if (!m_names.back().insert(name).second && m_repeated.empty()) {
-                m_repeated = name;
-            }
-        }
         return true;
     }
-
-    bool too_deep() const
+    bool boolean(bool /*value*/) override
     {
-        return m_too_deep;
+        return true;
     }
-
-    const std::string& repeated() const
+    bool number_integer(number_integer_t /*value*/) override
+    {
+        return true;
+    }
+    bool number_unsigned(number_unsigned_t /*value*/) override
+    {
+        return true;
+    }
+    bool number_float(number_float_t /*value*/, const string_t& /*text*/) override
+    {
+        return true;
+    }
+    bool string(string_t& /*value*/) override
+    {
+        return true;
+    }
+    bool binary(binary_t& /*value*/) override
+    {
+        return true;
+    }
+    bool start_object(std::size_t /*size*/) override
     {
-        return m_repeated;
+        return descend();
+    }
+    bool start_array(std::size_t /*size*/) override
+    {
+        return descend();
+    }
+    bool end_object() override
+    {
+        m_names.pop_back();
+        return true;
+    }
+    bool end_array() override
+    {
+        m_names.pop_back();
+        return true;
+    }
+    bool key(string_t& name) override
+    {
+        if (m_names.back().insert(name).second) {
+            return true;
+        }
+        found = whole_document(internal::shown(name) + " twice",
+                               "each field at most once in an object");
+        return false;
+    }
+    bool parse_error(std::size_t position, const std::string& /*token*/,
+                     const json::exception& failure) override
+    {
+        found = whole_document("a fault at byte " + std::to_string(position),
+                               std::string("JSON text: ") + failure.what());
+        return false;
     }
 
+    std::optional<problem> found;
+
 private:
-    bool m_too_deep = false;
-    std::string m_repeated;
+    bool descend()
+    {
+        m_names.emplace_back();
+        if (m_names.size() <= max_depth) {
+            return true;
+        }
+        found = whole_document("deeper nesting",
+                               "at most " + std::to_string(max_depth) + " levels of nesting");
+        return false;
+    }
+
+    /// Names seen in each open object; empty for arrays.
     std::vector<std::unordered_set<std::string>> m_names;
 };
 
 std::variant<json, std::vector<problem>> read_json(std::string_view text)
 {
-    parse_guard guard;
-    json value;
-    try {
-        value = json::parse(text, std::ref(guard));
-    } catch (const json::exception& failure) {
-        return std::vector<problem>{whole_document(std::to_string(text.size()) + " bytes of text",
-                                                   std::string("JSON text: ") + failure.what())};
-    }
-    if (guard.too_deep()) {
-        return std::vector<problem>{whole_document(
-            "deeper nesting", "at most " + std::to_string(max_depth) + " levels of nesting")};
-    }
-    if (!guard.repeated().empty()) {
-        return std::vector<problem>{whole_document("\"" + guard.repeated() + "\" twice",
-                                                   "each field at most once in an object")};
-    }
-    return value;
+    structure_check check;
+    json::sax_parse(text, &check);
+    if (check.found) {
+        return std::vector<problem>{*check.found};
+    }
+    return json::parse(text);
 }
 
 template <typename T>
--- a/src/config/tests/parse_test.cpp
+++ b/src/config/tests/parse_test.cpp
@@ -200,6 +200,33 @@
         CHECK(has_problem_at(problems, "/sites/0/extra"));
         CHECK(has_problem_at(problems, "/sites/0/more"));
     }
+    SUBCASE("with an unknown service gets no further problem about that service's capacity")
+    {
+        json value = jasmin();
+        value["accounts"][0]["services"][0] = "x";
+        const std::vector<problem> problems = problems_of(value);
+        CAPTURE(to_text(problems));
+        REQUIRE(problems.size() == 1);
+        CHECK(problems.front().pointer == "/accounts/0/services/0");
+    }
+    // Quadratic checks take minutes here and exceed the time limit of the test.
+    SUBCASE("of the target size, 340,000 client blocks, is read")
+    {
+        json value = jasmin();
+        json blocks = json::array();
+        for (int index = 0; index < 340000; ++index) {
+            const std::string cidr = std::to_string(20 + index / 65536) + "." +
+                                     std::to_string(index / 256 % 256) + "." +
+                                     std::to_string(index % 256) + ".0/24";
+            blocks.push_back({{"cidr", cidr}, {"site", "gabes"}});
+        }
+        value["client_blocks"] = std::move(blocks);
+        CHECK(problems_of(value).empty());
+        value["client_blocks"][339999]["cidr"] = "20.0.0.0/25";
+        const std::vector<problem> problems = problems_of(value);
+        REQUIRE(problems.size() == 1);
+        CHECK(problems.front().pointer == "/client_blocks/339999/cidr");
+    }
     SUBCASE("that is not JSON, nested too deeply or repeats a field is refused as a whole")
     {
         const std::string deep = std::string(100000, '[') + std::string(100000, ']');
