Add snipeshorectl and the publishing of documents

Operators publish the configuration, keys and drains through the platform's store, whose replies get lost and where other operators publish at the same time. A command must not report in force what is not, nor the reverse.

There is no flag for the secret itself, because command lines are visible to other users.

The stand-in gets down_after_writes, which loses the reply of the n-th write and goes down, for outcomes that stay unknown.

--- /dev/null
+++ b/src/apps/ctl/main.cpp
@@ -0,0 +1,129 @@
+/// @file Operator command.
+#include "apps/ctl/command_context.h"
+#include "apps/ctl/commands.h"
+#include "settings/settings.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+DEFINE_string(store_address, "", "Address of the platform's store, ip:port.");
+DEFINE_string(client_id, "snipeshorectl", "Name towards the store.");
+DEFINE_bool(json, false, "Print JSON instead of tables and text.");
+DEFINE_int64(timeout_ms, 30000, "Time in which failed calls are repeated.");
+DEFINE_int64(call_timeout_ms, 3000, "Time for one call.");
+DEFINE_string(fleet_secret_file, "", "File with the secret of the fleet.");
+DEFINE_int64(base, -1, "Publish only if this version is in force; -1: any.");
+DEFINE_uint64(above, 0, "Publish with a version above this one.");
+DEFINE_string(admin, "", "Admin addresses, separated by commas.");
+DEFINE_string(config_file, "", "Configuration file with the admin addresses.");
+
+using namespace snipeshore;
+
+namespace {
+
+constexpr std::int64_t max_timeout_ms = 3'600'000;
+
+std::vector<std::string> split(const std::string& text)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(text);
+    std::string part;
+    while (std::getline(stream, part, ',')) {
+        if (!part.empty()) {
+            parts.push_back(part);
+        }
+    }
+    return parts;
+}
+
+/// There is no flag for the secret itself: command lines are visible to other users.
+std::string read_secret()
+{
+    if (!FLAGS_fleet_secret_file.empty()) {
+        return settings::read_text_file(FLAGS_fleet_secret_file);
+    }
+    const char* value = std::getenv("SNIPESHORE_FLEET_SECRET");
+    return value == nullptr ? "" : value;
+}
+
+apps::ctl_options read_options()
+{
+    apps::ctl_options options;
+    options.store_address = FLAGS_store_address;
+    options.client_id = FLAGS_client_id;
+    options.secret = read_secret();
+    options.json = FLAGS_json;
+    options.above = FLAGS_above;
+    if (FLAGS_base >= 0) {
+        options.base = static_cast<std::uint64_t>(FLAGS_base);
+    }
+    options.give_up_after = std::chrono::milliseconds(FLAGS_timeout_ms);
+    options.call_deadline = std::chrono::milliseconds(FLAGS_call_timeout_ms);
+    options.admin_addresses = split(FLAGS_admin);
+    options.config_file = FLAGS_config_file;
+    return options;
+}
+
+std::vector<std::string> check_flags()
+{
+    settings::checker checks;
+    checks.address("store_address", FLAGS_store_address, false)
+        .readable_file("fleet_secret_file", FLAGS_fleet_secret_file)
+        .range("timeout_ms", FLAGS_timeout_ms, 0, max_timeout_ms)
+        .range("call_timeout_ms", FLAGS_call_timeout_ms, 1, max_timeout_ms);
+    for (const std::string& address : split(FLAGS_admin)) {
+        checks.address("admin", address, true);
+    }
+    return checks.problems();
+}
+
+/// The arguments without flags if they ask for help.
+std::optional<std::vector<std::string>> command_with_help(const std::vector<std::string>& raw)
+{
+    std::vector<std::string> words;
+    bool asks = false;
+    for (const std::string& argument : raw) {
+        asks = asks || argument == "--help" || argument == "-help" || argument == "-h";
+        if (argument.rfind('-', 0) != 0) {
+            words.push_back(argument);
+        }
+    }
+    if (!asks) {
+        return std::nullopt;
+    }
+    words.emplace_back("--help");
+    return words;
+}
+
+int run(const apps::ctl_options& options, const std::vector<std::string>& arguments)
+{
+    return static_cast<int>(
+        apps::run_command({options, arguments, std::cin, std::cout, std::cerr}));
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    // gflags would answer --help with every flag of every library.
+    if (const auto command = command_with_help(std::vector<std::string>(argv + 1, argv + argc))) {
+        return run({}, *command);
+    }
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    int only_program = 1;
+    std::vector<std::string> problems = settings::load(&only_program, &argv);
+    const std::vector<std::string> wrong_flags = check_flags();
+    problems.insert(problems.end(), wrong_flags.begin(), wrong_flags.end());
+    if (!problems.empty()) {
+        settings::report(problems);
+        return static_cast<int>(apps::exit_code::usage);
+    }
+    return run(read_options(), arguments);
+}
--- a/tests/standins/platform/platform_server.cpp
+++ b/tests/standins/platform/platform_server.cpp
@@ -72,6 +72,7 @@
 {
     faults.slow_ms = std::chrono::milliseconds(wanted.value("slow_ms", faults.slow_ms.count()));
     faults.down = wanted.value("down", faults.down);
+    faults.down_after_writes = wanted.value("down_after_writes", faults.down_after_writes);
     faults.host_list_lag_ms = std::chrono::milliseconds(
         wanted.value("host_list_lag_ms", faults.host_list_lag_ms.count()));
     if (wanted.contains("lose_replies")) {
@@ -272,15 +273,27 @@
     reply(from, 200, "{}");
 }
 
-void platform_server::reply_to_write(const exchange_ptr& from, int status, const std::string& body)
+bool platform_server::loses_reply()
 {
+    if (m_faults.down_after_writes != 0 && --m_faults.down_after_writes == 0) {
+        m_faults.down = true;
+        return true;
+    }
     if (m_faults.lose_replies == 0) {
-        reply(from, status, body);
-        return;
+        return false;
     }
     if (m_faults.lose_replies != all_replies) {
         --m_faults.lose_replies;
     }
+    return true;
+}
+
+void platform_server::reply_to_write(const exchange_ptr& from, int status, const std::string& body)
+{
+    if (!loses_reply()) {
+        reply(from, status, body);
+        return;
+    }
     ++m_stats.lost_replies;
     break_off(from);
 }
--- a/tests/standins/platform/platform_server.h
+++ b/tests/standins/platform/platform_server.h
@@ -36,6 +36,9 @@
     bool down = false;                    ///< Connections break off and nothing takes effect.
     /// Writes that take effect while their connection breaks off; `true` in the JSON means all.
     std::uint64_t lose_replies = 0;
+    /// After this many writes have taken effect, the last one's reply is lost and `down` is set; 0
+    /// is never.
+    std::uint64_t down_after_writes = 0;
     std::set<std::string> cut; ///< Clients, by header `Snipeshore-Client`, treated as with `down`.
     std::chrono::milliseconds host_list_lag_ms{0};
 };
@@ -74,6 +77,7 @@
     void list_hosts(const exchange_ptr& from);
     void change_host(const exchange_ptr& from, const std::string& id);
     void set_switches(const exchange_ptr& from);
+    bool loses_reply();
     void reply_to_write(const exchange_ptr& from, int status, const std::string& body);
     void break_off(const exchange_ptr& from);
 
