--- a/src/limits/share_ledger.h
+++ b/src/limits/share_ledger.h
@@ -71,6 +71,9 @@
 /// Another host stopped using a loan. An unknown loan is ignored.
 void take_back(share_ledger& ledger, std::uint64_t loan, base::time_point now);
 
+/// Version of the layout in force; the host reports it to the fleet only after `install_layout`.
+base::document_version version_in_force(const share_ledger& ledger);
+
 /// True once own shares are in use without a restriction by an older layout or a start.
 bool uses_full_share(const share_ledger& ledger, base::time_point now);
 
--- a/src/limits/types/share_ledger.h
+++ b/src/limits/types/share_ledger.h
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -51,9 +50,11 @@
     base::host_id lender;
     std::optional<held_loan> held;
     std::uint64_t pending_request = 0; ///< 0: none.
+    double pending_rate = 0;           ///< Asked for above what is held.
     double pending_tokens = 0;
     base::time_point pending_since;
-    base::time_point ask_again; ///< Not asked before this time after it had nothing to lend.
+    base::time_point ask_again; ///< Not asked before this time after it had too little to lend.
+    unsigned refusals = 0;      ///< In sequence; each one doubles the pause.
 };
 
 /// Loans of one account that one borrower may be using. It uses one of them, so the largest rate
@@ -66,15 +67,22 @@
 
 /// Token bucket and loans of one active account.
 struct account_state {
-    std::uint64_t layout_revision = 0; ///< For which `own` and `homes` were computed.
+    std::uint64_t layout_revision = 0; ///< For which the placement below was computed.
+    std::uint64_t hosts_revision = 0;  ///< For which the homes were computed.
+    bool configured = true;            ///< In the current layout.
+    bool is_home = false;              ///< This host is a home under the current layout.
     share own;
-    std::vector<std::uint32_t> homes; ///< Positions in the layout's hosts, own domain first.
+    share per_home;                   ///< What each home of the current layout owns.
+    std::vector<std::uint32_t> homes; ///< Other homes: positions in the layout, own domain first.
     double tokens = 0;
+    double rate = 0;             ///< Refill rate now: own and held, without what is lent.
+    double capacity = 0;         ///< Of the bucket now, in the same way.
+    base::time_point next_event; ///< Next end of a loan; `rate` and `capacity` hold until then.
     base::time_point refilled;
     double demand = 0; ///< Estimated requests per second, admitted or not.
     base::time_point demand_at;
     std::size_t waiting = 0;
-    std::vector<lender_state> lenders;
+    std::vector<lender_state> lenders; ///< Empty, or in the order of `homes`, then former homes.
     std::vector<borrower_state> borrowers;
 };
 
@@ -88,14 +96,19 @@
     std::vector<std::shared_ptr<const prepared_layout>> older; ///< Not confirmed by all hosts.
     bool history_unknown = true; ///< Older layouts may exist that this process never saw.
     std::optional<base::time_point> older_end; ///< When `older` stops to count.
-    std::uint64_t revision = 0;
+    base::failure_domain_id own_domain;        ///< Under the current layout.
+    std::uint64_t hosts_revision = 0;          ///< Of the current layout's hosts.
+    std::uint64_t revision = 0;                ///< Of own shares and homes.
+    base::time_point revised_at;
     base::time_point shares_since; ///< Last change of hosts: inactive buckets refill from here.
+    /// The same for accounts whose limits changed.
+    std::unordered_map<base::account_id, base::time_point> limits_since;
     std::uint64_t next_request = 1;
     std::uint64_t next_loan = 1;
-    std::size_t granted_loans = 0;
     std::unordered_map<base::account_id, account_state> accounts;
     std::unordered_map<std::uint64_t, base::account_id> pending;      ///< Request to account.
     std::unordered_map<std::uint64_t, base::account_id> loan_account; ///< Granted loan to account.
+    std::vector<loan_return> returns; ///< Not yet taken by `plan_returns`.
 };
 
 enum class admit_verdict : std::uint8_t {
@@ -110,6 +123,7 @@
     admit_verdict verdict = admit_verdict::rate_exceeded;
     base::duration retry_after{0}; ///< With `rate_exceeded`.
     base::time_point wait_ends;    ///< With `wait`: refused at the latest then.
+    base::time_point check_at;     ///< With `wait`: ask again then if no loan arrived before.
 };
 
 /// Figures for metrics and the state dump.
