Add local parts of regions for deciders asked by near callers

Cause: with equal parts a decider that is only asked by callers near it can use a small part of its own region.

Ruled out: dividing by measured demand, because parts that depend on measurements do not add up to one while views differ. set_local_parts takes the split from the document alone; equal parts remain the default.

Conclusion: whoever runs the deciders chooses by how callers reach the look-ups.

--- a/src/steering/plan.cpp
+++ b/src/steering/plan.cpp
@@ -170,4 +170,38 @@
     return result;
 }
 
+void set_local_parts(plan& plan, const config::document& document, const base::host_id& self,
+                     double local)
+{
+    const auto domains = make_index<base::failure_domain_id>(document.failure_domains);
+    std::vector<double> hosts(plan.regions.size(), 0.0);
+    std::optional<std::uint16_t> own_region;
+    double total = 0;
+    for (const config::host& host : document.hosts) {
+        const auto domain = find_index(domains, host.failure_domain);
+        if (!domain) {
+            continue;
+        }
+        const std::uint16_t region = plan.domains[*domain].region;
+        hosts[region] += 1;
+        total += 1;
+        if (host.id == self) {
+            own_region = region;
+        }
+    }
+    const double fraction = clamp_fraction(local);
+    for (std::size_t region = 0; region < plan.regions.size(); ++region) {
+        double& part = plan.regions[region].part;
+        if (!own_region) {
+            part = 0;
+        } else if (hosts[region] == 0 || hosts[region] == total) {
+            part = 1 / total;
+        } else if (region == *own_region) {
+            part = fraction / hosts[region];
+        } else {
+            part = (1 - fraction) / (total - hosts[region]);
+        }
+    }
+}
+
 } // namespace snipeshore::steering
--- a/src/steering/tests/decide_test.cpp
+++ b/src/steering/tests/decide_test.cpp
@@ -374,3 +374,37 @@
         }
     }
 }
+
+// Guards against callers that are sent away from their own region, far below its capacity, because
+// only the deciders of that region are asked for them.
+TEST_CASE("with local parts a decider keeps the callers of its own region at home")
+{
+    bench::fleet_shape shape;
+    shape.hosts_per_domain = 3;
+    const config::document document = bench::make_document(shape);
+    const auto own_load = [](const plan& plan) {
+        inputs view;
+        view.demand.assign(12, 0);
+        // Half of the usable capacity of region 0, spread over its six deciders.
+        view.demand[0] = view.demand[2] = 0.25 * 4800 / 6;
+        view.demand_taken = base::time_point(1h);
+        const auto weights = decide(plan, view, {}, view.demand_taken).state.weights.weights;
+        return (weights[0] + weights[2 * 6 + 1]) / (2.0 * full_weight);
+    };
+    const plan equal = base::value_of(make_plan(document));
+    CHECK(own_load(equal) < 0.7);
+    std::vector<double> sums(3, 0.0);
+    for (const config::host& host : document.hosts) {
+        plan local = equal;
+        set_local_parts(local, document, host.id, 0.7);
+        for (std::size_t region = 0; region < 3; ++region) {
+            sums[region] += local.regions[region].part;
+        }
+        if (host.failure_domain.value() == "domain-0") {
+            CHECK(own_load(local) == 1);
+        }
+    }
+    for (const double sum : sums) {
+        CHECK(sum == doctest::Approx(1));
+    }
+}
