End aborted responses of callers that have stopped reading

A response aborted while a piece was in flight waited for a caller that no longer read, and with it a drain. On HTTP/1 the connection is now reset after one second; on HTTP/2 only the request's stream could be meant and h2o offers no way to reset it, so it waits for the caller or its connection's end. Keep-alive probes find callers that vanished. A new test shows that HTTP/2 bodies over the bound are refused by a reset of their stream only.

--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -18,6 +18,9 @@
 constexpr int http_2_0 = 0x200;
 constexpr int status_internal_error = 500;
 
+/// Time in which a piece in flight may still reach the caller after `abort`.
+constexpr std::chrono::milliseconds abort_grace{1000};
+
 /// Headers that h2o writes itself.
 constexpr std::array<std::string_view, 2> own_headers = {"date", "server"};
 
@@ -78,6 +81,13 @@
     setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 }
 
+/// Resets the connection, also while data waits to be sent.
+void reset_now(int descriptor)
+{
+    const sockaddr nowhere{AF_UNSPEC, {}};
+    connect(descriptor, &nowhere, sizeof(nowhere)); // NOLINT(bugprone-unused-return-value)
+}
+
 } // namespace
 
 struct server_exchange::pool_slot {
@@ -215,7 +225,21 @@
     m_is_aborted = true;
     if (!m_is_sending) {
         send_error();
+        return;
     }
+    schedule_reset();
+}
+
+void server_exchange::schedule_reset()
+{
+    // A caller that has stopped reading would keep the request, and a drain, waiting. HTTP/2 has no
+    // such way out: a reset would break the caller's other requests.
+    m_loop->schedule(base::boot_clock::now() + abort_grace, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->is_http1()) {
+            reset_now(connection_of(*self->m_request)->descriptor);
+        }
+    });
 }
 
 void server_exchange::on_writable(std::function<void()> callback)
--- a/src/http/internal/server_exchange.h
+++ b/src/http/internal/server_exchange.h
@@ -66,6 +66,7 @@
     void detach();
     void report_closed();
     void schedule_flush();
+    void schedule_reset();
 
     server::impl* m_owner;
     loop* m_loop;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -31,6 +31,17 @@
     return base::error{base::error_kind::bad_setting, std::move(detail)};
 }
 
+/// Lets the kernel notice callers that vanish without closing their connection.
+void enable_keep_alive(int descriptor)
+{
+    const int on = 1;
+    const int idle_s = 60;
+    const int interval_s = 10;
+    setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+}
+
 void on_connection_closed(void* data)
 {
     const auto* connection = static_cast<server_connection*>(data);
@@ -191,6 +202,7 @@
     connection->descriptor = h2o_socket_get_fd(socket);
     socket->on_close.cb = on_connection_closed;
     socket->on_close.data = connection.get();
+    enable_keep_alive(connection->descriptor);
     m_watch->add(connection->descriptor, connection->id);
     connections.emplace(connection->id, std::move(connection));
     h2o_accept(&m_accept, socket);
--- a/src/http/tests/server_test.cpp
+++ b/src/http/tests/server_test.cpp
@@ -116,6 +116,60 @@
     std::string m_folder;
 };
 
+constexpr int frame_data = 0;
+constexpr int frame_headers = 1;
+constexpr int frame_reset = 3;
+constexpr int frame_settings = 4;
+constexpr int flag_end_stream = 1;
+constexpr int flag_end_headers = 4;
+constexpr std::size_t frame_head_bytes = 9;
+
+struct http2_frame {
+    int type = -1;
+    int stream = 0;
+    std::string payload;
+};
+
+std::string make_frame(int type, int flags, int stream, const std::string& payload)
+{
+    const std::size_t size = payload.size();
+    std::string out;
+    for (const std::size_t byte : {size >> 16U, size >> 8U, size}) {
+        out += static_cast<char>(byte & 0xffU);
+    }
+    out += static_cast<char>(type);
+    out += static_cast<char>(flags);
+    out += std::string(3, '\0') + static_cast<char>(stream);
+    return out + payload;
+}
+
+std::string read_bytes(int descriptor, std::size_t count)
+{
+    std::string out(count, '\0');
+    const ssize_t got = recv(descriptor, out.data(), count, MSG_WAITALL);
+    out.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
+    return out;
+}
+
+/// Reads frames until one of that stream comes; type -1 at the end of the connection.
+http2_frame read_frame_of(int descriptor, int stream)
+{
+    while (true) {
+        const std::string head = read_bytes(descriptor, frame_head_bytes);
+        if (head.size() != frame_head_bytes) {
+            return {};
+        }
+        const auto byte = [&](std::size_t at) {
+            return static_cast<unsigned char>(head[at]);
+        };
+        const std::size_t size = (byte(0) << 16U) | (byte(1) << 8U) | byte(2);
+        http2_frame seen{byte(3), byte(8), read_bytes(descriptor, size)};
+        if (seen.stream == stream) {
+            return seen;
+        }
+    }
+}
+
 /// Breaks its response off after a piece.
 void answer_and_abort(const std::shared_ptr<exchange>& from, std::optional<std::uint64_t> length)
 {
@@ -170,6 +224,76 @@
     }
 }
 
+TEST_CASE("an abort ends the request of a caller that has stopped reading")
+{
+    loop on;
+    std::shared_ptr<exchange> held;
+    std::size_t written = 0;
+    server serving(on, [&](const std::shared_ptr<exchange>& from) {
+        held = from;
+        const auto send = [&, raw = from.get()] {
+            written += 65536;
+            raw->write(std::string(65536, 'x'));
+        };
+        from->on_writable(send);
+        from->start_answer({});
+        send();
+    });
+    REQUIRE(base::is_ok(serving.listen(loopback())));
+    std::string version = "1.1";
+    SUBCASE("with chunks") {}
+    SUBCASE("with HTTP/1.0, where the close would end the response")
+    {
+        version = "1.0";
+    }
+    const int descriptor = connect_to(serving.bound_address());
+    write_all(descriptor, "GET / HTTP/" + version + "\r\nhost: a\r\n\r\n");
+    std::size_t last = 0;
+    int quiet_rounds = 0;
+    REQUIRE(run_until(on, [&] {
+        quiet_rounds = written == last && written != 0 ? quiet_rounds + 1 : 0;
+        last = written;
+        return quiet_rounds == 20;
+    }));
+    held->abort();
+    CHECK(run_until(on, [&] { return serving.active_requests() == 0; }));
+    CHECK(run_until(on, [&] { return serving.open_connections() == 0; }));
+    bool was_reset = false;
+    read_all(descriptor, &was_reset);
+    close(descriptor);
+    CHECK(was_reset);
+}
+
+TEST_CASE("a refused HTTP/2 body leaves the caller's other requests alone")
+{
+    loop on;
+    std::shared_ptr<exchange> held;
+    server serving(on, [&](const std::shared_ptr<exchange>& from) { held = from; });
+    server_settings settings = loopback();
+    settings.max_request_bytes = 1000;
+    REQUIRE(base::is_ok(serving.listen(settings)));
+    const int descriptor = connect_to(serving.bound_address());
+    write_all(descriptor, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" +
+                              make_frame(frame_settings, 0, 0, "") +
+                              make_frame(frame_headers, flag_end_headers | flag_end_stream, 1,
+                                         "\x82\x86\x84\x41\x01"
+                                         "a") +
+                              make_frame(frame_headers, flag_end_headers, 3,
+                                         "\x83\x86\x84\x41\x01"
+                                         "a") +
+                              make_frame(frame_data, flag_end_stream, 3, std::string(1001, 'x')));
+    const auto refusal = beside(on, [&] { return read_frame_of(descriptor, 3); });
+    CHECK(refusal.type == frame_reset);
+    REQUIRE(held);
+    held->answer({}, "whole");
+    const auto head = beside(on, [&] { return read_frame_of(descriptor, 1); });
+    CHECK(head.type == frame_headers);
+    const auto body = beside(on, [&] { return read_frame_of(descriptor, 1); });
+    CHECK(body.type == frame_data);
+    CHECK(body.payload == "whole");
+    close(descriptor);
+}
+
 TEST_CASE("a response whose length does not hold is broken off")
 {
     loop on;
