Document limits of the http server and loop

Callers of the interfaces need to know what h2o decides: the idle time of HTTP/1.1 connections, how HTTP/2 refuses bodies, half-closed callers.

--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -33,6 +33,7 @@
     virtual void start_answer(response_head head) = 0;
 
     /// Sends a piece. At most one piece is in flight: the next may follow after `on_writable`.
+    /// A response whose pieces do not add up to its content length is aborted.
     virtual void write(std::string piece) = 0;
 
     /// Ends a streamed answer as complete.
--- a/src/http/loop.h
+++ b/src/http/loop.h
@@ -12,7 +12,8 @@
 /// Handle of a scheduled callback; 0 is none.
 using timer_id = std::uint64_t;
 
-/// Runs an h2o event loop. All functions but `post` and `stop` belong to the loop's thread.
+/// Runs an h2o event loop. All functions but `post` and `stop` belong to the loop's thread. Ignores
+/// SIGPIPE for the process. Timers follow the boot clock, so a jump of the wall clock moves none.
 class loop {
 public:
     loop();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -19,15 +19,19 @@
     std::string address;          ///< "ip:port"; port 0 picks a free one.
     std::string certificate_file; ///< PEM; empty means no TLS.
     std::string key_file;
+    /// A larger body is refused: HTTP/1.1 with 413, HTTP/2 by a reset of the stream.
     std::size_t max_request_bytes = 1U << 20U;
-    std::chrono::milliseconds idle_timeout{60000};
+    std::chrono::milliseconds idle_timeout{60000}; ///< HTTP/2 connections without a request.
+    /// Time to receive a request; h2o applies it to idle HTTP/1.1 connections as well.
     std::chrono::milliseconds request_timeout{10000};
-    std::size_t max_connections = 10000;
+    std::size_t max_connections = 10000; ///< Further ones wait in the listen backlog.
 };
 
 using request_handler = std::function<void(std::shared_ptr<exchange>)>;
 
-/// Listens on one address. Belongs to the loop's thread.
+/// Listens on one address. Belongs to the loop's thread; the loop has to outlive it. A caller that
+/// closes its sending side while its request runs counts as gone. The destructor breaks off what
+/// still runs and calls no callback.
 class server {
 public:
     server(loop& owner, request_handler handler);
@@ -48,7 +52,8 @@
     std::size_t active_requests() const;
 
     /// Stops accepting, tells connections to close after their requests (HTTP/2: GOAWAY) and calls
-    /// `on_idle` when no request is left.
+    /// `on_idle` when no request is left. Requests that arrive on open connections shortly after
+    /// are still served, as HTTP/1.1 cannot announce the drain on an idle connection.
     void drain(std::function<void()> on_idle);
 
     /// For the module's own implementation.
