--- a/src/apps/ctl/command_context.h
+++ b/src/apps/ctl/command_context.h
@@ -11,7 +11,7 @@
 namespace snipeshore::apps {
 
 struct ctl_options {
-    std::string store_address;
+    std::string platform;
     std::string client_id = "snipeshorectl";
     std::string secret; ///< Fleet secret; never printed.
     bool json = false;
--- a/src/apps/ctl/configuration_commands.cpp
+++ b/src/apps/ctl/configuration_commands.cpp
@@ -88,7 +88,7 @@
     }
     const auto store = open_store(context);
     if (!store) {
-        return usage_error(context, "--store_address is required");
+        return usage_error(context, "--platform is required");
     }
     const std::string text = config::to_text(std::get<config::document>(loaded));
     publish_request request;
@@ -110,7 +110,7 @@
     }
     const auto store = open_store(context);
     if (!store) {
-        return usage_error(context, "--store_address is required");
+        return usage_error(context, "--platform is required");
     }
     const auto stored = read_document(*store, name);
     if (!base::is_ok(stored)) {
--- a/src/apps/ctl/document_access.cpp
+++ b/src/apps/ctl/document_access.cpp
@@ -17,11 +17,11 @@
 
 std::unique_ptr<store_session> open_store(const command_context& context)
 {
-    if (context.options.store_address.empty()) {
+    if (context.options.platform.empty()) {
         return nullptr;
     }
     platform::store_settings settings;
-    settings.address = context.options.store_address;
+    settings.address = context.options.platform;
     settings.client_id = context.options.client_id;
     settings.deadline = context.options.call_deadline;
     return std::make_unique<store_session>(settings);
--- a/src/apps/ctl/drain_commands.cpp
+++ b/src/apps/ctl/drain_commands.cpp
@@ -129,7 +129,7 @@
     }
     const auto store = open_store(context);
     if (!store) {
-        return usage_error(context, "--store_address is required");
+        return usage_error(context, "--platform is required");
     }
     const auto configuration = read_configuration(*store);
     if (!base::is_ok(configuration)) {
@@ -161,7 +161,7 @@
     }
     const auto store = open_store(context);
     if (!store) {
-        return usage_error(context, "--store_address is required");
+        return usage_error(context, "--platform is required");
     }
     return publish_drains(
         context, *store,
--- a/src/apps/ctl/fleet_commands.cpp
+++ b/src/apps/ctl/fleet_commands.cpp
@@ -47,9 +47,9 @@
         }
         return addresses_in(std::get<0>(parsed));
     }
-    if (options.store_address.empty()) {
+    if (options.platform.empty()) {
         return base::error{base::error_kind::bad_setting,
-                           "one of --admin, --config_file, --store_address is required"};
+                           "one of --admin, --config_file, --platform is required"};
     }
     const auto configuration = read_configuration(store);
     if (!base::is_ok(configuration)) {
@@ -87,7 +87,7 @@
         return usage_error(context, "no arguments expected");
     }
     platform::store_settings settings;
-    settings.address = context.options.store_address;
+    settings.address = context.options.platform;
     settings.client_id = context.options.client_id;
     settings.deadline = context.options.call_deadline;
     store_session session(settings);
--- a/src/apps/ctl/keys_commands.cpp
+++ b/src/apps/ctl/keys_commands.cpp
@@ -184,7 +184,7 @@
     }
     const auto store = open_store(context);
     if (!store) {
-        return usage_error(context, "--store_address is required");
+        return usage_error(context, "--platform is required");
     }
     if (action == "grant") {
         return grant(context, *store, arguments[1]);
--- a/src/apps/ctl/main.cpp
+++ b/src/apps/ctl/main.cpp
@@ -11,7 +11,7 @@
 #include <optional>
 #include <sstream>
 
-DEFINE_string(store_address, "", "Address of the platform's store, ip:port.");
+DEFINE_string(platform, "", "Address of the platform's store, ip:port.");
 DEFINE_string(client_id, "snipeshorectl", "Name towards the store.");
 DEFINE_bool(json, false, "Print JSON instead of tables and text.");
 DEFINE_int64(timeout_ms, 30000, "Time in which failed calls are repeated.");
@@ -54,7 +54,7 @@
 apps::ctl_options read_options()
 {
     apps::ctl_options options;
-    options.store_address = FLAGS_store_address;
+    options.platform = FLAGS_platform;
     options.client_id = FLAGS_client_id;
     options.secret = read_secret();
     options.json = FLAGS_json;
@@ -72,7 +72,7 @@
 std::vector<std::string> check_flags()
 {
     settings::checker checks;
-    checks.address("store_address", FLAGS_store_address, false)
+    checks.address("platform", FLAGS_platform, false)
         .readable_file("fleet_secret_file", FLAGS_fleet_secret_file)
         .range("timeout_ms", FLAGS_timeout_ms, 0, max_timeout_ms)
         .range("call_timeout_ms", FLAGS_call_timeout_ms, 1, max_timeout_ms);
--- a/src/apps/ctl/publication.cpp
+++ b/src/apps/ctl/publication.cpp
@@ -1,36 +1,44 @@
 #include "apps/ctl/publication.h"
 
 #include "config/key_hash.h"
-
-#include <nlohmann/json.hpp>
+#include "documents/publishing.h"
+#include "documents/text.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace snipeshore::apps {
 
-using nlohmann::json;
+namespace {
+
+/// Hosts apply patches to the canonical form, so that is what is published.
+std::string canonical(std::string text)
+{
+    auto form = documents::canonical_text(text);
+    return base::is_ok(form) ? std::move(base::value_of(form)) : std::move(text);
+}
+
+} // namespace
 
 std::string row_key(const std::string& document)
 {
-    return "documents/" + document;
+    return documents::row_key(document);
 }
 
 std::string object_name(const std::string& document, std::uint64_t version)
 {
-    return row_key(document) + "/" + std::to_string(version);
+    return documents::text_object(document, base::document_version(version));
 }
 
 std::string patch_name(const std::string& document, std::uint64_t version)
 {
-    return object_name(document, version) + ".patch";
+    return documents::patch_object(document, base::document_version(version));
 }
 
 std::string to_text(const publication& source)
 {
-    return json{{"version", source.version},
-                {"digest", source.digest},
-                {"publication_id", source.publication_id}}
-        .dump();
+    return documents::encode(
+        {base::document_version(source.version), source.digest, source.publication_id, {}});
 }
 
 std::optional<published_state> read_state(const platform::row& row)
@@ -38,20 +46,12 @@
     if (row.version == 0) {
         return published_state{};
     }
-    try {
-        const json value = json::parse(row.value);
-        published_state state;
-        state.row_version = row.version;
-        state.current.version = value.at("version").get<std::uint64_t>();
-        state.current.digest = value.at("digest").get<std::string>();
-        state.current.publication_id = value.at("publication_id").get<std::string>();
-        if (state.current.version != 0) {
-            return state;
-        }
-    } catch (const json::exception&) {
+    const auto record = documents::decode(row.value);
+    if (!base::is_ok(record) || base::value_of(record).version.value() == 0) {
         return std::nullopt;
     }
-    return std::nullopt;
+    const documents::publication& found = base::value_of(record);
+    return published_state{row.version, {found.version.value(), found.digest, found.id}};
 }
 
 std::variant<write_plan, publish_outcome> plan_publication(const published_state& state,
@@ -63,7 +63,7 @@
     // A version at or below `above` loses against the fleet's and has to be published again.
     const bool is_high_enough = in_force > request.above;
     if (in_force != 0 && is_high_enough &&
-        config::digest(request.text_for(in_force)) == state.current.digest) {
+        config::digest(canonical(request.text_for(in_force))) == state.current.digest) {
         return publish_outcome::already_in_force;
     }
     if (request.base && *request.base != in_force) {
@@ -71,7 +71,7 @@
     }
     write_plan plan;
     plan.next.version = std::max({in_force, request.above, taken_version}) + 1;
-    plan.text = request.text_for(plan.next.version);
+    plan.text = canonical(request.text_for(plan.next.version));
     plan.next.digest = config::digest(plan.text);
     plan.next.publication_id = publication_id;
     plan.base_version = in_force;
@@ -85,12 +85,11 @@
     if (plan.base_version == 0 || plan.next.version != plan.base_version + 1) {
         return std::nullopt;
     }
-    const json before = json::parse(base_text, nullptr, false);
-    const json after = json::parse(plan.text, nullptr, false);
-    if (before.is_discarded() || after.is_discarded()) {
+    auto patch = documents::patch_between(base_text, plan.text);
+    if (!base::is_ok(patch)) {
         return std::nullopt;
     }
-    return json::diff(before, after).dump();
+    return std::move(base::value_of(patch));
 }
 
 row_verdict judge_row(const published_state& read, const write_plan& plan)
--- a/src/apps/ctl/publication.h
+++ b/src/apps/ctl/publication.h
@@ -14,7 +14,7 @@
 std::string object_name(const std::string& document, std::uint64_t version);
 std::string patch_name(const std::string& document, std::uint64_t version);
 
-/// JSON of the row's value: `{"version","digest","publication_id"}`.
+/// Value of the row, in the form that the hosts read.
 std::string to_text(const publication& source);
 
 /// Empty if the row's value is malformed. A row that does not exist is publication 0.
--- a/src/apps/ctl/tests/commands_test.cpp
+++ b/src/apps/ctl/tests/commands_test.cpp
@@ -65,7 +65,7 @@
 ctl_options options_for(const platform_thread& platform)
 {
     ctl_options options;
-    options.store_address = platform.address();
+    options.platform = platform.address();
     options.secret = secret;
     options.json = true;
     options.call_deadline = std::chrono::seconds(20);
--- a/src/apps/ctl/tests/publication_test.cpp
+++ b/src/apps/ctl/tests/publication_test.cpp
@@ -114,8 +114,9 @@
     CHECK(state->row_version == 3);
     CHECK(state->current.version == 7);
     CHECK(read_state({"documents/config", "", 0})->current.version == 0);
-    for (const char* value : {"", "{}", "[]", R"({"version":0,"digest":"","publication_id":""})",
-                              R"({"version":"1","digest":"","publication_id":""})"}) {
+    for (const char* value :
+         {"", "{}", "[]", R"({"version":0,"digest":"","id":"","previous_ids":[]})",
+          R"({"version":"1","digest":"","id":"","previous_ids":[]})"}) {
         CAPTURE(value);
         CHECK_FALSE(read_state({"documents/config", value, 3}));
     }
--- a/tests/demo/main.cpp
+++ b/tests/demo/main.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdio>
+#include <exception>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -166,8 +167,13 @@
           {"rake cycle", "rastrillo-control", "POST", "/rake-cycles", true},
           {"inspection footage", "video-rejillas", "GET", "/footage/bytes?n=8388608", false}}}};
     bool is_fine = true;
-    for (const deployment& wanted : deployments) {
-        is_fine = run(wanted) && is_fine;
+    try {
+        for (const deployment& wanted : deployments) {
+            is_fine = run(wanted) && is_fine;
+        }
+    } catch (const std::exception& failure) {
+        std::cerr << "error: " << failure.what() << '\n';
+        return 1;
     }
     std::printf(is_fine ? "all requests were answered as expected\n"
                         : "some requests were not answered as expected\n");
