Say which hosts a fleet view contains

A host that is dead and no longer listed must be left out: with an older version in the view it would block each later layout. Found by reading the entry's use.

--- a/src/limits/types/layout.h
+++ b/src/limits/types/layout.h
@@ -40,9 +40,11 @@
 
 /// What is known about other hosts, for changes of the layout.
 struct fleet_view {
-    std::vector<host_version> in_force; ///< Of all hosts that are not marked dead.
-    bool listed_known = false;          ///< False until the platform's host list was read once.
-    std::vector<base::host_id> listed;  ///< Hosts on the platform's list, live or leaving.
+    /// Last known version of every host, except of hosts that are marked dead and not listed. A
+    /// dead host that stays in here with an older version would block each later layout.
+    std::vector<host_version> in_force;
+    bool listed_known = false;         ///< False until the platform's host list was read once.
+    std::vector<base::host_id> listed; ///< Hosts on the platform's list, live or leaving.
 };
 
 } // namespace snipeshore::limits
