Serve the thin path from end to end

Cause: entries had no share and refused everything: a fresh entry needs the platform's host list to know that no older layout is in use, and the test platform listed no hosts; list changes alone did not reach the ledger. Ruled out: steering and keys, whose state in the dumps was right. Change: the fleet fixture lists its hosts; a change of the list updates the ledger; a dead host that is still listed counts with its last version.

--- a/src/apps/common/fleet_state.h
+++ b/src/apps/common/fleet_state.h
@@ -36,7 +36,7 @@
     bool config = false;
     bool keys = false;
     bool drains = false;
-    bool members = false;
+    bool members = false; ///< Also when the platform's host list changed.
     bool weights = false;
 };
 
--- a/src/apps/common/snapshot_client.cpp
+++ b/src/apps/common/snapshot_client.cpp
@@ -134,8 +134,12 @@
         m_state.members_revision = snapshot.members_revision;
         changes.members = true;
     }
-    m_state.listed_known = snapshot.listed_known;
-    m_state.listed_hosts = snapshot.listed_hosts;
+    if (snapshot.listed_known &&
+        (!m_state.listed_known || snapshot.listed_hosts != m_state.listed_hosts)) {
+        m_state.listed_known = true;
+        m_state.listed_hosts = snapshot.listed_hosts;
+        changes.members = true;
+    }
     if (snapshot.steering_revision != m_state.steering_revision) {
         m_state.weights = snapshot.weights;
         m_state.steering_revision = snapshot.steering_revision;
--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -276,6 +276,7 @@
     }
     balancing::request_info info;
     info.hash = base::stable_hash(m_request_id);
+    info.may_try = !is_once();
     info.excluded = excluded;
     return balancing::choose(m_pool->balancer, info, base::boot_clock::now());
 }
--- a/src/apps/entry/share_manager.cpp
+++ b/src/apps/entry/share_manager.cpp
@@ -35,7 +35,10 @@
 {
     limits::fleet_view view;
     for (const inner::host_record& record : fleet.members) {
-        if (record.status != inner::host_status::dead) {
+        // A dead host that is still listed may be frozen; it counts with its last version.
+        const bool is_listed = std::find(fleet.listed_hosts.begin(), fleet.listed_hosts.end(),
+                                         record.host) != fleet.listed_hosts.end();
+        if (record.status != inner::host_status::dead || is_listed) {
             view.in_force.push_back(
                 {record.host, base::document_version(record.entry_config_version)});
         }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -102,6 +102,7 @@
         }
     }
     for (const json& entry : m_document["hosts"]) {
+        list_host(entry);
         host_processes host;
         host.id = entry.at("id").get<std::string>();
         host.failure_domain = entry.at("failure_domain").get<std::string>();
@@ -165,6 +166,17 @@
     return addresses;
 }
 
+void fleet::list_host(const json& entry)
+{
+    const json listed{{"failure_domain", entry["failure_domain"]},
+                      {"agent_address", entry["agent_address"]},
+                      {"leaving", false}};
+    m_session.send({.address = m_platform_address,
+                    .method = "PUT",
+                    .path = "/hosts/" + entry["id"].get<std::string>(),
+                    .body = listed.dump()});
+}
+
 void fleet::start_agent(host_processes& host)
 {
     std::vector<std::string> flags{
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -104,6 +104,7 @@
     void lock_addresses();
     void write_document();
     std::string seed_agents() const;
+    void list_host(const nlohmann::json& entry);
     std::string log_file(const std::string& name) const;
 
     fleet_settings m_settings;
