agent: parse a document only when its version changed

Each change of the keys document parsed the whole configuration again, which is the largest document and changes rarely beside the keys. The parsed version is remembered now.

Also clears a lint finding in inner::node::watch, whose report has become larger.

--- a/src/apps/agent/agent_core.cpp
+++ b/src/apps/agent/agent_core.cpp
@@ -377,18 +377,7 @@
 
 void agent_core::on_documents_changed()
 {
-    const auto& config = m_documents.get("config");
-    const auto parsed = config::parse(config.text);
-    if (const auto* document = std::get_if<config::document>(&parsed)) {
-        m_config = *document;
-    } else if (config.version.value() > 0) {
-        telemetry::log_event(telemetry::severity::failure, "document_rejected",
-                             {{"name", "config"}, {"version", config.version.value()}});
-    }
-    const auto drains = config::parse_drains(m_documents.get("drains").text);
-    if (const auto* document = std::get_if<config::drains_document>(&drains)) {
-        m_drains = *document;
-    }
+    parse_documents();
     m_weights_stale = true;
     publish_self();
     // Each host that gets a version passes it on at once, so it reaches all in a few round trips.
@@ -396,6 +385,32 @@
     answer_watches();
 }
 
+void agent_core::parse_documents()
+{
+    const auto& config = m_documents.get("config");
+    if (config.version != m_parsed_config) {
+        m_parsed_config = config.version;
+        auto parsed = config::parse(config.text);
+        if (auto* document = std::get_if<config::document>(&parsed)) {
+            m_config = std::move(*document);
+        } else {
+            telemetry::log_event(telemetry::severity::failure, "document_rejected",
+                                 {{"name", "config"}, {"version", config.version.value()}});
+        }
+    }
+    const auto& drains = m_documents.get("drains");
+    if (drains.version != m_parsed_drains) {
+        m_parsed_drains = drains.version;
+        auto parsed = config::parse_drains(drains.text);
+        if (auto* document = std::get_if<config::drains_document>(&parsed)) {
+            m_drains = std::move(*document);
+        } else {
+            telemetry::log_event(telemetry::severity::failure, "document_rejected",
+                                 {{"name", "drains"}, {"version", drains.version.value()}});
+        }
+    }
+}
+
 void agent_core::on_contact(base::time_point when)
 {
     if (!m_last_contact || *m_last_contact < when) {
--- a/src/apps/agent/agent_core.h
+++ b/src/apps/agent/agent_core.h
@@ -128,6 +128,7 @@
     void drop_silent_entry(base::time_point now);
     void publish_self();
     void on_documents_changed();
+    void parse_documents();
     void on_contact(base::time_point when);
     void refresh_weights(base::time_point now);
     bool has_news(const inner::cursor& from) const;
@@ -156,6 +157,8 @@
     base::time_point m_next_probe{};
     base::time_point m_next_beat{};
     std::optional<base::time_point> m_last_contact;
+    base::document_version m_parsed_config;
+    base::document_version m_parsed_drains;
     std::optional<config::document> m_config;
     config::drains_document m_drains;
     std::vector<inner::site_weights> m_weights;
--- a/src/inner/node.cpp
+++ b/src/inner/node.cpp
@@ -277,13 +277,14 @@
 void node::watch(const std::string& address, cursor from, process_report report,
                  base::time_point deadline, reply_callback<snapshot> done)
 {
-    m_impl->call<snapshot>(address, deadline, std::move(done),
-                           [from = std::move(from), report](rpc::Node::Client& peer) {
-                               auto request = peer.watchRequest();
-                               wire::write(params_of(request), from, report);
-                               return request.send().then(
-                                   [](auto&& reply) { return wire::read(reply.getSnapshot()); });
-                           });
+    m_impl->call<snapshot>(
+        address, deadline, std::move(done),
+        [from = std::move(from), report = std::move(report)](rpc::Node::Client& peer) {
+            auto request = peer.watchRequest();
+            wire::write(params_of(request), from, report);
+            return request.send().then(
+                [](auto&& reply) { return wire::read(reply.getSnapshot()); });
+        });
 }
 
 void node::exchange(const std::string& address, exchange_request request, base::time_point deadline,
