Let snipeshorectl publish through the documents module

The agents read the row with documents::decode and rebuild texts from patches byte for byte. The publisher wrote another row value and an indented text, so agents would have refused the row and every patch.

The publication's plan, row value, object names and the judgement of a row after a lost reply now come from module documents. The ids of earlier publications in the row tell a publisher whose reply was lost that it was in force even when others followed.

--- a/src/apps/ctl/configuration_commands.cpp
+++ b/src/apps/ctl/configuration_commands.cpp
@@ -2,7 +2,6 @@
 #include "apps/ctl/commands.h"
 #include "apps/ctl/document_access.h"
 #include "apps/ctl/output.h"
-#include "apps/ctl/publication.h"
 #include "config/diff.h"
 #include "config/parse.h"
 
@@ -91,15 +90,15 @@
         return usage_error(context, "--store_address is required");
     }
     const std::string text = config::to_text(std::get<config::document>(loaded));
-    publish_request request;
-    request.document = "config";
-    request.text_for = [&text](std::uint64_t /*version*/) {
+    publish_order order;
+    order.document = "config";
+    order.text_for = [&text](std::uint64_t /*version*/) {
         return text;
     };
-    request.base = context.options.base;
-    request.above = context.options.above;
-    return print_report(context, request.document,
-                        publish(*store, request, publisher_settings_of(context)));
+    order.base = context.options.base;
+    order.above = context.options.above;
+    return print_report(context, order.document,
+                        publish(*store, order, publisher_settings_of(context)));
 }
 
 exit_code run_show(const command_context& context)
@@ -117,20 +116,20 @@
         return print_error(context, base::error_of(stored));
     }
     const auto& [state, text] = base::value_of(stored);
-    if (state.current.version == 0) {
+    if (!state.record) {
         return print_error(context,
                            {base::error_kind::not_found, "no " + name + " has been published"});
     }
     if (context.options.json) {
         print_json(context.out, {{"document", name},
-                                 {"version", state.current.version},
-                                 {"digest", state.current.digest},
-                                 {"publication_id", state.current.publication_id},
+                                 {"version", state.record->version.value()},
+                                 {"digest", state.record->digest},
+                                 {"publication_id", state.record->id},
                                  {"content", json::parse(text, nullptr, false)}});
     } else {
-        context.out << text;
-        context.err << name << " version " << state.current.version << ", digest "
-                    << state.current.digest << '\n';
+        context.out << json::parse(text, nullptr, false).dump(2) << '\n';
+        context.err << name << " version " << state.record->version.value() << ", digest "
+                    << state.record->digest << '\n';
     }
     return exit_code::success;
 }
--- a/src/apps/ctl/document_access.cpp
+++ b/src/apps/ctl/document_access.cpp
@@ -1,6 +1,7 @@
 #include "apps/ctl/document_access.h"
 
 #include "apps/ctl/command_context.h"
+#include "apps/ctl/publication.h"
 #include "config/parse.h"
 
 #include <fstream>
@@ -50,7 +51,7 @@
         return base::error_of(stored);
     }
     std::optional<config::document> result;
-    if (base::value_of(stored).state.current.version == 0) {
+    if (!base::value_of(stored).state.record) {
         return result;
     }
     auto parsed = config::parse(base::value_of(stored).text);
@@ -70,19 +71,19 @@
             return base::error_of(stored);
         }
         const stored_document& current = base::value_of(stored);
-        const auto probe = edit(current.text, current.state.current.version + 1);
+        const auto probe = edit(current.text, version_of(current.state) + 1);
         if (!base::is_ok(probe)) {
             return base::error_of(probe);
         }
-        publish_request request;
-        request.document = document;
-        request.base = current.state.current.version;
-        request.above = context.options.above;
-        request.text_for = [&](std::uint64_t version) {
+        publish_order order;
+        order.document = document;
+        order.base = version_of(current.state);
+        order.above = context.options.above;
+        order.text_for = [&](std::uint64_t version) {
             const auto text = edit(current.text, version);
             return base::is_ok(text) ? base::value_of(text) : std::string();
         };
-        report = publish(store, request, publisher_settings_of(context));
+        report = publish(store, order, publisher_settings_of(context));
         if (report.outcome != publish_outcome::conflict) {
             return report;
         }
--- a/src/apps/ctl/keys_commands.cpp
+++ b/src/apps/ctl/keys_commands.cpp
@@ -2,6 +2,7 @@
 #include "apps/ctl/commands.h"
 #include "apps/ctl/document_access.h"
 #include "apps/ctl/output.h"
+#include "apps/ctl/publication.h"
 #include "config/key_hash.h"
 #include "config/parse.h"
 
@@ -85,12 +86,13 @@
         return code;
     }
     if (context.options.json) {
-        print_json(
-            context.out,
-            {{"key", key}, {"hash", hash}, {"account", account}, {"version", report.now.version}});
+        print_json(context.out, {{"key", key},
+                                 {"hash", hash},
+                                 {"account", account},
+                                 {"version", report.now.version.value()}});
     } else {
         context.out << key << '\n';
-        context.err << "granted to " << account << " in keys version " << report.now.version
+        context.err << "granted to " << account << " in keys version " << report.now.version.value()
                     << ", hash " << hash << "; the key is shown only once\n";
     }
     return exit_code::success;
@@ -164,7 +166,7 @@
         rows.push_back({entry.hash, entry.account.value(), std::to_string(since)});
     }
     if (context.options.json) {
-        print_json(context.out, {{"version", base::value_of(stored).state.current.version},
+        print_json(context.out, {{"version", version_of(base::value_of(stored).state)},
                                  {"keys", std::move(entries)}});
     } else {
         print_table(context.out, rows);
--- a/src/apps/ctl/output.cpp
+++ b/src/apps/ctl/output.cpp
@@ -102,16 +102,17 @@
     if (context.options.json) {
         print_json(context.out, {{"document", document},
                                  {"outcome", text.name},
-                                 {"version", report.now.version},
+                                 {"version", report.now.version.value()},
                                  {"digest", report.now.digest},
-                                 {"publication_id", report.now.publication_id},
+                                 {"publication_id", report.now.id},
                                  {"detail", report.detail},
                                  {"other_changes", to_json(report.other_changes)}});
         return text.code;
     }
     std::ostream& out = text.code == exit_code::success ? context.out : context.err;
-    const std::string version =
-        report.now.version == 0 ? "" : " version " + std::to_string(report.now.version);
+    const std::string version = report.now.version.value() == 0
+                                    ? ""
+                                    : " version " + std::to_string(report.now.version.value());
     out << document << version << ": " << text.meaning << '\n';
     if (!report.detail.empty()) {
         out << report.detail << '\n';
--- a/src/apps/ctl/publication.cpp
+++ b/src/apps/ctl/publication.cpp
@@ -1,110 +1,85 @@
 #include "apps/ctl/publication.h"
 
-#include "config/key_hash.h"
-
-#include <nlohmann/json.hpp>
+#include "documents/publishing.h"
+#include "documents/text.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace snipeshore::apps {
 
-using nlohmann::json;
-
-std::string row_key(const std::string& document)
-{
-    return "documents/" + document;
-}
+namespace {
 
-std::string object_name(const std::string& document, std::uint64_t version)
+bool is_in_force(const documents::published_row& row, const publish_order& order)
 {
-    return row_key(document) + "/" + std::to_string(version);
+    // A version at or below `above` loses against the fleet's and has to be published again.
+    if (!row.record || version_of(row) <= order.above) {
+        return false;
+    }
+    const auto text = documents::canonical_text(order.text_for(version_of(row)));
+    return base::is_ok(text) && documents::digest_of(base::value_of(text)) == row.record->digest;
 }
 
-std::string patch_name(const std::string& document, std::uint64_t version)
-{
-    return object_name(document, version) + ".patch";
-}
+} // namespace
 
-std::string to_text(const publication& source)
+std::uint64_t version_of(const documents::published_row& row)
 {
-    return json{{"version", source.version},
-                {"digest", source.digest},
-                {"publication_id", source.publication_id}}
-        .dump();
+    return row.record ? row.record->version.value() : 0;
 }
 
-std::optional<published_state> read_state(const platform::row& row)
+base::result<documents::published_row> read_state(const platform::row& row)
 {
+    documents::published_row state;
     if (row.version == 0) {
-        return published_state{};
+        return state;
     }
-    try {
-        const json value = json::parse(row.value);
-        published_state state;
-        state.row_version = row.version;
-        state.current.version = value.at("version").get<std::uint64_t>();
-        state.current.digest = value.at("digest").get<std::string>();
-        state.current.publication_id = value.at("publication_id").get<std::string>();
-        if (state.current.version != 0) {
-            return state;
-        }
-    } catch (const json::exception&) {
-        return std::nullopt;
+    auto record = documents::decode(row.value);
+    if (!base::is_ok(record)) {
+        return base::error_of(record);
     }
-    return std::nullopt;
+    state.row_version = row.version;
+    state.record = std::move(base::value_of(record));
+    return state;
 }
 
-std::variant<write_plan, publish_outcome> plan_publication(const published_state& state,
-                                                           const publish_request& request,
-                                                           std::uint64_t taken_version,
-                                                           const std::string& publication_id)
+std::variant<documents::publish_plan, publish_outcome>
+plan_publication(const documents::published_row& row, const publish_order& order,
+                 std::string_view base_text, std::uint64_t taken_version,
+                 const std::string& publication_id)
 {
-    const std::uint64_t in_force = state.current.version;
-    // A version at or below `above` loses against the fleet's and has to be published again.
-    const bool is_high_enough = in_force > request.above;
-    if (in_force != 0 && is_high_enough &&
-        config::digest(request.text_for(in_force)) == state.current.digest) {
+    if (is_in_force(row, order)) {
         return publish_outcome::already_in_force;
     }
-    if (request.base && *request.base != in_force) {
+    if (order.base && *order.base != version_of(row)) {
         return publish_outcome::conflict;
     }
-    write_plan plan;
-    plan.next.version = std::max({in_force, request.above, taken_version}) + 1;
-    plan.text = request.text_for(plan.next.version);
-    plan.next.digest = config::digest(plan.text);
-    plan.next.publication_id = publication_id;
-    plan.base_version = in_force;
-    plan.expected_row_version = state.row_version;
-    return plan;
-}
-
-std::optional<std::string> patch_text(const write_plan& plan, const std::string& base_text)
-{
-    // A replica applies the patch of version N to version N-1; other pairs need the whole text.
-    if (plan.base_version == 0 || plan.next.version != plan.base_version + 1) {
-        return std::nullopt;
+    const base::document_version fleet(order.above);
+    const base::document_version highest = documents::highest(row, fleet);
+    const std::uint64_t skip = std::max(highest.value(), taken_version) - highest.value();
+    const documents::publish_request request{publication_id, highest,
+                                             order.text_for(highest.value() + 1 + skip)};
+    // The text in force is not that of the fleet's higher version, so no patch leads from it.
+    const bool is_base_of_patch = version_of(row) == highest.value();
+    auto plan = documents::plan_publish(request, row, fleet,
+                                        is_base_of_patch ? base_text : std::string_view(), skip);
+    if (!base::is_ok(plan)) {
+        return publish_outcome::malformed;
     }
-    const json before = json::parse(base_text, nullptr, false);
-    const json after = json::parse(plan.text, nullptr, false);
-    if (before.is_discarded() || after.is_discarded()) {
-        return std::nullopt;
-    }
-    return json::diff(before, after).dump();
+    return std::move(base::value_of(plan));
 }
 
-row_verdict judge_row(const published_state& read, const write_plan& plan)
+row_verdict judge_row(const documents::published_row& read, const documents::publish_plan& plan)
 {
-    if (read.current.publication_id == plan.next.publication_id) {
+    switch (documents::after_read(plan, read)) {
+    case documents::publish_step::published:
         return row_verdict::in_force;
-    }
-    if (read.row_version == plan.expected_row_version) {
+    case documents::publish_step::write_row:
         return row_verdict::not_written;
+    default:
+        break;
     }
-    if (read.row_version == plan.expected_row_version + 1) {
-        return row_verdict::overtaken;
-    }
-    return row_verdict::unclear;
+    return read.row_version < plan.expected_row_version ? row_verdict::unclear
+                                                        : row_verdict::overtaken;
 }
 
 } // namespace snipeshore::apps
--- a/src/apps/ctl/publication.h
+++ b/src/apps/ctl/publication.h
@@ -1,44 +1,38 @@
-/// @file Decisions of a publication, without any I/O.
+/// @file Decisions of a publication, without any I/O. They build on module `documents`.
 #pragma once
 
 #include "apps/ctl/types/publication.h"
+#include "base/result.h"
 #include "platform/types/row.h"
 
-#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace snipeshore::apps {
 
-std::string row_key(const std::string& document);
-std::string object_name(const std::string& document, std::uint64_t version);
-std::string patch_name(const std::string& document, std::uint64_t version);
+/// Version in force by the row; 0 if there is none.
+std::uint64_t version_of(const documents::published_row& row);
 
-/// JSON of the row's value: `{"version","digest","publication_id"}`.
-std::string to_text(const publication& source);
+/// The row as it was read from the store. A malformed value is `document_invalid`.
+base::result<documents::published_row> read_state(const platform::row& row);
 
-/// Empty if the row's value is malformed. A row that does not exist is publication 0.
-std::optional<published_state> read_state(const platform::row& row);
-
-/// Decides what to write, or that the publication ends without a write. `taken_version` is the
-/// highest version whose object name holds other content; it is passed over.
-std::variant<write_plan, publish_outcome> plan_publication(const published_state& state,
-                                                           const publish_request& request,
-                                                           std::uint64_t taken_version,
-                                                           const std::string& publication_id);
-
-/// JSON Patch between the texts of two consecutive versions; empty if there is none to write.
-std::optional<std::string> patch_text(const write_plan& plan, const std::string& base_text);
+/// Decides what to write, or that the publication ends without a write. `base_text` is the text in
+/// force, empty if it cannot be read. `taken_version` is the highest version whose object name
+/// holds other content; it is passed over.
+std::variant<documents::publish_plan, publish_outcome>
+plan_publication(const documents::published_row& row, const publish_order& order,
+                 std::string_view base_text, std::uint64_t taken_version,
+                 const std::string& publication_id);
 
 enum class row_verdict {
-    in_force,    ///< The row names this publication.
+    in_force,    ///< The publication took effect.
     not_written, ///< The row is unchanged. The write may still arrive; it can be sent again.
     overtaken,   ///< Another publication took the place; this one was never in force.
-    unclear,     ///< Several writes happened; this publication may have been one of them.
+    unclear,     ///< The store was restored; this publication may have been in force before.
 };
 
-/// Judges the row that was read after a write without a reply. Each write of a row raises its
-/// version by one.
-row_verdict judge_row(const published_state& read, const write_plan& plan);
+/// Judges the row that was read after a write without a reply.
+row_verdict judge_row(const documents::published_row& read, const documents::publish_plan& plan);
 
 } // namespace snipeshore::apps
--- a/src/apps/ctl/publisher.cpp
+++ b/src/apps/ctl/publisher.cpp
@@ -5,6 +5,8 @@
 #include "base/time.h"
 #include "config/diff.h"
 #include "config/key_hash.h"
+#include "documents/publishing.h"
+#include "documents/text.h"
 
 #include <optional>
 #include <thread>
@@ -23,29 +25,25 @@
            failure.kind == error_kind::store_unknown;
 }
 
-base::result<published_state> read_published(store_session& store, const std::string& document)
+base::result<documents::published_row> read_published(store_session& store,
+                                                      const std::string& document)
 {
-    const auto row = store.read_row(row_key(document));
+    const auto row = store.read_row(documents::row_key(document));
     if (!base::is_ok(row)) {
         return base::error_of(row);
     }
-    const auto state = read_state(base::value_of(row));
-    if (!state) {
-        return base::error{error_kind::document_invalid,
-                           "row " + row_key(document) + " is malformed"};
-    }
-    return *state;
+    return read_state(base::value_of(row));
 }
 
 base::result<std::string> read_text(store_session& store, const std::string& document,
-                                    const published_state& state)
+                                    const documents::published_row& row)
 {
-    if (state.current.version == 0) {
+    if (!row.record) {
         return std::string();
     }
-    const std::string name = object_name(document, state.current.version);
+    const std::string name = documents::text_object(document, row.record->version);
     auto text = store.read_object(name);
-    if (base::is_ok(text) && config::digest(base::value_of(text)) != state.current.digest) {
+    if (base::is_ok(text) && documents::digest_of(base::value_of(text)) != row.record->digest) {
         return base::error{error_kind::document_invalid,
                            "object " + name + " does not have the digest in its row"};
     }
@@ -55,9 +53,8 @@
 /// One publication from its first read to its end.
 class publishing {
 public:
-    publishing(store_session& store, const publish_request& request,
-               const publisher_settings& settings)
-        : m_store(store), m_request(request), m_settings(settings),
+    publishing(store_session& store, const publish_order& order, const publisher_settings& settings)
+        : m_store(store), m_order(order), m_settings(settings),
           m_limit(base::boot_clock::now() + settings.give_up_after),
           m_publication_id(config::random_publication_id())
     {}
@@ -69,12 +66,12 @@
             return end_with(base::error_of(read));
         }
         for (;;) {
-            auto planned =
-                plan_publication(m_base.state, m_request, m_taken_version, m_publication_id);
+            auto planned = plan_publication(m_base.state, m_order, m_base.text, m_taken_version,
+                                            m_publication_id);
             if (const auto* outcome = std::get_if<publish_outcome>(&planned)) {
                 return end_without_write(*outcome);
             }
-            const write_plan& plan = std::get<write_plan>(planned);
+            const documents::publish_plan& plan = std::get<documents::publish_plan>(planned);
             const base::status written = write_objects(plan);
             if (base::is_ok(written)) {
                 return write_row(plan);
@@ -86,14 +83,14 @@
             // The name holds the text of a publication that is in force by now, under way or given
             // up. The first must not be overwritten, the others are passed over.
             const auto state =
-                with_repeats([this] { return read_published(m_store, m_request.document); });
+                with_repeats([this] { return read_published(m_store, m_order.document); });
             if (!base::is_ok(state)) {
                 return end_with(base::error_of(state));
             }
             if (base::value_of(state).row_version != m_base.state.row_version) {
                 return overtaken(base::value_of(state), plan, publish_outcome::conflict);
             }
-            m_taken_version = plan.next.version;
+            m_taken_version = plan.record.version.value();
         }
     }
 
@@ -122,13 +119,13 @@
 
     base::status read_base()
     {
-        auto state = with_repeats([this] { return read_published(m_store, m_request.document); });
+        auto state = with_repeats([this] { return read_published(m_store, m_order.document); });
         if (!base::is_ok(state)) {
             return base::error_of(state);
         }
         m_base = {base::value_of(state), ""};
         auto text =
-            with_repeats([this] { return read_text(m_store, m_request.document, m_base.state); });
+            with_repeats([this] { return read_text(m_store, m_order.document, m_base.state); });
         if (base::is_ok(text)) {
             m_base.text = std::move(base::value_of(text));
         } else if (is_transient(base::error_of(text))) {
@@ -143,27 +140,28 @@
         return with_repeats([&] { return m_store.write_object(name, content); });
     }
 
-    base::status write_objects(const write_plan& plan)
+    base::status write_objects(const documents::publish_plan& plan)
     {
-        const std::string& document = m_request.document;
-        base::status outcome =
-            write_object_with_repeats(object_name(document, plan.next.version), plan.text);
-        const auto patch = patch_text(plan, m_base.text);
-        if (base::is_ok(outcome) && patch) {
-            outcome = write_object_with_repeats(patch_name(document, plan.next.version), *patch);
+        const std::string& document = m_order.document;
+        base::status outcome = write_object_with_repeats(
+            documents::text_object(document, plan.record.version), plan.text);
+        if (base::is_ok(outcome) && !plan.patch.empty()) {
+            outcome = write_object_with_repeats(
+                documents::patch_object(document, plan.record.version), plan.patch);
         }
         return outcome;
     }
 
     /// Sends the write again until its outcome is known. That is safe: the condition on the row's
     /// version lets it take effect at most once.
-    publish_report write_row(const write_plan& plan)
+    publish_report write_row(const documents::publish_plan& plan)
     {
         bool may_have_effect = false;
         std::string cause;
         do {
-            const auto outcome = m_store.write_row(row_key(m_request.document),
-                                                   plan.expected_row_version, to_text(plan.next));
+            const auto outcome =
+                m_store.write_row(documents::row_key(m_order.document), plan.expected_row_version,
+                                  documents::encode(plan.record));
             if (base::is_ok(outcome)) {
                 return published(plan);
             }
@@ -179,57 +177,56 @@
         } while (pause_before_repeat());
         publish_report report;
         report.outcome = may_have_effect ? publish_outcome::unknown : publish_outcome::unavailable;
-        report.now = m_base.state.current;
+        report.now = m_base.state.record.value_or(documents::publication{});
         report.detail = cause;
         return report;
     }
 
     /// Reads the row; empty if it does not decide the outcome yet.
-    std::optional<publish_report> resolve(const write_plan& plan, bool may_have_effect)
+    std::optional<publish_report> resolve(const documents::publish_plan& plan, bool may_have_effect)
     {
-        const auto row = m_store.read_row(row_key(m_request.document));
+        const auto row = m_store.read_row(documents::row_key(m_order.document));
         if (!base::is_ok(row)) {
             return std::nullopt;
         }
         const auto state = read_state(base::value_of(row));
-        if (!state) {
-            return malformed();
+        if (!base::is_ok(state)) {
+            return end_with(base::error_of(state));
         }
-        switch (judge_row(*state, plan)) {
+        switch (judge_row(base::value_of(state), plan)) {
         case row_verdict::in_force:
             return published(plan);
         case row_verdict::not_written:
             return std::nullopt;
         case row_verdict::overtaken:
-            return overtaken(*state, plan, publish_outcome::conflict);
+            return overtaken(base::value_of(state), plan, publish_outcome::conflict);
         case row_verdict::unclear:
             break;
         }
-        return overtaken(*state, plan,
+        return overtaken(base::value_of(state), plan,
                          may_have_effect ? publish_outcome::unknown : publish_outcome::conflict);
     }
 
-    publish_report published(const write_plan& plan) const
+    publish_report published(const documents::publish_plan& plan) const
     {
         publish_report report;
         report.outcome = publish_outcome::published;
-        report.now = plan.next;
-        report.text = plan.text;
+        report.now = plan.record;
         return report;
     }
 
-    publish_report overtaken(const published_state& state, const write_plan& plan,
-                             publish_outcome outcome)
+    publish_report overtaken(const documents::published_row& state,
+                             const documents::publish_plan& plan, publish_outcome outcome)
     {
         publish_report report;
-        report.now = state.current;
-        if (state.current.digest == plan.next.digest) {
+        report.now = state.record.value_or(documents::publication{});
+        if (report.now.digest == plan.record.digest) {
             report.outcome = publish_outcome::already_in_force;
             return report;
         }
         report.outcome = outcome;
-        report.detail = "another publication, version " + std::to_string(state.current.version) +
-                        ", came after version " + std::to_string(plan.base_version);
+        report.detail = "another publication, version " + std::to_string(version_of(state)) +
+                        ", came after version " + std::to_string(version_of(m_base.state));
         add_changes(report, m_base.text);
         return report;
     }
@@ -238,13 +235,14 @@
     {
         publish_report report;
         report.outcome = outcome;
-        report.now = m_base.state.current;
+        report.now = m_base.state.record.value_or(documents::publication{});
         if (outcome == publish_outcome::conflict) {
-            const std::uint64_t base = m_request.base.value_or(0);
-            report.detail = "version " + std::to_string(report.now.version) +
+            const std::uint64_t edited_from = m_order.base.value_or(0);
+            report.detail = "version " + std::to_string(report.now.version.value()) +
                             " is in force, the change was made from version " +
-                            std::to_string(base);
-            const auto text = m_store.read_object(object_name(m_request.document, base));
+                            std::to_string(edited_from);
+            const auto text = m_store.read_object(
+                documents::text_object(m_order.document, base::document_version(edited_from)));
             if (base::is_ok(text)) {
                 add_changes(report, base::value_of(text));
             }
@@ -255,34 +253,27 @@
     /// Adds the differences between `base_text` and the publication in force.
     void add_changes(publish_report& report, const std::string& base_text)
     {
-        const auto text = m_store.read_object(object_name(m_request.document, report.now.version));
+        const auto text =
+            m_store.read_object(documents::text_object(m_order.document, report.now.version));
         if (base::is_ok(text)) {
             report.other_changes =
                 config::diff_texts(base_text.empty() ? "{}" : base_text, base::value_of(text));
         }
     }
 
-    publish_report malformed() const
-    {
-        publish_report report;
-        report.outcome = publish_outcome::malformed;
-        report.detail = "row " + row_key(m_request.document) + " is malformed";
-        return report;
-    }
-
     /// End before the row was written.
     publish_report end_with(const base::error& failure) const
     {
         publish_report report;
         report.outcome =
             is_transient(failure) ? publish_outcome::unavailable : publish_outcome::malformed;
-        report.now = m_base.state.current;
+        report.now = m_base.state.record.value_or(documents::publication{});
         report.detail = failure.detail;
         return report;
     }
 
     store_session& m_store;
-    const publish_request& m_request;
+    const publish_order& m_order;
     const publisher_settings& m_settings;
     base::time_point m_limit;
     std::string m_publication_id;
@@ -305,10 +296,10 @@
     return stored_document{base::value_of(state), std::move(base::value_of(text))};
 }
 
-publish_report publish(store_session& store, const publish_request& request,
+publish_report publish(store_session& store, const publish_order& order,
                        const publisher_settings& settings)
 {
-    return publishing(store, request, settings).run();
+    return publishing(store, order, settings).run();
 }
 
 } // namespace snipeshore::apps
--- a/src/apps/ctl/publisher.h
+++ b/src/apps/ctl/publisher.h
@@ -19,7 +19,7 @@
 
 /// A document in the store.
 struct stored_document {
-    published_state state;
+    documents::published_row state;
     std::string text; ///< Empty if nothing has been published.
 };
 
@@ -27,7 +27,7 @@
 base::result<stored_document> read_document(store_session& store, const std::string& document);
 
 /// Writes the objects first and the row last. Sending the same document again is safe.
-publish_report publish(store_session& store, const publish_request& request,
+publish_report publish(store_session& store, const publish_order& order,
                        const publisher_settings& settings);
 
 } // namespace snipeshore::apps
--- a/src/apps/ctl/tests/publisher_test.cpp
+++ b/src/apps/ctl/tests/publisher_test.cpp
@@ -16,9 +16,9 @@
 const std::string text_b = R"({"a":1,"b":2})";
 const std::string text_c = R"({"a":3})";
 
-publish_request request_of(const std::string& text)
+publish_order request_of(const std::string& text)
 {
-    publish_request request;
+    publish_order request;
     request.document = "config";
     request.text_for = [text](std::uint64_t /*version*/) {
         return text;
@@ -44,10 +44,10 @@
     }
 
     /// A request during which another operator publishes `other` after the row was read.
-    publish_request overtaken_request(const std::string& text, const std::string& other)
+    publish_order overtaken_request(const std::string& text, const std::string& other)
     {
         auto overtaken = std::make_shared<bool>(false);
-        publish_request request;
+        publish_order request;
         request.document = "config";
         request.text_for = [this, text, other, overtaken](std::uint64_t /*version*/) {
             if (!*overtaken) {
@@ -74,7 +74,7 @@
         CHECK(test.publish_text(text_a).outcome == publish_outcome::published);
         const publish_report second = test.publish_text(text_b);
         CHECK(second.outcome == publish_outcome::published);
-        CHECK(second.now.version == 2);
+        CHECK(second.now.version.value() == 2);
         CHECK(test.in_force().text == text_b);
         const auto patch = test.store.read_object("documents/config/2.patch");
         REQUIRE(base::is_ok(patch));
@@ -92,8 +92,8 @@
         test.platform.with_server([](auto& server) { server.faults().lose_replies = 3; });
         const publish_report report = test.publish_text(text_b);
         CHECK(report.outcome == publish_outcome::published);
-        CHECK(report.now.version == 2);
-        CHECK(test.in_force().state.current.publication_id == report.now.publication_id);
+        CHECK(report.now.version.value() == 2);
+        CHECK(test.in_force().state.record->id == report.now.id);
         CHECK(test.in_force().state.row_version == 2);
     }
     SUBCASE("says what another operator changed who came first")
@@ -102,7 +102,7 @@
         const publish_report report =
             publish(test.store, test.overtaken_request(text_c, text_b), test.settings);
         CHECK(report.outcome == publish_outcome::conflict);
-        CHECK(report.now.version == 2);
+        CHECK(report.now.version.value() == 2);
         REQUIRE(report.other_changes.size() == 1);
         CHECK(report.other_changes.front().path == "/b");
         CHECK(test.in_force().text == text_b);
@@ -126,7 +126,7 @@
         const publish_report report =
             publish(test.store, test.overtaken_request(text_a, text_a), test.settings);
         CHECK(report.outcome == publish_outcome::already_in_force);
-        CHECK(report.now.version == 1);
+        CHECK(report.now.version.value() == 1);
     }
     SUBCASE("refuses a change that was made from an older version")
     {
@@ -164,7 +164,7 @@
         REQUIRE(base::is_ok(test.store.write_object("documents/config/2", text_c)));
         const publish_report report = test.publish_text(text_b);
         CHECK(report.outcome == publish_outcome::published);
-        CHECK(report.now.version == 3);
+        CHECK(report.now.version.value() == 3);
         CHECK(test.in_force().text == text_b);
         CHECK_FALSE(base::is_ok(test.store.read_object("documents/config/3.patch")));
     }
@@ -187,7 +187,7 @@
         request.above = 2;
         const publish_report report = publish(test.store, request, test.settings);
         CHECK(report.outcome == publish_outcome::published);
-        CHECK(report.now.version == 3);
+        CHECK(report.now.version.value() == 3);
     }
     SUBCASE("does not overwrite a row that it cannot read")
     {
