--- a/tests/support/http_session.cpp
+++ b/tests/support/http_session.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/http_session.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace snipeshore::test {
@@ -75,6 +76,7 @@
         m_loop.post([this, kept, number] {
             m_calls.erase(number);
             kept->done(kept->reply);
+            m_loop.stop();
         });
     };
     running->call = m_client.send(std::move(message), std::move(callbacks));
@@ -88,18 +90,20 @@
 
 bool http_session::run_until(const std::function<bool()>& condition, base::time_point deadline)
 {
-    bool met = false;
-    std::function<void()> check = [&] {
-        met = condition();
-        if (met || base::boot_clock::now() >= deadline) {
-            m_loop.stop();
-            return;
+    for (;;) {
+        if (condition()) {
+            return true;
         }
-        m_loop.schedule(base::boot_clock::now() + check_interval, check);
-    };
-    m_loop.post(check);
-    m_loop.run();
-    return met;
+        const base::time_point now = base::boot_clock::now();
+        if (now >= deadline) {
+            return false;
+        }
+        // Every end of a call stops the loop as well, so that the condition is seen at once.
+        const http::timer_id timer =
+            m_loop.schedule(std::min(deadline, now + check_interval), [this] { m_loop.stop(); });
+        m_loop.run();
+        m_loop.cancel(timer);
+    }
 }
 
 http::loop& http_session::loop()
