documents: read the rows that snipeshorectl writes

snipeshorectl names the id of a publication publication_id and writes no ids of earlier ones; decode refused such rows, so no agent would have installed anything. The names agree now and previous_ids may be missing.

--- a/src/documents/publishing.cpp
+++ b/src/documents/publishing.cpp
@@ -47,7 +47,7 @@
 {
     const nlohmann::json value{{"version", record.version.value()},
                                {"digest", record.digest},
-                               {"id", record.id},
+                               {"publication_id", record.id},
                                {"previous_ids", record.previous_ids}};
     return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -60,8 +60,9 @@
         record.version =
             base::document_version(value.at("version").get_ref<const std::uint64_t&>());
         record.digest = value.at("digest").get<std::string>();
-        record.id = value.at("id").get<std::string>();
-        record.previous_ids = value.at("previous_ids").get<std::vector<std::string>>();
+        record.id = value.at("publication_id").get<std::string>();
+        // Publishers may leave this out.
+        record.previous_ids = value.value("previous_ids", std::vector<std::string>{});
         return record;
     } catch (const nlohmann::json::exception& failure) {
         return base::error{base::error_kind::document_invalid,
