documents: use the form of config::to_text as the canonical one

Texts published by snipeshorectl are indented; patches led to the compact form, whose digest is another one, so agents fetched the whole text for every version.

--- a/src/apps/agent/tests/store_poller_test.cpp
+++ b/src/apps/agent/tests/store_poller_test.cpp
@@ -38,7 +38,8 @@
 
 std::string text(int value)
 {
-    return R"({"filler":")" + std::string(500, 'x') + R"(","value":)" + std::to_string(value) + "}";
+    return base::value_of(documents::canonical_text(R"({"filler":")" + std::string(500, 'x') +
+                                                    R"(","value":)" + std::to_string(value) + "}"));
 }
 
 } // namespace
--- a/src/documents/tests/replica_test.cpp
+++ b/src/documents/tests/replica_test.cpp
@@ -28,7 +28,7 @@
         } else {
             document[key] = std::string(*rc::gen::inRange<std::size_t>(0, 40), 'x');
         }
-        texts.push_back(document.dump());
+        texts.push_back(base::value_of(canonical_text(document.dump())));
     }
     return texts;
 }
@@ -133,7 +133,8 @@
     const std::string filler(2000, 'x');
     std::vector<std::string> texts{""};
     for (int version = 1; version <= 5; ++version) {
-        texts.push_back(nlohmann::json{{"filler", filler}, {"version", version}}.dump());
+        const nlohmann::json document{{"filler", filler}, {"version", version}};
+        texts.push_back(base::value_of(canonical_text(document.dump())));
     }
     replica current;
     REQUIRE(install(current, whole(texts, 1), wide) == install_outcome::installed);
--- a/src/documents/tests/text_test.cpp
+++ b/src/documents/tests/text_test.cpp
@@ -51,8 +51,8 @@
 TEST_CASE("patches reproduce the canonical text byte for byte")
 {
     CHECK(rc::check("patch_between, then apply_patches", []() {
-        const auto from = make_json(3).dump();
-        const auto to = make_json(3).dump();
+        const auto from = base::value_of(canonical_text(make_json(3).dump()));
+        const auto to = base::value_of(canonical_text(make_json(3).dump()));
         const auto patch = patch_between(from, to);
         RC_ASSERT(base::is_ok(patch));
         const auto back = apply_patches(from, {base::value_of(patch)});
--- a/src/documents/text.cpp
+++ b/src/documents/text.cpp
@@ -22,6 +22,14 @@
     return nlohmann::json::parse(text, nullptr, false);
 }
 
+// The form of config::to_text. Every publisher and replica must produce the same bytes.
+constexpr int indent = 2;
+
+std::string canonical(const nlohmann::json& document)
+{
+    return document.dump(indent, ' ', false) + "\n";
+}
+
 } // namespace
 
 base::result<std::string> canonical_text(std::string_view text)
@@ -30,7 +38,7 @@
     if (parsed.is_discarded()) {
         return invalid("the text is not JSON");
     }
-    return parsed.dump();
+    return canonical(parsed);
 }
 
 std::string digest_of(std::string_view text)
@@ -74,7 +82,7 @@
     } catch (const nlohmann::json::exception& failure) {
         return invalid(std::string("a patch does not apply: ") + failure.what());
     }
-    return document.dump();
+    return canonical(document);
 }
 
 std::vector<std::string> changed_paths(std::string_view from, std::string_view to)
