Publish documents in compact form; fix lint findings

Cause: a document with 340,000 blocks was 25.2 MB when indented, above the limit of 24 MiB for a published text, so no host installed it. Ruled out: a higher limit, since the text also has to fit the message limit. Change: the canonical form is compact, as the publisher's tests expect.

--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -622,7 +622,7 @@
     leave();
 }
 
-void request_task::refuse(error cause)
+void request_task::refuse(const error& cause)
 {
     const base::error_answer& answer = base::answer_for(cause.kind);
     if (m_is_claim_held && !m_has_sent) {
--- a/src/apps/entry/request_task.h
+++ b/src/apps/entry/request_task.h
@@ -85,7 +85,7 @@
     bool retry_instead_of(unsigned number, const http::response_head& shed);
 
     void on_caller_gone();
-    void refuse(base::error cause);
+    void refuse(const base::error& cause);
     void record_end(int status, std::string_view kind);
     void leave();
 
--- a/src/apps/entry/ticket_desk.cpp
+++ b/src/apps/entry/ticket_desk.cpp
@@ -61,8 +61,9 @@
       m_claims(tickets::make_register({}, self, incarnation, base::boot_clock::now()))
 {}
 
-void ticket_desk::claim(std::shared_ptr<granted_claim> claim, const base::account_id& account,
-                        base::time_point deadline, claim_callback done)
+void ticket_desk::claim(const std::shared_ptr<granted_claim>& claim,
+                        const base::account_id& account, base::time_point deadline,
+                        const claim_callback& done)
 {
     base::result<tickets::ticket> parsed = tickets::parse_and_verify(claim->text, m_secret);
     if (!base::is_ok(parsed)) {
--- a/src/apps/entry/ticket_desk.h
+++ b/src/apps/entry/ticket_desk.h
@@ -39,8 +39,8 @@
                 base::incarnation incarnation, const tickets::fleet_secret& secret);
 
     /// Claims for one attempt. `claim` is filled in before `done` is called.
-    void claim(std::shared_ptr<granted_claim> claim, const base::account_id& account,
-               base::time_point deadline, claim_callback done);
+    void claim(const std::shared_ptr<granted_claim>& claim, const base::account_id& account,
+               base::time_point deadline, const claim_callback& done);
 
     void complete(const granted_claim& claim, tickets::kept_answer answer);
 
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -164,7 +164,7 @@
 
 std::string canonical(const json& value)
 {
-    return value.dump(2, ' ', false) + "\n";
+    return value.dump();
 }
 
 } // namespace
--- a/src/documents/text.cpp
+++ b/src/documents/text.cpp
@@ -23,11 +23,10 @@
 }
 
 // The form of config::to_text. Every publisher and replica must produce the same bytes.
-constexpr int indent = 2;
 
 std::string canonical(const nlohmann::json& document)
 {
-    return document.dump(indent, ' ', false) + "\n";
+    return document.dump();
 }
 
 } // namespace
--- a/src/documents/text.h
+++ b/src/documents/text.h
@@ -9,7 +9,7 @@
 
 namespace snipeshore::documents {
 
-/// The one form in which a document is published: indented by 2, keys sorted, with a final line
+/// The one form in which a document is published: compact, keys sorted. Patches reproduce it byte
 /// break, as `config::to_text` writes it. Patches reproduce it byte for byte.
 base::result<std::string> canonical_text(std::string_view text);
 
--- a/src/tickets/ticket_text.cpp
+++ b/src/tickets/ticket_text.cpp
@@ -46,8 +46,8 @@
 
 /// Reads fields from front to back; `failed` stays set after the first read past the end.
 struct reader {
-    const std::uint8_t* next;
-    const std::uint8_t* end;
+    const std::uint8_t* next = nullptr;
+    const std::uint8_t* end = nullptr;
     bool failed = false;
 
     const std::uint8_t* take(std::size_t size)
