agent: decide weights within the shift cap and headroom

Cause: the agent gave all weight of a row to the nearest usable failure domain, without shift cap, headroom or the decider's part of a region.

Ruled out: leaving the load of regions and links missing. A decision admits nothing into a region of unknown load, so traffic refused once would stay refused after the cause has ended. Starting from the baseline beside a lookup that serves with weights of an earlier agent: these are unknown, so the shift could exceed the cap.

Change: steering_runner runs steering::decide once per interval on smoothed demand, health of failure domains and drains, and publishes weights only when they change. steering::fill_unmeasured replaces unknown loads by an upper bound (other deciders use their whole part). A lookup with foreign weights keeps them until it restarts. drain_lead is public, so that a drain starts at once. The dump has the decision records. weights.* and its test are replaced. The cut-off case of agent_core_test now also sends the lookup's reports, because unknown demand stops shifts. Not carried over from weights_test: the drained region.

--- a/src/apps/agent/agent_core.cpp
+++ b/src/apps/agent/agent_core.cpp
@@ -1,7 +1,6 @@
 #include "apps/agent/agent_core.h"
 
 #include "apps/agent/peer_calls.h"
-#include "apps/agent/weights.h"
 #include "config/parse.h"
 #include "membership/detection.h"
 #include "membership/peers.h"
@@ -174,7 +173,7 @@
 void agent_core::watch(inner::cursor from, const inner::process_report& report,
                        inner::reply_to<inner::snapshot> reply)
 {
-    take_report(report);
+    take_report(from, report);
     if (has_news(from)) {
         reply(snapshot_for(from));
         return;
@@ -329,9 +328,17 @@
     }
 }
 
-void agent_core::take_report(const inner::process_report& report)
+bool agent_core::is_own_revision(std::uint64_t revision) const
+{
+    return revision >= m_settings.self.incarnation.value() && revision <= m_steering_revision;
+}
+
+void agent_core::take_report(const inner::cursor& from, const inner::process_report& report)
 {
     if (report.entry_incarnation.value() == 0) {
+        const bool foreign =
+            from.steering_revision != 0 && !is_own_revision(from.steering_revision);
+        m_steering.take_report(report.demand, foreign, m_callbacks.now());
         return;
     }
     m_entry_reported = m_callbacks.now();
@@ -378,7 +385,6 @@
 void agent_core::on_documents_changed()
 {
     parse_documents();
-    m_weights_stale = true;
     publish_self();
     // Each host that gets a version passes it on at once, so it reaches all in a few round trips.
     m_next_exchange = m_callbacks.now();
@@ -393,6 +399,7 @@
         auto parsed = config::parse(config.text);
         if (auto* document = std::get_if<config::document>(&parsed)) {
             m_config = std::move(*document);
+            m_steering.set_document(*m_config);
         } else {
             telemetry::log_event(telemetry::severity::failure, "document_rejected",
                                  {{"name", "config"}, {"version", config.version.value()}});
@@ -429,21 +436,22 @@
             reachable.insert(domain);
         }
     }
-    auto usable = usable_domains(*m_config, m_drains, member_records(), reachable);
-    if (!m_weights_stale && usable == m_usable) {
-        return;
+    if (m_steering.tick(member_records(), reachable, m_drains, now)) {
+        ++m_steering_revision;
     }
-    m_weights_stale = false;
-    m_usable = std::move(usable);
-    m_weights = compute_weights(*m_config, m_usable);
-    ++m_steering_revision;
+}
+
+bool agent_core::has_new_weights(const inner::cursor& from) const
+{
+    // Before the first decision a process keeps the weights that it has.
+    return !m_steering.weights().empty() && !m_steering.is_held() &&
+           from.steering_revision != m_steering_revision;
 }
 
 bool agent_core::has_news(const inner::cursor& from) const
 {
     const auto held = m_documents.versions();
-    return from.members_revision != m_members.revision ||
-           from.steering_revision != m_steering_revision ||
+    return from.members_revision != m_members.revision || has_new_weights(from) ||
            std::any_of(held.begin(), held.end(), [&](const auto& item) {
                return item.version > version_of(from.versions, item.name);
            });
@@ -457,10 +465,11 @@
         snapshot.members = member_records();
     }
     snapshot.members_revision = m_members.revision;
-    if (from.steering_revision != m_steering_revision) {
-        snapshot.weights = m_weights;
+    snapshot.steering_revision = from.steering_revision;
+    if (has_new_weights(from)) {
+        snapshot.weights = m_steering.weights();
+        snapshot.steering_revision = m_steering_revision;
     }
-    snapshot.steering_revision = m_steering_revision;
     snapshot.contact_age = contact_age();
     snapshot.listed_known = m_poller.listed_known();
     for (const membership::seed& listed : m_poller.seeds()) {
--- a/src/apps/agent/agent_core.h
+++ b/src/apps/agent/agent_core.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "apps/agent/document_set.h"
+#include "apps/agent/steering_runner.h"
 #include "apps/agent/store_poller.h"
 #include "config/types/document.h"
 #include "config/types/drains_document.h"
@@ -89,9 +90,9 @@
         return m_settings.self;
     }
 
-    const std::vector<inner::site_weights>& weights() const
+    const steering_runner& steering() const
     {
-        return m_weights;
+        return m_steering;
     }
 
     bool may_act() const;
@@ -124,13 +125,15 @@
 
     void absorb(const std::vector<inner::host_record>& records);
     void absorb_documents(const std::vector<inner::document>& offered);
-    void take_report(const inner::process_report& report);
+    void take_report(const inner::cursor& from, const inner::process_report& report);
+    bool is_own_revision(std::uint64_t revision) const;
     void drop_silent_entry(base::time_point now);
     void publish_self();
     void on_documents_changed();
     void parse_documents();
     void on_contact(base::time_point when);
     void refresh_weights(base::time_point now);
+    bool has_new_weights(const inner::cursor& from) const;
     bool has_news(const inner::cursor& from) const;
     inner::snapshot snapshot_for(const inner::cursor& from) const;
     void answer_watches();
@@ -161,10 +164,8 @@
     base::document_version m_parsed_drains;
     std::optional<config::document> m_config;
     config::drains_document m_drains;
-    std::vector<inner::site_weights> m_weights;
-    std::set<base::failure_domain_id> m_usable;
+    steering_runner m_steering;
     std::uint64_t m_steering_revision;
-    bool m_weights_stale = true;
     std::vector<pending_watch> m_watches;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/apps/agent/dump.cpp
+++ b/src/apps/agent/dump.cpp
@@ -69,6 +69,29 @@
             {"store", name_of(agent.poller().state_of(name))}};
 }
 
+nlohmann::json steering_of(const steering_runner& runner)
+{
+    auto all = nlohmann::json::array();
+    if (runner.plan() == nullptr) {
+        return all;
+    }
+    const steering::plan& plan = *runner.plan();
+    const auto domain_of = [&](std::uint16_t domain) {
+        return domain == steering::refused_domain ? "refused" : plan.domains[domain].id.value();
+    };
+    for (const steering::decision_record& record : runner.records()) {
+        all.push_back({{"kind", steering::to_string(record.kind)},
+                       {"site", plan.sites[record.site].id.value()},
+                       {"service", plan.services[record.service].id.value()},
+                       {"from", domain_of(record.from)},
+                       {"to", domain_of(record.to)},
+                       {"reason", steering::to_string(record.placement)},
+                       {"wait", steering::to_string(record.wait)},
+                       {"rate", record.rate}});
+    }
+    return all;
+}
+
 } // namespace
 
 nlohmann::json dump_agent(const agent_core& agent)
@@ -91,13 +114,15 @@
         dump["members"].push_back(record_of(item.record));
     }
     dump["weights"] = nlohmann::json::array();
-    for (const auto& row : agent.weights()) {
+    for (const auto& row : agent.steering().weights()) {
         dump["weights"].push_back({{"site", row.site},
                                    {"service", row.service},
                                    {"failure_domains", row.failure_domains},
                                    {"weights", row.weights},
                                    {"refused", row.refused}});
     }
+    dump["steering"] = steering_of(agent.steering());
+    dump["steering_held"] = agent.steering().is_held();
     return dump;
 }
 
--- /dev/null
+++ b/src/apps/agent/steering_runner.h
@@ -0,0 +1,86 @@
+/// @file Steering decisions of a host: gathers their inputs and holds the weights in force.
+#pragma once
+
+#include "base/time.h"
+#include "config/types/document.h"
+#include "config/types/drains_document.h"
+#include "inner/types/messages.h"
+#include "steering/types/decision_record.h"
+#include "steering/types/inputs.h"
+#include "steering/types/plan.h"
+#include "steering/types/steering_state.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace snipeshore::apps {
+
+/// Decides once per interval of the document's steering settings. Does no I/O.
+class steering_runner {
+public:
+    /// Carries the weights in force over to another document version.
+    void set_document(const config::document& document);
+
+    /// Takes a report of the lookup process. `foreign_weights`: it serves with weights of an
+    /// earlier agent. What these are is unknown, so a decision could shift any amount of traffic;
+    /// none is made until the lookup has restarted.
+    void take_report(const std::vector<inner::row_demand>& demand, bool foreign_weights,
+                     base::time_point now);
+
+    /// Decides if it is time to. Returns whether `weights` changed.
+    bool tick(const std::vector<inner::host_record>& members,
+              const std::set<base::failure_domain_id>& reachable,
+              const config::drains_document& drains, base::time_point now);
+
+    /// Empty before the first decision.
+    const std::vector<inner::site_weights>& weights() const
+    {
+        return m_weights;
+    }
+
+    /// Null before the first document.
+    const steering::plan* plan() const
+    {
+        return m_plan ? &*m_plan : nullptr;
+    }
+
+    /// What waits, and the shifts and refusals of the last decision that made any.
+    std::vector<steering::decision_record> records() const;
+
+    bool is_held() const
+    {
+        return m_is_held;
+    }
+
+private:
+    using row_key = std::pair<std::string, std::string>;
+
+    bool may_start(const std::vector<inner::host_record>& members, base::time_point now) const;
+    void update_health(const std::vector<inner::host_record>& members,
+                       const std::set<base::failure_domain_id>& reachable, base::time_point now);
+    void update_drains(const config::drains_document& drains, base::time_point now);
+    steering::inputs make_inputs(base::time_point now) const;
+    std::vector<inner::site_weights> published_weights() const;
+
+    config::document m_document;
+    std::optional<steering::plan> m_plan;
+    steering::steering_state m_state;
+    bool m_has_decided = false;
+    bool m_document_changed = false;
+    bool m_is_held = false;
+    std::optional<base::time_point> m_first_tick;
+    base::time_point m_next_decision{};
+    std::map<row_key, double> m_demand;
+    std::optional<base::time_point> m_demand_taken;
+    std::map<base::failure_domain_id, steering::health_measurement> m_health;
+    std::map<base::failure_domain_id, base::time_point> m_empty_by;
+    std::vector<inner::site_weights> m_weights;
+    std::vector<steering::decision_record> m_waiting;
+    std::vector<steering::decision_record> m_changes;
+};
+
+} // namespace snipeshore::apps
--- a/src/apps/agent/tests/agent_core_test.cpp
+++ b/src/apps/agent/tests/agent_core_test.cpp
@@ -380,7 +380,7 @@
             fleet.core("b1").service().watch({}, {base::incarnation(5), 6, false, 1, {}},
                                              [](const auto&) {});
             std::uint32_t sum = 0;
-            for (const auto& row : agent.weights()) {
+            for (const auto& row : agent.steering().weights()) {
                 sum += row.failure_domains[0] == "tunis-b" ? row.weights[0] : 0;
             }
             return sum;
@@ -389,6 +389,9 @@
             for (int second = 0; second < seconds; ++second) {
                 fleet.run(1s);
                 weight_of_b();
+                // A lookup reports about each second; without that its demand is unknown, and
+                // nothing is shifted.
+                service.watch({}, {}, reply);
             }
         };
         run_with_entry(3);
--- /dev/null
+++ b/src/apps/agent/tests/steering_runner_test.cpp
@@ -0,0 +1,281 @@
+#include "apps/agent/steering_runner.h"
+#include "config/parse.h"
+#include "config/tests/deployments.h"
+#include "steering/types/weight_table.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace snipeshore;
+using namespace snipeshore::apps;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A runner with the inputs that an agent gives it; a live entry on every host.
+struct runner_fixture {
+    runner_fixture()
+    {
+        document =
+            std::get<config::document>(config::parse(config::source_file("config/jasmin.json")));
+        for (const config::host& host : document.hosts) {
+            inner::host_record record;
+            record.host = host.id;
+            record.failure_domain = host.failure_domain;
+            record.entry_incarnation = base::incarnation(1);
+            members.push_back(record);
+        }
+        for (const auto& domain : document.failure_domains) {
+            reachable.insert(domain.id);
+        }
+        home = document.sites.front().nearest;
+        runner.set_document(document);
+    }
+
+    /// Ticks ten times a second with a report each second; returns how often weights changed.
+    int run(base::duration time)
+    {
+        int changes = 0;
+        for (const auto end = now + time; now < end;) {
+            if (rate && now >= next_report) {
+                next_report = now + 1s;
+                runner.take_report({{document.sites.front().id.value(),
+                                     document.services.front().id.value(), *rate}},
+                                   foreign, now);
+            }
+            changes += runner.tick(members, reachable, drains, now) ? 1 : 0;
+            now += 100ms;
+        }
+        return changes;
+    }
+
+    /// Admitted or refused part of the first row at failure domains that fit.
+    template <typename Fits>
+    std::uint32_t sum(const std::vector<std::uint32_t> inner::site_weights::*part, Fits fits) const
+    {
+        const auto& row = runner.weights().front();
+        std::uint32_t total = 0;
+        for (std::size_t index = 0; index < row.failure_domains.size(); ++index) {
+            total += fits(row.failure_domains[index]) ? (row.*part)[index] : 0;
+        }
+        return total;
+    }
+
+    std::uint32_t at_home() const
+    {
+        return sum(&inner::site_weights::weights,
+                   [&](const auto& id) { return id == home.value(); });
+    }
+
+    std::uint32_t admitted() const
+    {
+        return sum(&inner::site_weights::weights, [](const auto&) { return true; });
+    }
+
+    std::uint32_t refused() const
+    {
+        return sum(&inner::site_weights::refused, [](const auto&) { return true; });
+    }
+
+    void stop_entries(bool stopped)
+    {
+        for (auto& record : members) {
+            if (record.failure_domain == home) {
+                record.entry_incarnation = base::incarnation(stopped ? 0 : 1);
+            }
+        }
+    }
+
+    config::document document;
+    config::drains_document drains;
+    std::vector<inner::host_record> members;
+    std::set<base::failure_domain_id> reachable;
+    base::failure_domain_id home;
+    steering_runner runner;
+    base::time_point now{1h};
+    base::time_point next_report{};
+    std::optional<double> rate = 20;
+    bool foreign = false;
+};
+
+} // namespace
+
+// Guards against revisions without a change, which make every lookup rebuild its weights.
+TEST_CASE("weights are published only when they change")
+{
+    runner_fixture fleet;
+    CHECK(fleet.run(1s) == 1);
+    CHECK(fleet.runner.weights().size() ==
+          fleet.document.sites.size() * fleet.document.services.size());
+    CHECK(fleet.at_home() == steering::full_weight);
+    CHECK(fleet.run(30s) == 0);
+
+    SUBCASE("another version of the document that steers the same")
+    {
+        fleet.document.keys.refuse_after += 1s;
+        fleet.runner.set_document(fleet.document);
+        CHECK(fleet.run(5s) == 0);
+    }
+    SUBCASE("a new site")
+    {
+        auto site = fleet.document.sites.front();
+        site.id = base::site_id("new-site");
+        fleet.document.sites.push_back(site);
+        fleet.runner.set_document(fleet.document);
+        CHECK(fleet.run(5s) == 1);
+        CHECK(fleet.runner.weights().size() ==
+              fleet.document.sites.size() * fleet.document.services.size());
+        CHECK(fleet.at_home() == steering::full_weight);
+    }
+}
+
+// Guards against an agent that refuses everything because it has heard of nobody yet.
+TEST_CASE("failure domains are not lost before members were heard")
+{
+    runner_fixture fleet;
+    const auto all = fleet.members;
+    fleet.members.resize(1);
+    CHECK(fleet.run(2s) == 0);
+    CHECK(fleet.runner.weights().empty());
+
+    SUBCASE("members arrive")
+    {
+        fleet.members = all;
+        fleet.stop_entries(true);
+        CHECK(fleet.run(500ms) == 1);
+        CHECK(fleet.at_home() == steering::full_weight);
+    }
+    SUBCASE("nobody is heard of for long")
+    {
+        fleet.reachable.clear();
+        fleet.run(5s);
+        REQUIRE_FALSE(fleet.runner.weights().empty());
+        CHECK(fleet.admitted() == 0);
+    }
+}
+
+// Guards against callers that are sent to a failure domain which cannot take them, against shifts
+// without a cap, and against traffic that stays refused after the cause has ended.
+TEST_CASE("a lost failure domain")
+{
+    runner_fixture fleet;
+    fleet.run(5s);
+    REQUIRE(fleet.at_home() == steering::full_weight);
+
+    SUBCASE("its entries stop")
+    {
+        fleet.stop_entries(true);
+    }
+    SUBCASE("it is cut off")
+    {
+        fleet.reachable.erase(fleet.home);
+    }
+
+    fleet.run(fleet.document.steering.interval);
+    CHECK(fleet.at_home() == 0);
+    const double cap = fleet.document.steering.shift_cap_fraction * steering::full_weight;
+    CHECK(fleet.admitted() <= cap + 1);
+    CHECK(fleet.refused() >= steering::full_weight - cap - 1);
+    const auto records = fleet.runner.records();
+    CHECK(std::any_of(records.begin(), records.end(), [](const auto& record) {
+        return record.placement == steering::placement_reason::home_lost;
+    }));
+
+    fleet.run(120s);
+    CHECK(fleet.at_home() == 0);
+    CHECK(fleet.admitted() == steering::full_weight);
+
+    fleet.stop_entries(false);
+    fleet.reachable.insert(fleet.home);
+    fleet.run(240s);
+    CHECK(fleet.at_home() == steering::full_weight);
+}
+
+// Guards against assignments over the decider's part of a region.
+TEST_CASE("demand over the own part of the region is refused")
+{
+    runner_fixture fleet;
+    double usable = 0;
+    for (const auto& domain : fleet.runner.plan()->domains) {
+        usable += domain.id == fleet.home ? domain.usable : 0;
+    }
+    const double part = usable / static_cast<double>(fleet.document.hosts.size());
+    fleet.rate = 4 * part;
+    fleet.run(20s);
+    CHECK(*fleet.rate * fleet.at_home() / steering::full_weight <= part * 1.001);
+    CHECK(fleet.refused() > 0);
+}
+
+// Guards against a single noisy report that moves traffic.
+TEST_CASE("demand is smoothed")
+{
+    runner_fixture fleet;
+    fleet.run(10s);
+    const auto before = fleet.runner.weights();
+    const double part = fleet.runner.plan()->domains.front().usable /
+                        static_cast<double>(fleet.document.hosts.size());
+    fleet.now += 1ms;
+    fleet.runner.take_report({{fleet.document.sites.front().id.value(),
+                               fleet.document.services.front().id.value(), 2 * part}},
+                             false, fleet.now);
+    fleet.run(2s);
+    CHECK(fleet.runner.weights() == before);
+}
+
+// Guards against shifts on a demand that nobody reports any more.
+TEST_CASE("without reports nothing is shifted")
+{
+    runner_fixture fleet;
+    fleet.run(5s);
+    fleet.rate.reset();
+    fleet.run(fleet.document.steering.stale_after + 1s);
+    fleet.stop_entries(true);
+    fleet.run(30s);
+    CHECK(fleet.admitted() == 0);
+    const auto records = fleet.runner.records();
+    CHECK(std::any_of(records.begin(), records.end(), [](const auto& record) {
+        return record.wait == steering::wait_reason::demand_missing;
+    }));
+}
+
+// Guards against a planned drain that refuses requests which other failure domains could take.
+TEST_CASE("a drained failure domain is emptied within the cap")
+{
+    runner_fixture fleet;
+    fleet.run(5s);
+
+    SUBCASE("by itself")
+    {
+        fleet.drains.drains.push_back({config::drain_kind::failure_domain, fleet.home.value(), {}});
+    }
+    SUBCASE("by its hosts")
+    {
+        for (const config::host& host : fleet.document.hosts) {
+            if (host.failure_domain == fleet.home) {
+                fleet.drains.drains.push_back({config::drain_kind::host, host.id.value(), {}});
+            }
+        }
+    }
+    fleet.run(fleet.document.steering.interval);
+    CHECK(fleet.refused() == 0);
+    CHECK(fleet.at_home() > steering::full_weight * 9 / 10);
+    CHECK(fleet.at_home() < steering::full_weight);
+    fleet.run(120s);
+    CHECK(fleet.at_home() == 0);
+    CHECK(fleet.refused() == 0);
+    fleet.drains.drains.clear();
+    fleet.run(240s);
+    CHECK(fleet.at_home() == steering::full_weight);
+}
+
+// Guards against an uncapped shift by an agent that starts beside a lookup with other weights.
+TEST_CASE("a lookup that serves with weights of an earlier agent keeps them until it restarts")
+{
+    runner_fixture fleet;
+    fleet.foreign = true;
+    CHECK(fleet.run(30s) == 0);
+    CHECK(fleet.runner.is_held());
+    fleet.foreign = false;
+    CHECK(fleet.run(2s) == 1);
+}
--- a/src/inner/types/messages.h
+++ b/src/inner/types/messages.h
@@ -49,6 +49,8 @@
     std::vector<std::string> failure_domains;
     std::vector<std::uint32_t> weights; ///< Admitted part, of 65536.
     std::vector<std::uint32_t> refused; ///< Refused part, of 65536.
+
+    friend bool operator==(const site_weights&, const site_weights&) = default;
 };
 
 struct cursor {
--- a/src/steering/decide_limits.cpp
+++ b/src/steering/decide_limits.cpp
@@ -1,3 +1,4 @@
+#include "steering/decide.h"
 #include "steering/internal/budgets.h"
 #include "steering/lookup.h"
 
@@ -8,9 +9,6 @@
 
 namespace {
 
-/// Bound of the time by which a drain starts early when the shift cap is tiny.
-constexpr base::duration max_drain_lead = std::chrono::hours(1);
-
 bool is_valid(double value)
 {
     return std::isfinite(value) && value >= 0;
@@ -51,21 +49,6 @@
     }
 }
 
-/// Time by which the shifts of a drain start early: twice what the cap alone needs, because other
-/// shifts use the cap too, then warm-up of the receivers and the callers' cached answers.
-base::duration drain_lead(const plan& plan)
-{
-    std::chrono::milliseconds warm_up{0};
-    for (const plan_service& service : plan.services) {
-        warm_up = std::max(warm_up, service.warm_up);
-    }
-    const double intervals = 2 / std::max(1e-6, plan.settings.shift_cap_fraction);
-    const std::chrono::duration<double> shifts = plan.settings.interval * intervals;
-    const std::chrono::duration<double> lead = shifts + warm_up + plan.settings.lookup_cache;
-    return std::chrono::duration_cast<base::duration>(
-        std::min<std::chrono::duration<double>>(lead, max_drain_lead));
-}
-
 domain_view view_of(const std::vector<health_measurement>& health, std::size_t domain,
                     base::duration stale_after, base::time_point now)
 {
@@ -266,3 +249,27 @@
 }
 
 } // namespace snipeshore::steering::internal
+
+namespace snipeshore::steering {
+
+namespace {
+
+/// Bound of the time by which a drain starts early when the shift cap is tiny.
+constexpr base::duration max_drain_lead = std::chrono::hours(1);
+
+} // namespace
+
+base::duration drain_lead(const plan& plan)
+{
+    std::chrono::milliseconds warm_up{0};
+    for (const plan_service& service : plan.services) {
+        warm_up = std::max(warm_up, service.warm_up);
+    }
+    const double intervals = 2 / std::max(1e-6, plan.settings.shift_cap_fraction);
+    const std::chrono::duration<double> shifts = plan.settings.interval * intervals;
+    const std::chrono::duration<double> lead = shifts + warm_up + plan.settings.lookup_cache;
+    return std::chrono::duration_cast<base::duration>(
+        std::min<std::chrono::duration<double>>(lead, max_drain_lead));
+}
+
+} // namespace snipeshore::steering
