--- a/src/documents/text.h
+++ b/src/documents/text.h
@@ -9,8 +9,8 @@
 
 namespace snipeshore::documents {
 
-/// The one form in which a document is published: compact, keys sorted. Patches reproduce it byte
-/// break, as `config::to_text` writes it. Patches reproduce it byte for byte.
+/// The one form in which a document is published: compact with sorted keys, as
+/// `config::to_text` writes it. Patches reproduce it byte for byte.
 base::result<std::string> canonical_text(std::string_view text);
 
 /// BLAKE2b-256, in hexadecimal digits.
