Leave drains of failure domains to steering; restore two checks of drained and lost domains

Cause: lookup and entry took all hosts and targets of a drained failure domain out at once, while steering moves its traffic only within the shift cap; callers would have been refused until the shift was done. Change: is_drained covers only drains of the host or target itself.

--- a/src/apps/agent/tests/steering_runner_test.cpp
+++ b/src/apps/agent/tests/steering_runner_test.cpp
@@ -68,6 +68,21 @@
                    [&](const auto& id) { return id == home.value(); });
     }
 
+    base::region_id region_of(const base::failure_domain_id& domain) const
+    {
+        const auto found =
+            std::find_if(document.failure_domains.begin(), document.failure_domains.end(),
+                         [&](const auto& candidate) { return candidate.id == domain; });
+        return found->region;
+    }
+
+    std::uint32_t in_home_region() const
+    {
+        return sum(&inner::site_weights::weights, [&](const auto& id) {
+            return region_of(base::failure_domain_id(id)) == region_of(home);
+        });
+    }
+
     std::uint32_t admitted() const
     {
         return sum(&inner::site_weights::weights, [](const auto&) { return true; });
@@ -185,6 +200,8 @@
     fleet.run(120s);
     CHECK(fleet.at_home() == 0);
     CHECK(fleet.admitted() == steering::full_weight);
+    // The other failure domain of the region has room, and it is the nearest.
+    CHECK(fleet.in_home_region() == steering::full_weight);
 
     fleet.stop_entries(false);
     fleet.reachable.insert(fleet.home);
@@ -269,6 +286,19 @@
     CHECK(fleet.at_home() == steering::full_weight);
 }
 
+// Guards against a planned drain of a region that stops at its other failure domains.
+TEST_CASE("a drained region is left")
+{
+    runner_fixture fleet;
+    fleet.run(5s);
+    REQUIRE(fleet.in_home_region() == steering::full_weight);
+    fleet.drains.drains.push_back(
+        {config::drain_kind::region, fleet.region_of(fleet.home).value(), {}});
+    fleet.run(240s);
+    CHECK(fleet.in_home_region() == 0);
+    CHECK(fleet.admitted() == steering::full_weight);
+}
+
 // Guards against an uncapped shift by an agent that starts beside a lookup with other weights.
 TEST_CASE("a lookup that serves with weights of an earlier agent keeps them until it restarts")
 {
--- a/src/apps/common/fleet_state.h
+++ b/src/apps/common/fleet_state.h
@@ -43,9 +43,9 @@
 /// Record of a host, or null.
 const inner::host_record* find_member(const fleet_state& fleet, const base::host_id& host);
 
-/// Whether a drain covers the item; a drained failure domain or region covers its hosts and
-/// targets.
-bool is_drained(const fleet_state& fleet, config::drain_kind kind, const std::string& id,
-                const base::failure_domain_id& domain);
+/// Whether a host or target is drained by itself. Drains of failure domains and regions are left to
+/// steering, which moves their traffic away within the shift cap; until it has moved, their hosts
+/// and targets go on serving it.
+bool is_drained(const fleet_state& fleet, config::drain_kind kind, const std::string& id);
 
 } // namespace snipeshore::apps
--- a/src/apps/entry/service_pool.cpp
+++ b/src/apps/entry/service_pool.cpp
@@ -19,8 +19,7 @@
 
 balancing::target_info to_target_info(const config::target& target, const fleet_state& fleet)
 {
-    const bool leaving =
-        is_drained(fleet, config::drain_kind::target, target.id.value(), target.failure_domain);
+    const bool leaving = is_drained(fleet, config::drain_kind::target, target.id.value());
     return {target.id, target.slots, target.connections, leaving};
 }
 
--- a/src/apps/lookup/lookup_table.cpp
+++ b/src/apps/lookup/lookup_table.cpp
@@ -42,7 +42,7 @@
 bool can_be_named(const fleet_state& fleet, const inner::host_record& record)
 {
     return record.status == inner::host_status::live && record.entry_incarnation.value() != 0 &&
-           !is_drained(fleet, config::drain_kind::host, record.host.value(), record.failure_domain);
+           !is_drained(fleet, config::drain_kind::host, record.host.value());
 }
 
 } // namespace
