--- a/src/apps/agent/agent_core.cpp
+++ b/src/apps/agent/agent_core.cpp
@@ -338,7 +338,7 @@
     if (report.entry_incarnation.value() == 0) {
         const bool foreign =
             from.steering_revision != 0 && !is_own_revision(from.steering_revision);
-        m_steering.take_report(report.demand, foreign, m_callbacks.now());
+        m_steering.take_report(report, foreign, m_callbacks.now());
         return;
     }
     m_entry_reported = m_callbacks.now();
--- a/src/apps/agent/steering_runner.cpp
+++ b/src/apps/agent/steering_runner.cpp
@@ -1,6 +1,7 @@
 #include "apps/agent/steering_runner.h"
 
 #include "steering/decide.h"
+#include "steering/lookup.h"
 #include "steering/plan.h"
 #include "steering/unmeasured.h"
 #include "telemetry/event_log.h"
@@ -55,6 +56,44 @@
            are_hosts_drained(document, drains, domain.id);
 }
 
+template <typename Entries>
+std::map<std::string, std::size_t> positions_of(const Entries& entries)
+{
+    std::map<std::string, std::size_t> positions;
+    for (std::size_t index = 0; index < entries.size(); ++index) {
+        positions.emplace(entries[index].id.value(), index);
+    }
+    return positions;
+}
+
+steering::weight_table to_table(const steering::plan& plan,
+                                const std::vector<inner::site_weights>& rows)
+{
+    steering::weight_table table = steering::make_weight_table(plan);
+    const auto sites = positions_of(plan.sites);
+    const auto services = positions_of(plan.services);
+    const auto domains = positions_of(plan.domains);
+    for (const inner::site_weights& row : rows) {
+        const auto site = sites.find(row.site);
+        const auto service = services.find(row.service);
+        if (site == sites.end() || service == services.end()) {
+            continue;
+        }
+        const std::size_t first =
+            (site->second * plan.services.size() + service->second) * plan.domains.size();
+        for (std::size_t index = 0; index < row.failure_domains.size(); ++index) {
+            const auto domain = domains.find(row.failure_domains[index]);
+            if (domain == domains.end() || index >= row.weights.size() ||
+                index >= row.refused.size()) {
+                continue;
+            }
+            table.weights[first + domain->second] = row.weights[index];
+            table.refused[first + domain->second] = row.refused[index];
+        }
+    }
+    return table;
+}
+
 } // namespace
 
 void steering_runner::set_document(const config::document& document)
@@ -77,13 +116,35 @@
     m_changes.clear();
 }
 
-void steering_runner::take_report(const std::vector<inner::row_demand>& demand,
-                                  bool foreign_weights, base::time_point now)
+void steering_runner::take_report(const inner::process_report& report, bool foreign_weights,
+                                  base::time_point now)
 {
-    if (std::exchange(m_is_held, foreign_weights) != foreign_weights) {
+    const bool can_restore = m_plan && !report.weights.empty();
+    if (foreign_weights && can_restore) {
+        restore(report.weights, now);
+    }
+    // Once restored, the lookup reports the old revision until it has taken the next weights.
+    const bool is_held = foreign_weights && !can_restore && !m_is_restored;
+    if (std::exchange(m_is_held, is_held) != is_held) {
         telemetry::log_event(telemetry::severity::warning,
-                             foreign_weights ? "steering_held" : "steering_resumed", {});
+                             is_held ? "steering_held" : "steering_resumed", {});
     }
+    take_demand(report.demand, now);
+}
+
+void steering_runner::restore(const std::vector<inner::site_weights>& weights, base::time_point now)
+{
+    m_state = steering::restore_state(*m_plan, to_table(*m_plan, weights), now);
+    m_has_decided = true;
+    m_is_restored = true;
+    // The lookup has to learn a revision of this agent even if no weight changes.
+    m_weights.clear();
+    telemetry::log_event(telemetry::severity::info, "steering_restored", {});
+}
+
+void steering_runner::take_demand(const std::vector<inner::row_demand>& demand,
+                                  base::time_point now)
+{
     const double part =
         m_demand_taken
             ? 1 - std::exp(-seconds_of(now - *m_demand_taken) / seconds_of(demand_smoothing))
--- a/src/apps/agent/steering_runner.h
+++ b/src/apps/agent/steering_runner.h
@@ -26,9 +26,9 @@
     void set_document(const config::document& document);
 
     /// Takes a report of the lookup process. `foreign_weights`: it serves with weights of an
-    /// earlier agent. What these are is unknown, so a decision could shift any amount of traffic;
-    /// none is made until the lookup has restarted.
-    void take_report(const std::vector<inner::row_demand>& demand, bool foreign_weights,
+    /// earlier agent. Decisions go on from the weights in the report. Without them a decision could
+    /// shift any amount of traffic, so none is made until the lookup has reported or restarted.
+    void take_report(const inner::process_report& report, bool foreign_weights,
                      base::time_point now);
 
     /// Decides if it is time to. Returns whether `weights` changed.
@@ -59,6 +59,8 @@
 private:
     using row_key = std::pair<std::string, std::string>;
 
+    void restore(const std::vector<inner::site_weights>& weights, base::time_point now);
+    void take_demand(const std::vector<inner::row_demand>& demand, base::time_point now);
     bool may_start(const std::vector<inner::host_record>& members, base::time_point now) const;
     void update_health(const std::vector<inner::host_record>& members,
                        const std::set<base::failure_domain_id>& reachable, base::time_point now);
@@ -72,6 +74,7 @@
     bool m_has_decided = false;
     bool m_document_changed = false;
     bool m_is_held = false;
+    bool m_is_restored = false;
     std::optional<base::time_point> m_first_tick;
     base::time_point m_next_decision{};
     std::map<row_key, double> m_demand;
--- a/src/apps/agent/tests/steering_runner_test.cpp
+++ b/src/apps/agent/tests/steering_runner_test.cpp
@@ -40,9 +40,11 @@
         for (const auto end = now + time; now < end;) {
             if (rate && now >= next_report) {
                 next_report = now + 1s;
-                runner.take_report({{document.sites.front().id.value(),
-                                     document.services.front().id.value(), *rate}},
-                                   foreign, now);
+                inner::process_report report;
+                report.demand = {{document.sites.front().id.value(),
+                                  document.services.front().id.value(), *rate}};
+                report.weights = reported_weights;
+                runner.take_report(report, foreign, now);
             }
             changes += runner.tick(members, reachable, drains, now) ? 1 : 0;
             now += 100ms;
@@ -112,6 +114,7 @@
     base::time_point next_report{};
     std::optional<double> rate = 20;
     bool foreign = false;
+    std::vector<inner::site_weights> reported_weights;
 };
 
 } // namespace
@@ -233,9 +236,10 @@
     const double part = fleet.runner.plan()->domains.front().usable /
                         static_cast<double>(fleet.document.hosts.size());
     fleet.now += 1ms;
-    fleet.runner.take_report({{fleet.document.sites.front().id.value(),
-                               fleet.document.services.front().id.value(), 2 * part}},
-                             false, fleet.now);
+    inner::process_report noisy;
+    noisy.demand = {{fleet.document.sites.front().id.value(),
+                     fleet.document.services.front().id.value(), 2 * part}};
+    fleet.runner.take_report(noisy, false, fleet.now);
     fleet.run(2s);
     CHECK(fleet.runner.weights() == before);
 }
@@ -299,6 +303,33 @@
     CHECK(fleet.admitted() == steering::full_weight);
 }
 
+// Guards against an agent that never decides again after it was restarted beside its lookup, and
+// against a shift past the cap by its first decision.
+TEST_CASE("an agent that starts beside a lookup goes on from the lookup's weights")
+{
+    runner_fixture fleet;
+    fleet.run(2s);
+    const auto baseline = fleet.runner.weights();
+    REQUIRE(fleet.at_home() == steering::full_weight);
+
+    runner_fixture restarted;
+    restarted.stop_entries(true);
+    restarted.foreign = true;
+    restarted.reported_weights = baseline;
+    CHECK(restarted.run(1s) >= 1);
+    CHECK_FALSE(restarted.runner.is_held());
+    // Within the start grace nothing is known to be lost yet.
+    CHECK(restarted.at_home() == steering::full_weight);
+    restarted.foreign = false;
+    restarted.reported_weights.clear();
+    restarted.run(4s);
+    CHECK(restarted.at_home() == 0);
+    const double cap = restarted.document.steering.shift_cap_fraction * steering::full_weight;
+    CHECK(restarted.admitted() <= 4 * cap);
+    restarted.run(120s);
+    CHECK(restarted.admitted() == steering::full_weight);
+}
+
 // Guards against an uncapped shift by an agent that starts beside a lookup with other weights.
 TEST_CASE("a lookup that serves with weights of an earlier agent keeps them until it restarts")
 {
--- a/src/apps/common/snapshot_client.cpp
+++ b/src/apps/common/snapshot_client.cpp
@@ -74,6 +74,11 @@
     return m_state;
 }
 
+bool snapshot_client::is_agent_lost() const
+{
+    return m_is_agent_lost;
+}
+
 base::time_point snapshot_client::last_answer() const
 {
     return m_last_answer;
@@ -104,7 +109,8 @@
 
 void snapshot_client::on_reply(base::result<inner::snapshot> reply, base::time_point sent)
 {
-    if (!base::is_ok(reply)) {
+    m_is_agent_lost = !base::is_ok(reply);
+    if (m_is_agent_lost) {
         telemetry::log_event(
             telemetry::severity::warning, "agent_unavailable",
             {{"address", m_agent_address}, {"cause", base::error_of(reply).detail}});
--- a/src/apps/entry/ticket_desk.cpp
+++ b/src/apps/entry/ticket_desk.cpp
@@ -53,6 +53,12 @@
                  "the ticket's owner cannot tell whether a request with this ticket ran"};
 }
 
+template <typename Request>
+tickets::attempt attempt_of(const Request& request)
+{
+    return {base::host_id(request.claimer), request.claimer_incarnation, request.attempt};
+}
+
 } // namespace
 
 ticket_desk::ticket_desk(inner::node& node, const fleet_state& fleet, const base::host_id& self,
@@ -76,19 +82,7 @@
         claim_at_owner(claim, account, deadline, claim_calls, done);
         return;
     }
-    const base::result<tickets::claim_result> outcome = tickets::claim(
-        m_claims, claim->ticket, account, own_attempt(*claim), base::boot_clock::now());
-    if (!base::is_ok(outcome)) {
-        done(base::error_of(outcome));
-        return;
-    }
-    const tickets::claim_result& result = base::value_of(outcome);
-    inner::claim_reply reply;
-    reply.verdict = static_cast<inner::claim_verdict>(result.verdict);
-    if (result.answer != nullptr) {
-        reply.answer = to_message(*result.answer);
-    }
-    done(to_outcome(reply));
+    done(to_outcome(claim_here(claim->ticket, account, own_attempt(*claim))));
 }
 
 void ticket_desk::claim_at_owner(const std::shared_ptr<granted_claim>& claim,
@@ -162,18 +156,24 @@
 
 inner::claim_reply ticket_desk::answer_claim(const inner::claim_request& request)
 {
-    inner::claim_reply reply;
     const base::result<tickets::ticket> parsed =
         tickets::parse_and_verify(request.ticket, m_secret);
     if (!base::is_ok(parsed)) {
-        return reply;
+        return {};
     }
-    const tickets::attempt attempt{base::host_id(request.claimer), request.claimer_incarnation,
-                                   request.attempt};
+    return claim_here(base::value_of(parsed), base::account_id(request.account),
+                      attempt_of(request));
+}
+
+inner::claim_reply ticket_desk::claim_here(const tickets::ticket& which,
+                                           const base::account_id& account,
+                                           const tickets::attempt& by)
+{
+    inner::claim_reply reply;
     const base::result<tickets::claim_result> outcome =
-        tickets::claim(m_claims, base::value_of(parsed), base::account_id(request.account), attempt,
-                       base::boot_clock::now());
+        tickets::claim(m_claims, which, account, by, base::boot_clock::now());
     if (!base::is_ok(outcome)) {
+        // A full register: the ticket stays unclaimed, and a repeat with it may be granted later.
         reply.verdict = inner::claim_verdict::unknown;
         return reply;
     }
@@ -189,25 +189,20 @@
 {
     const base::result<tickets::ticket> parsed =
         tickets::parse_and_verify(request.ticket, m_secret);
-    if (!base::is_ok(parsed)) {
-        return;
+    if (base::is_ok(parsed)) {
+        tickets::complete(m_claims, base::value_of(parsed), attempt_of(request),
+                          to_answer(request.answer), base::boot_clock::now());
     }
-    const tickets::attempt attempt{base::host_id(request.claimer), request.claimer_incarnation,
-                                   request.attempt};
-    tickets::complete(m_claims, base::value_of(parsed), attempt, to_answer(request.answer),
-                      base::boot_clock::now());
 }
 
 void ticket_desk::answer_release(const inner::release_request& request)
 {
     const base::result<tickets::ticket> parsed =
         tickets::parse_and_verify(request.ticket, m_secret);
-    if (!base::is_ok(parsed)) {
-        return;
+    if (base::is_ok(parsed)) {
+        tickets::release(m_claims, base::value_of(parsed), attempt_of(request),
+                         base::boot_clock::now());
     }
-    const tickets::attempt attempt{base::host_id(request.claimer), request.claimer_incarnation,
-                                   request.attempt};
-    tickets::release(m_claims, base::value_of(parsed), attempt, base::boot_clock::now());
 }
 
 std::uint64_t ticket_desk::epoch()
--- a/src/apps/entry/ticket_desk.h
+++ b/src/apps/entry/ticket_desk.h
@@ -57,6 +57,8 @@
     const tickets::claim_register& claims() const;
 
 private:
+    inner::claim_reply claim_here(const tickets::ticket& which, const base::account_id& account,
+                                  const tickets::attempt& by);
     void claim_at_owner(const std::shared_ptr<granted_claim>& claim,
                         const base::account_id& account, base::time_point deadline,
                         unsigned calls_left, const claim_callback& done);
--- a/src/apps/lookup/lookup_app.cpp
+++ b/src/apps/lookup/lookup_app.cpp
@@ -113,6 +113,9 @@
     if (!m_table.has_value()) {
         return report;
     }
+    if (m_snapshots.is_agent_lost()) {
+        report.weights = m_snapshots.state().weights;
+    }
     const base::time_point now = base::boot_clock::now();
     const double seconds = std::chrono::duration<double>(now - m_last_report).count();
     const std::size_t services = m_table->plan.services.size();
--- a/src/inner/inner.capnp
+++ b/src/inner/inner.capnp
@@ -84,6 +84,7 @@
   leaving @2 :Bool;
   configVersion @3 :UInt64;       # in force in this process; 0: it is not an entry
   demand @4 :List(RowDemand);     # from a lookup process, since its last report
+  weights @5 :List(SiteWeights);  # in force in a lookup process, after its agent did not answer
 }
 
 struct DomainHash {
--- a/src/inner/internal/wire.cpp
+++ b/src/inner/internal/wire.cpp
@@ -263,6 +263,7 @@
     state.setLeaving(report.leaving);
     state.setConfigVersion(report.config_version);
     write_list(state.initDemand(size_of(report.demand.size())), report.demand);
+    write_list(state.initWeights(size_of(report.weights.size())), report.weights);
 }
 
 cursor read(rpc::Cursor::Reader from)
@@ -273,8 +274,12 @@
 
 process_report read(rpc::ProcessReport::Reader from)
 {
-    return {base::incarnation(from.getEntryIncarnation()), from.getTicketEpoch(), from.getLeaving(),
-            from.getConfigVersion(), read_list<row_demand>(from.getDemand())};
+    return {base::incarnation(from.getEntryIncarnation()),
+            from.getTicketEpoch(),
+            from.getLeaving(),
+            from.getConfigVersion(),
+            read_list<row_demand>(from.getDemand()),
+            read_list<site_weights>(from.getWeights())};
 }
 
 void write(rpc::Snapshot::Builder to, const snapshot& from)
--- a/src/inner/tests/node_test.cpp
+++ b/src/inner/tests/node_test.cpp
@@ -185,8 +185,13 @@
         REQUIRE(base::is_ok(server.start(agent, {})));
         outcome<snapshot> result;
         client.watch(server.bound_address(), {{{"config", 3}}, 19, 20},
-                     {base::incarnation(5), 6, true, 7, {{"site", "service", 1.5}}}, in(5s),
-                     result.callback());
+                     {base::incarnation(5),
+                      6,
+                      true,
+                      7,
+                      {{"site", "service", 1.5}},
+                      {{"s", "t", {"fd"}, {65536}, {0}}}},
+                     in(5s), result.callback());
         await(owner, result);
         const snapshot& got = result.reply();
         CHECK(seen.versions.at(0).version == 3);
@@ -198,6 +203,8 @@
         CHECK(reported.config_version == 7);
         CHECK(reported.demand.at(0).service == "service");
         CHECK(reported.demand.at(0).rate == 1.5);
+        CHECK(reported.weights.at(0).failure_domains.at(0) == "fd");
+        CHECK(reported.weights.at(0).weights.at(0) == 65536);
         REQUIRE(got.documents.size() == 2);
         CHECK(got.documents[0].text == R"({"a":1})");
         CHECK(got.documents[0].patches.empty());
--- a/src/inner/types/messages.h
+++ b/src/inner/types/messages.h
@@ -70,8 +70,9 @@
     base::incarnation entry_incarnation;
     std::uint64_t ticket_epoch = 0;
     bool leaving = false;
-    std::uint64_t config_version = 0; ///< Of an entry process.
-    std::vector<row_demand> demand;   ///< Of a lookup process, since its last report.
+    std::uint64_t config_version = 0;  ///< Of an entry process.
+    std::vector<row_demand> demand;    ///< Of a lookup process, since its last report.
+    std::vector<site_weights> weights; ///< In force in a lookup, after its agent did not answer.
 };
 
 struct snapshot {
--- a/src/tickets/tests/tickets_test.cpp
+++ b/src/tickets/tests/tickets_test.cpp
@@ -123,7 +123,8 @@
             const auto epoch = static_cast<std::uint64_t>(*rc::gen::inRange(1, 5));
             const auto who = static_cast<std::uint64_t>(*rc::gen::inRange(0, 4));
             // The epoch is a part of the id here: a ticket has one epoch.
-            const auto id = static_cast<std::uint8_t>(number * 8U + epoch);
+            const auto id =
+                static_cast<std::uint8_t>(static_cast<std::uint64_t>(number) * 8 + epoch);
             const ticket which = make_ticket(id, epoch);
             const auto action = *rc::gen::inRange(0, 4);
             if (action == 0) {
--- a/tests/support/http_session.cpp
+++ b/tests/support/http_session.cpp
@@ -19,6 +19,14 @@
     done_callback done;
 };
 
+http_request get_with_key(const std::string& path, const std::string& key)
+{
+    http_request request;
+    request.path = path;
+    request.headers = {{"authorization", "Bearer " + key}};
+    return request;
+}
+
 std::string http_reply::header(std::string_view name) const
 {
     return std::string(http::find_header(headers, name).value_or(""));
--- a/tests/support/http_session.h
+++ b/tests/support/http_session.h
@@ -36,6 +36,9 @@
     std::chrono::milliseconds limit{20000};
 };
 
+/// GET with a key.
+http_request get_with_key(const std::string& path, const std::string& key);
+
 /// One loop and client; several requests may run at once by `start` and `run_until`.
 class http_session {
 public:
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -27,14 +27,6 @@
     return settings;
 }
 
-http_request get(const std::string& path, const std::string& key)
-{
-    http_request request;
-    request.path = path;
-    request.headers = {{"authorization", "Bearer " + key}};
-    return request;
-}
-
 bool is_in_force(fleet& fleet, const std::string& name, std::uint64_t version)
 {
     for (const std::string& host : fleet.host_ids()) {
@@ -49,7 +41,7 @@
 bool works_everywhere(fleet& fleet, const std::string& key)
 {
     for (const std::string& host : fleet.host_ids()) {
-        if (fleet.send(host, "order-desk", get("/echo", key)).status != 200) {
+        if (fleet.send(host, "order-desk", get_with_key("/echo", key)).status != 200) {
             return false;
         }
     }
@@ -59,7 +51,7 @@
 bool stopped_everywhere(fleet& fleet, const std::string& key)
 {
     for (const std::string& host : fleet.host_ids()) {
-        if (fleet.send(host, "order-desk", get("/echo", key)).status != 401) {
+        if (fleet.send(host, "order-desk", get_with_key("/echo", key)).status != 401) {
             return false;
         }
     }
@@ -139,7 +131,8 @@
         REQUIRE(fleet.withdraw_key(key).status == 0);
         REQUIRE(fleet.session().run_until(
             [&] {
-                return fleet.send(fleet.host_ids().front(), "order-desk", get("/echo", key))
+                return fleet
+                           .send(fleet.host_ids().front(), "order-desk", get_with_key("/echo", key))
                            .status == 401;
             },
             base::boot_clock::now() + key_bound));
--- a/tests/system/crash_test.cpp
+++ b/tests/system/crash_test.cpp
@@ -24,14 +24,6 @@
     return settings;
 }
 
-http_request get(const std::string& path, const std::string& key)
-{
-    http_request request;
-    request.path = path;
-    request.headers = {{"authorization", "Bearer " + key}};
-    return request;
-}
-
 std::vector<std::string> target_ids(fleet& fleet)
 {
     std::vector<std::string> ids;
@@ -64,18 +56,20 @@
     const std::string key = fleet.grant_key(fleet.document()["accounts"][0]["id"]);
     for (const std::string& host : fleet.host_ids()) {
         REQUIRE(fleet.session().run_until(
-            [&] { return fleet.send(host, "order-desk", get("/echo", key)).status == 200; },
+            [&] {
+                return fleet.send(host, "order-desk", get_with_key("/echo", key)).status == 200;
+            },
             base::boot_clock::now() + 15s));
     }
     const std::vector<std::string> hosts = fleet.host_ids();
     for (int round = 0; round < 6; ++round) {
         const std::string& host = hosts[static_cast<std::size_t>(round) % hosts.size()];
-        CHECK(fleet.send(host, "order-desk", get("/crash?id=1", key)).status >= 400);
+        CHECK(fleet.send(host, "order-desk", get_with_key("/crash?id=1", key)).status >= 400);
     }
     CHECK(crashed_targets(fleet) == 2);
     for (const std::string& host : hosts) {
-        const http_reply refused = fleet.send(host, "order-desk", get("/crash?id=1", key));
+        const http_reply refused = fleet.send(host, "order-desk", get_with_key("/crash?id=1", key));
         CHECK(refused.header("snipeshore-error") == "quarantined");
-        CHECK(fleet.send(host, "order-desk", get("/echo", key)).status == 200);
+        CHECK(fleet.send(host, "order-desk", get_with_key("/echo", key)).status == 200);
     }
 }
--- a/tests/system/limits_test.cpp
+++ b/tests/system/limits_test.cpp
@@ -99,9 +99,7 @@
     for (const std::string& host : hosts) {
         REQUIRE(fleet.session().run_until(
             [&] {
-                http_request request;
-                request.path = "/echo";
-                request.headers = {{"authorization", "Bearer " + modest}};
+                const http_request request = get_with_key("/echo", modest);
                 return fleet.send(host, "order-desk", request).status == 200;
             },
             base::boot_clock::now() + 15s));
@@ -135,9 +133,7 @@
         REQUIRE(fleet.session().run_until([&] { return all.refused >= 100; }, begun + 30s));
         std::size_t refused = 0;
         for (int round = 0; round < 20; ++round) {
-            http_request request;
-            request.path = "/echo";
-            request.headers = {{"authorization", "Bearer " + modest}};
+            const http_request request = get_with_key("/echo", modest);
             const http_reply reply = fleet.send(
                 hosts[static_cast<std::size_t>(round) % hosts.size()], "order-desk", request);
             refused += reply.status == 200 ? 0 : 1;
--- a/tests/system/once_test.cpp
+++ b/tests/system/once_test.cpp
@@ -52,9 +52,7 @@
         fleet.host_ids().front() == owner ? fleet.host_ids().back() : fleet.host_ids().front();
     REQUIRE(fleet.session().run_until(
         [&] {
-            http_request echo;
-            echo.path = "/echo";
-            echo.headers = {{"authorization", "Bearer " + key}};
+            const http_request echo = get_with_key("/echo", key);
             return fleet.send(owner, "order-desk", echo).status == 200 &&
                    fleet.send(other, "order-desk", echo).status == 200;
         },
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -22,14 +22,6 @@
     return settings;
 }
 
-http_request get(const std::string& path, const std::string& key)
-{
-    http_request request;
-    request.path = path;
-    request.headers = {{"authorization", "Bearer " + key}};
-    return request;
-}
-
 json body_of(const http_reply& reply)
 {
     return json::parse(reply.body, nullptr, false);
@@ -52,7 +44,9 @@
     const json found = body_of(fleet.lookup(host, "order-desk", key));
     const std::string entry = found.at("host");
     REQUIRE(fleet.session().run_until(
-        [&] { return fleet.send(entry, "order-desk", get("/stock/1", key)).status == 200; },
+        [&] {
+            return fleet.send(entry, "order-desk", get_with_key("/stock/1", key)).status == 200;
+        },
         base::boot_clock::now() + 15s));
 
     {
@@ -64,7 +58,7 @@
     }
     {
         INFO("the target sees the account and the deadline and no key");
-        http_request request = get("/echo", key);
+        http_request request = get_with_key("/echo", key);
         request.headers.push_back({"snipeshore-deadline-ms", "5000"});
         const http_reply reply = fleet.send(entry, "order-desk", request);
         REQUIRE(reply.status == 200);
@@ -86,25 +80,25 @@
             CHECK(body_of(reply)["detail"].get<std::string>().size() > 10);
         };
         refused({.path = "/stock/1"}, "key_missing", 401);
-        refused(get("/stock/1", "wrong-key-0123456789"), "key_unknown", 401);
-        refused(get("/no-such-route", key), "route_unknown", 404);
-        http_request wrong_method = get("/stock/1", key);
+        refused(get_with_key("/stock/1", "wrong-key-0123456789"), "key_unknown", 401);
+        refused(get_with_key("/no-such-route", key), "route_unknown", 404);
+        http_request wrong_method = get_with_key("/stock/1", key);
         wrong_method.method = "DELETE";
         refused(wrong_method, "method_not_allowed", 405);
-        http_request bad_deadline = get("/stock/1", key);
+        http_request bad_deadline = get_with_key("/stock/1", key);
         bad_deadline.headers.push_back({"snipeshore-deadline-ms", "soon"});
         refused(bad_deadline, "bad_request", 400);
-        http_request no_ticket = get("/run", key);
+        http_request no_ticket = get_with_key("/run", key);
         no_ticket.method = "POST";
         refused(no_ticket, "ticket_missing", 428);
-        http_request wrong_host = get("/stock/1", key);
+        http_request wrong_host = get_with_key("/stock/1", key);
         wrong_host.address = fleet.address_of(entry, "entry_address");
         wrong_host.authority = "elsewhere.example";
         CHECK(fleet.session().send(wrong_host).status == 421);
     }
     {
         INFO("a forged ticket is refused and never said to be not run");
-        http_request forged = get("/run", key);
+        http_request forged = get_with_key("/run", key);
         forged.method = "POST";
         forged.headers.push_back({"snipeshore-ticket", "forged"});
         const http_reply reply = fleet.send(entry, "order-desk", forged);
@@ -117,7 +111,7 @@
     }
     {
         INFO("a truncated answer never looks complete");
-        const http_reply reply = fleet.send(entry, "order-desk", get("/truncated", key));
+        const http_reply reply = fleet.send(entry, "order-desk", get_with_key("/truncated", key));
         CHECK_FALSE((base::is_ok(reply.outcome) && reply.status == 200));
     }
     {
@@ -128,7 +122,7 @@
         std::size_t most = before;
         bool has_ended = false;
         http_reply reply;
-        http_request request = get("/bytes?n=" + std::to_string(size), key);
+        http_request request = get_with_key("/bytes?n=" + std::to_string(size), key);
         request.address = fleet.address_of(entry, "entry_address");
         request.authority = fleet.service_host_name("order-desk");
         request.limit = 60s;
--- a/tests/system/stop_test.cpp
+++ b/tests/system/stop_test.cpp
@@ -116,9 +116,7 @@
     for (const std::string& host : fleet.host_ids()) {
         REQUIRE(fleet.session().run_until(
             [&] {
-                http_request request;
-                request.path = "/slow?ms=1";
-                request.headers = {{"authorization", "Bearer " + key}};
+                const http_request request = get_with_key("/slow?ms=1", key);
                 return fleet.send(host, "order-desk", request).status == 200 &&
                        fleet.entry_dump(host)["versions"]["config"] == 2 &&
                        fleet.entry_dump(host)["shares"]["uses_full_share"] == true;
