--- a/tests/system/stop_test.cpp
+++ b/tests/system/stop_test.cpp
@@ -167,3 +167,51 @@
                                     base::boot_clock::now() + 20s));
     CHECK_MESSAGE(load.failed == 0, load.last_failure);
 }
+
+// Guards against a drained failure domain whose callers are refused while its traffic moves away.
+TEST_CASE("a whole failure domain is drained under load and loses no request")
+{
+    fleet_settings settings = one_domain();
+    settings.failure_domains = {"tunis-a", "tunis-b"};
+    settings.hosts_per_domain = 1;
+    settings.edit = [](json& document) {
+        add_test_routes(document);
+        document["accounts"][0]["rate"] = 5000;
+        document["accounts"][0]["burst"] = 5000;
+    };
+    fleet fleet(std::move(settings));
+    REQUIRE(fleet.await_ready(30s));
+    const std::string key = fleet.grant_key(fleet.document()["accounts"][0]["id"]);
+    for (const std::string& host : fleet.host_ids()) {
+        REQUIRE(fleet.session().run_until(
+            [&] {
+                return fleet.send(host, "order-desk", get_with_key("/slow?ms=1", key)).status ==
+                       200;
+            },
+            base::boot_clock::now() + 40s));
+    }
+    const auto looked_up = [&] {
+        const http_reply reply = fleet.lookup(fleet.host_ids().back(), "order-desk", key);
+        const json found = json::parse(reply.body, nullptr, false);
+        return found.is_object() ? found.value("failure_domain", "") : std::string();
+    };
+    const std::string drained = looked_up();
+    callers load(fleet, key, 8);
+    REQUIRE(fleet.session().run_until([&] { return load.succeeded > 50; },
+                                      base::boot_clock::now() + 20s));
+    REQUIRE(fleet.ctl({"drain", "failure_domain", drained}).status == 0);
+    // The shift cap lets a twentieth of the traffic move each second.
+    CHECK(fleet.session().run_until(
+        [&] {
+            const std::string now = looked_up();
+            return !now.empty() && now != drained;
+        },
+        base::boot_clock::now() + 90s));
+    const std::size_t before = load.succeeded;
+    CHECK(fleet.session().run_until([&] { return load.succeeded > before + 100; },
+                                    base::boot_clock::now() + 20s));
+    load.stop();
+    CHECK(fleet.session().run_until([&] { return load.running == 0; },
+                                    base::boot_clock::now() + 20s));
+    CHECK_MESSAGE(load.failed == 0, load.last_failure);
+}
