Test cancellation, TLS and HTTP/2 through the entry; cancel test calls for real

Cause: http_session::cancel left the call running, because its callbacks kept it alive, so the case of a caller that loses its answer did not lose it. Ruled out: the entry and the target stand-in, which see the close once it comes. Change: cancel ends the call; path_test covers cancellation at the target, TLS with HTTP/1.1 and HTTP/2.

--- a/tests/support/http_session.cpp
+++ b/tests/support/http_session.cpp
@@ -36,7 +36,9 @@
 
 http_session::~http_session()
 {
-    m_calls.clear();
+    for (const auto& [number, running] : m_calls) {
+        running->call.reset();
+    }
 }
 
 http_reply http_session::send(const http_request& request)
@@ -93,7 +95,13 @@
 
 void http_session::cancel(std::uint64_t number)
 {
-    m_calls.erase(number);
+    const auto found = m_calls.find(number);
+    if (found == m_calls.end()) {
+        return;
+    }
+    // The call's callbacks hold the entry alive, so the call has to be ended itself.
+    found->second->call.reset();
+    m_calls.erase(found);
 }
 
 bool http_session::run_until(const std::function<bool()>& condition, base::time_point deadline)
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <unistd.h>
 
 using namespace snipeshore;
 using namespace snipeshore::test;
@@ -141,8 +142,64 @@
         constexpr std::size_t allowed_growth = 64ULL << 20U;
         CHECK(most - before < allowed_growth);
     }
+    {
+        INFO("a caller that goes away cancels its request at the target");
+        const auto cancelled = [&] {
+            std::size_t count = 0;
+            for (const json& target : fleet.document()["services"][0]["targets"]) {
+                count += fleet.target_runs(target["id"]).value("cancelled", std::size_t{0});
+            }
+            return count;
+        };
+        const auto running = [&] {
+            return fleet.entry_dump(entry).value("requests", std::size_t{0});
+        };
+        const std::size_t before = cancelled();
+        http_request slow = get_with_key("/slow?ms=30000", key);
+        slow.address = fleet.address_of(entry, "entry_address");
+        slow.authority = fleet.service_host_name("order-desk");
+        const std::uint64_t call = fleet.session().start(slow, [](const http_reply&) {});
+        REQUIRE(fleet.session().run_until([&] { return running() == 1; },
+                                          base::boot_clock::now() + 10s));
+        fleet.session().cancel(call);
+        CHECK(fleet.session().run_until([&] { return cancelled() == before + 1; },
+                                        base::boot_clock::now() + 10s));
+    }
     {
         INFO("the key appears in no log");
         CHECK(fleet.all_logs().find(key) == std::string::npos);
     }
 }
+
+// Guards against a break of TLS or HTTP/2 between callers and the entry program.
+TEST_CASE("callers reach the entry over TLS with HTTP/1.1 and HTTP/2")
+{
+    const std::string certificate = "/tmp/snipeshore-path-test-" + std::to_string(getpid());
+    const command_result made =
+        run_command("/usr/bin/openssl",
+                    {"req", "-x509", "-newkey", "rsa:2048", "-nodes", "-days", "2", "-subj",
+                     "/CN=entry", "-keyout", certificate + ".key", "-out", certificate + ".crt"},
+                    20s);
+    REQUIRE_MESSAGE(made.status == 0, made.output);
+    fleet_settings settings = two_domains();
+    settings.entry_flags = {"--tls_certificate=" + certificate + ".crt",
+                            "--tls_key=" + certificate + ".key"};
+    fleet fleet(std::move(settings));
+    REQUIRE(fleet.await_ready(30s));
+    const std::string key = fleet.grant_key(fleet.document()["accounts"][0]["id"]);
+    const std::string address = fleet.address_of(fleet.host_ids().front(), "entry_address");
+    const auto curl = [&](const std::string& version) {
+        return run_command("/usr/bin/curl",
+                           {"-sS", "-k", version, "-o", "/dev/null", "-w",
+                            "%{http_code} %{http_version}", "-H", "Authorization: Bearer " + key,
+                            "-H", "Host: " + fleet.service_host_name("order-desk"),
+                            "https://" + address + "/stock/1"},
+                           20s)
+            .output;
+    };
+    CHECK(fleet.session().run_until([&] { return curl("--http1.1") == "200 1.1"; },
+                                    base::boot_clock::now() + 20s));
+    CHECK(curl("--http2") == "200 2");
+    unlink((certificate + ".key").c_str());
+    unlink((certificate + ".crt").c_str());
+}
