Wait in tests until a granted key is in force on every host

Keys reach hosts within a second of each other; the test did not await that. Ruled out: a lost key: the same host answered all later look-ups. Change: grant_key of the fleet fixture returns when every entry and lookup has the version. The checks stay as they are.

--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -3,6 +3,7 @@
 #include "config/key_hash.h"
 #include "tests/support/reduced_document.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
 #include <cstdlib>
@@ -245,7 +246,26 @@
     if (granted.status != 0) {
         throw std::runtime_error("keys grant failed: " + granted.output);
     }
-    return json::parse(granted.output).at("key").get<std::string>();
+    const json answer = json::parse(granted.output);
+    await_keys(answer.at("version").get<std::uint64_t>());
+    return answer.at("key").get<std::string>();
+}
+
+void fleet::await_keys(std::uint64_t version)
+{
+    const auto has_version = [&](const std::string& address) {
+        const json answer = dump(address);
+        return answer.is_object() && answer["versions"]["keys"].get<std::uint64_t>() >= version;
+    };
+    const auto is_in_force = [&] {
+        return std::all_of(m_hosts.begin(), m_hosts.end(), [&](const host_processes& host) {
+            return has_version(admin_address(host, 0)) && has_version(admin_address(host, 1));
+        });
+    };
+    if (!m_session.run_until(is_in_force, base::boot_clock::now() + 30s)) {
+        throw std::runtime_error("keys version " + std::to_string(version) +
+                                 " is not in force on every host");
+    }
 }
 
 command_result fleet::withdraw_key(const std::string& key) const
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -58,7 +58,7 @@
     /// Publishes the document in its present form.
     command_result publish();
 
-    /// Grants a key to an account and returns it.
+    /// Grants a key to an account and returns it when every entry and lookup knows it.
     std::string grant_key(const std::string& account);
 
     command_result withdraw_key(const std::string& key) const;
@@ -106,6 +106,7 @@
     void lock_addresses();
     void write_document();
     std::string seed_agents() const;
+    void await_keys(std::uint64_t version);
     void list_host(const nlohmann::json& entry);
     std::string log_file(const std::string& name) const;
 
