Merge address parsing, weight rows and node set-up; split request resolution

Change: base::parse_ip_port, apps/common weight_rows and loop_node serve all of them; answer_stream moves to apps/common, since the program for whole hosts uses it as well.

--- a/src/apps/agent/agent_app.cpp
+++ b/src/apps/agent/agent_app.cpp
@@ -1,6 +1,7 @@
 #include "apps/agent/agent_app.h"
 
 #include "apps/agent/dump.h"
+#include "apps/common/loop_node.h"
 #include "http/loop.h"
 #include "telemetry/event_log.h"
 
@@ -18,14 +19,6 @@
 // Lets the replies to local processes, which carry the record as leaving, reach the sockets.
 constexpr std::chrono::milliseconds finish_delay{100};
 
-inner::node_settings with_post(inner::node_settings settings, http::loop& loop)
-{
-    settings.post = [&loop](std::function<void()> work) {
-        loop.post(std::move(work));
-    };
-    return settings;
-}
-
 platform::store_settings store_settings_of(const agent_app_settings& settings)
 {
     platform::store_settings store;
--- a/src/apps/agent/steering_runner.cpp
+++ b/src/apps/agent/steering_runner.cpp
@@ -1,5 +1,6 @@
 #include "apps/agent/steering_runner.h"
 
+#include "apps/common/weight_rows.h"
 #include "steering/decide.h"
 #include "steering/lookup.h"
 #include "steering/plan.h"
@@ -56,44 +57,6 @@
            are_hosts_drained(document, drains, domain.id);
 }
 
-template <typename Entries>
-std::map<std::string, std::size_t> positions_of(const Entries& entries)
-{
-    std::map<std::string, std::size_t> positions;
-    for (std::size_t index = 0; index < entries.size(); ++index) {
-        positions.emplace(entries[index].id.value(), index);
-    }
-    return positions;
-}
-
-steering::weight_table to_table(const steering::plan& plan,
-                                const std::vector<inner::site_weights>& rows)
-{
-    steering::weight_table table = steering::make_weight_table(plan);
-    const auto sites = positions_of(plan.sites);
-    const auto services = positions_of(plan.services);
-    const auto domains = positions_of(plan.domains);
-    for (const inner::site_weights& row : rows) {
-        const auto site = sites.find(row.site);
-        const auto service = services.find(row.service);
-        if (site == sites.end() || service == services.end()) {
-            continue;
-        }
-        const std::size_t first =
-            (site->second * plan.services.size() + service->second) * plan.domains.size();
-        for (std::size_t index = 0; index < row.failure_domains.size(); ++index) {
-            const auto domain = domains.find(row.failure_domains[index]);
-            if (domain == domains.end() || index >= row.weights.size() ||
-                index >= row.refused.size()) {
-                continue;
-            }
-            table.weights[first + domain->second] = row.weights[index];
-            table.refused[first + domain->second] = row.refused[index];
-        }
-    }
-    return table;
-}
-
 } // namespace
 
 void steering_runner::set_document(const config::document& document)
@@ -134,7 +97,9 @@
 
 void steering_runner::restore(const std::vector<inner::site_weights>& weights, base::time_point now)
 {
-    m_state = steering::restore_state(*m_plan, to_table(*m_plan, weights), now);
+    steering::weight_table table = steering::make_weight_table(*m_plan);
+    set_rows(table, *m_plan, weights);
+    m_state = steering::restore_state(*m_plan, table, now);
     m_has_decided = true;
     m_is_restored = true;
     // The lookup has to learn a revision of this agent even if no weight changes.
--- a/src/apps/entry/answer_stream.cpp
+++ b/src/apps/common/answer_stream.cpp
@@ -1,4 +1,4 @@
-#include "apps/entry/answer_stream.h"
+#include "apps/common/answer_stream.h"
 
 #include "http/client.h"
 #include "http/exchange.h"
--- a/src/apps/common/snapshot_client.cpp
+++ b/src/apps/common/snapshot_client.cpp
@@ -1,12 +1,11 @@
 #include "apps/common/snapshot_client.h"
 
 #include "config/parse.h"
+#include "documents/text.h"
 #include "http/loop.h"
 #include "inner/node.h"
 #include "telemetry/event_log.h"
 
-#include <nlohmann/json.hpp>
-
 #include <chrono>
 #include <utility>
 
@@ -164,15 +163,8 @@
         document.base_version != version_in_force(m_state, document.name)) {
         return base::error{base::error_kind::stale, "patches start from another version"};
     }
-    try {
-        nlohmann::json value = nlohmann::json::parse(known->second);
-        for (const std::string& patch : document.patches) {
-            value = value.patch(nlohmann::json::parse(patch));
-        }
-        return value.dump();
-    } catch (const nlohmann::json::exception& failure) {
-        return base::error{base::error_kind::document_invalid, failure.what()};
-    }
+    return documents::apply_patches(known->second,
+                                    {document.patches.begin(), document.patches.end()});
 }
 
 bool snapshot_client::apply_document(const inner::document& document, fleet_changes& changes)
--- a/src/apps/entry/crash_monitor.cpp
+++ b/src/apps/entry/crash_monitor.cpp
@@ -106,6 +106,11 @@
     }
 }
 
+void crash_monitor::drop_expired()
+{
+    retries::drop_expired(m_crashes, base::boot_clock::now());
+}
+
 void crash_monitor::take_report(const inner::crash_report& report)
 {
     const retries::crash_report converted{report.reporter, report.crash, report.target,
--- a/src/apps/entry/crash_monitor.h
+++ b/src/apps/entry/crash_monitor.h
@@ -47,6 +47,9 @@
 
     void on_success(std::uint64_t fingerprint);
 
+    /// Expired suspects do not count any more; this also takes them out of the figures.
+    void drop_expired();
+
     void take_report(const inner::crash_report& report);
     void take_success(const std::vector<std::uint64_t>& fingerprints);
 
--- a/src/apps/entry/entry_app.cpp
+++ b/src/apps/entry/entry_app.cpp
@@ -1,5 +1,6 @@
 #include "apps/entry/entry_app.h"
 
+#include "apps/common/loop_node.h"
 #include "apps/entry/dump.h"
 #include "apps/entry/request_task.h"
 #include "http/loop.h"
@@ -26,14 +27,6 @@
     return base::incarnation(value);
 }
 
-inner::node_settings with_post(inner::node_settings settings, http::loop& loop)
-{
-    settings.post = [&loop](std::function<void()> work) {
-        loop.post(std::move(work));
-    };
-    return settings;
-}
-
 } // namespace
 
 entry_app::entry_app(http::loop& loop, entry_settings settings)
@@ -66,13 +59,15 @@
 
 base::status entry_app::start()
 {
-    for (const base::status& step :
-         {m_node.start({}, make_service()), m_server.listen(m_settings.server),
-          m_settings.admin_address.empty() ? base::status{}
-                                           : m_admin.listen(m_settings.admin_address)}) {
-        if (!base::is_ok(step)) {
-            return step;
-        }
+    base::status started = m_node.start({}, make_service());
+    if (base::is_ok(started)) {
+        started = m_server.listen(m_settings.server);
+    }
+    if (base::is_ok(started) && !m_settings.admin_address.empty()) {
+        started = m_admin.listen(m_settings.admin_address);
+    }
+    if (!base::is_ok(started)) {
+        return started;
     }
     m_shares.update(m_snapshots.state());
     m_snapshots.start();
@@ -164,12 +159,11 @@
     }
     m_is_leaving = true;
     const base::time_point now = base::boot_clock::now();
-    m_stop_deadline = now + m_settings.stop_deadline;
     telemetry::log_event(telemetry::severity::info, "stopping",
                          {{"requests", static_cast<std::uint64_t>(m_services.tasks.size())}});
     // Callers keep look-up answers for some seconds, so the entry still takes requests meanwhile.
     m_loop.schedule(now + m_settings.leave_delay, [this] { drain(); });
-    m_loop.schedule(m_stop_deadline, [this] { finish_stop(); });
+    m_loop.schedule(now + m_settings.stop_deadline, [this] { finish_stop(); });
 }
 
 void entry_app::drain()
@@ -206,6 +200,7 @@
 
 void entry_app::refresh_metrics()
 {
+    m_crashes.drop_expired();
     refresh_entry_metrics(m_services, m_metrics);
     m_metrics.gauge("snipeshore_open_connections", "Connections of callers.")
         .Set(static_cast<double>(m_server.open_connections()));
--- a/src/apps/entry/entry_app.h
+++ b/src/apps/entry/entry_app.h
@@ -71,7 +71,6 @@
     admin_server m_admin;
     bool m_is_leaving = false;
     bool m_has_stopped = false;
-    base::time_point m_stop_deadline{};
 };
 
 } // namespace snipeshore::apps
--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -2,7 +2,7 @@
 
 #include "apps/common/fleet_state.h"
 #include "apps/common/request_headers.h"
-#include "apps/entry/answer_stream.h"
+#include "apps/common/answer_stream.h"
 #include "apps/entry/crash_monitor.h"
 #include "apps/entry/entry_services.h"
 #include "apps/entry/share_manager.h"
@@ -91,11 +91,10 @@
         refuse({error_kind::not_ready, "this host has no configuration yet"});
         return;
     }
-    for (const base::status& step : {resolve_route(), resolve_account(), resolve_deadline()}) {
-        if (!base::is_ok(step)) {
-            refuse(base::error_of(step));
-            return;
-        }
+    const base::status resolved = resolve();
+    if (!base::is_ok(resolved)) {
+        refuse(base::error_of(resolved));
+        return;
     }
     m_fingerprint = retries::fingerprint(m_account.value(), m_match.service->id.value(),
                                          m_exchange->head().method, m_exchange->head().path,
@@ -107,6 +106,18 @@
     admit();
 }
 
+base::status request_task::resolve()
+{
+    base::status step = resolve_route();
+    if (base::is_ok(step)) {
+        step = resolve_account();
+    }
+    if (base::is_ok(step)) {
+        step = resolve_deadline();
+    }
+    return step;
+}
+
 base::status request_task::resolve_route()
 {
     const http::request_head& head = m_exchange->head();
@@ -132,7 +143,7 @@
 
 base::status request_task::resolve_account()
 {
-    if (m_match.route == nullptr || m_match.route->who == config::access::open) {
+    if (m_match.route->who == config::access::open) {
         return std::monostate{};
     }
     const base::result<base::account_id> account = authenticate(
@@ -146,9 +157,6 @@
 
 base::status request_task::resolve_deadline()
 {
-    if (m_match.route == nullptr) {
-        return std::monostate{};
-    }
     const base::result<std::chrono::milliseconds> limit =
         deadline_of(m_exchange->head(), m_match.route->deadline);
     if (!base::is_ok(limit)) {
@@ -269,7 +277,10 @@
 base::result<std::uint32_t> request_task::choose_target()
 {
     std::vector<std::uint32_t> excluded = m_tried;
-    for (std::uint32_t index = 0; index < m_pool->running.size(); ++index) {
+    // Only a suspect has to keep away from others.
+    const bool is_suspect =
+        m_services.crashes.suspicion_of(m_fingerprint) != retries::suspicion::none;
+    for (std::uint32_t index = 0; is_suspect && index < m_pool->running.size(); ++index) {
         if (!m_services.crashes.may_run_beside(m_fingerprint, m_pool->running[index])) {
             excluded.push_back(index);
         }
@@ -376,12 +387,13 @@
 void request_task::on_head(unsigned number, const http::response_head& head)
 {
     m_has_sent = true;
-    if (find_attempt(number) == nullptr || m_winner != 0) {
+    const attempt* current = find_attempt(number);
+    if (current == nullptr || m_winner != 0) {
         return;
     }
     const targets::response_signs signs = targets::read_signs(head);
     if (signs.is_draining) {
-        announce_leaving(*m_pool, find_attempt(number)->target, true);
+        announce_leaving(*m_pool, current->target, true);
     }
     if (signs.is_shed && retry_instead_of(number, head)) {
         return;
@@ -542,16 +554,15 @@
 
 void request_task::end_attempt(unsigned number, balancing::outcome result)
 {
-    const auto found =
-        std::find_if(m_open_attempts.begin(), m_open_attempts.end(),
-                     [&](const attempt& candidate) { return candidate.number == number; });
-    if (found == m_open_attempts.end()) {
+    const attempt* ended = find_attempt(number);
+    if (ended == nullptr) {
         return;
     }
     const base::time_point now = base::boot_clock::now();
-    balancing::on_end(m_pool->balancer, found->target, result, now - found->started, now);
-    remove_running(*m_pool, found->target, m_fingerprint);
-    m_open_attempts.erase(found);
+    balancing::on_end(m_pool->balancer, ended->target, result, now - ended->started, now);
+    remove_running(*m_pool, ended->target, m_fingerprint);
+    std::erase_if(m_open_attempts,
+                  [&](const attempt& candidate) { return candidate.number == number; });
 }
 
 void request_task::end_other_attempts(unsigned winner)
--- a/src/apps/entry/request_task.h
+++ b/src/apps/entry/request_task.h
@@ -48,6 +48,7 @@
 
 private:
     void run();
+    base::status resolve();
     base::status resolve_route();
     base::status resolve_account();
     base::status resolve_deadline();
--- a/src/apps/entry/share_manager.cpp
+++ b/src/apps/entry/share_manager.cpp
@@ -125,9 +125,9 @@
 {
     m_fleet = &fleet;
     const base::time_point now = base::boot_clock::now();
-    if (fleet.config != nullptr && fleet.config_version > m_installed_version) {
+    if (fleet.config != nullptr &&
+        fleet.config_version > limits::version_in_force(m_ledger).value()) {
         limits::install_layout(m_ledger, to_layout(*fleet.config, fleet.config_version), now);
-        m_installed_version = fleet.config_version;
     }
     limits::update_fleet(m_ledger, to_view(fleet), now);
 }
--- a/src/apps/entry/share_manager.h
+++ b/src/apps/entry/share_manager.h
@@ -80,7 +80,6 @@
     base::incarnation m_incarnation;
     limits::share_ledger m_ledger;
     const fleet_state* m_fleet = nullptr;
-    std::uint64_t m_installed_version = 0;
     std::unordered_map<base::account_id, std::deque<waiting_request>> m_waiting;
     wait_id m_next_wait = 1;
     std::shared_ptr<share_manager*> m_alive;
--- a/src/apps/lookup/lookup_app.cpp
+++ b/src/apps/lookup/lookup_app.cpp
@@ -1,5 +1,6 @@
 #include "apps/lookup/lookup_app.h"
 
+#include "apps/common/loop_node.h"
 #include "apps/common/request_headers.h"
 #include "base/error_answer.h"
 #include "http/exchange.h"
@@ -24,14 +25,6 @@
 constexpr std::string_view lookup_path = "/lookup";
 constexpr std::string_view client_header = "snipeshore-client-address";
 
-inner::node_settings with_post(inner::node_settings settings, http::loop& loop)
-{
-    settings.post = [&loop](std::function<void()> work) {
-        loop.post(std::move(work));
-    };
-    return settings;
-}
-
 std::string_view without_port(std::string_view address)
 {
     std::string_view host = address.substr(0, address.rfind(':'));
@@ -77,13 +70,15 @@
 
 base::status lookup_app::start()
 {
-    for (const base::status& step :
-         {m_node.start({}, {}), m_server.listen(m_settings.server),
-          m_settings.admin_address.empty() ? base::status{}
-                                           : m_admin.listen(m_settings.admin_address)}) {
-        if (!base::is_ok(step)) {
-            return step;
-        }
+    base::status started = m_node.start({}, {});
+    if (base::is_ok(started)) {
+        started = m_server.listen(m_settings.server);
+    }
+    if (base::is_ok(started) && !m_settings.admin_address.empty()) {
+        started = m_admin.listen(m_settings.admin_address);
+    }
+    if (!base::is_ok(started)) {
+        return started;
     }
     m_snapshots.start();
     telemetry::log_event(
--- a/src/apps/lookup/lookup_table.cpp
+++ b/src/apps/lookup/lookup_table.cpp
@@ -1,5 +1,6 @@
 #include "apps/lookup/lookup_table.h"
 
+#include "apps/common/weight_rows.h"
 #include "base/hash.h"
 #include "steering/lookup.h"
 #include "steering/plan.h"
@@ -24,21 +25,6 @@
     return 0;
 }
 
-template <typename Entries>
-std::unordered_map<std::string, std::size_t> index_by_id(const Entries& entries)
-{
-    std::unordered_map<std::string, std::size_t> index;
-    for (std::size_t position = 0; position < entries.size(); ++position) {
-        index.emplace(entries[position].id.value(), position);
-    }
-    return index;
-}
-
-std::uint32_t value_at(const std::vector<std::uint32_t>& values, std::size_t index)
-{
-    return index < values.size() ? values[index] : 0;
-}
-
 bool can_be_named(const fleet_state& fleet, const inner::host_record& record)
 {
     return record.status == inner::host_status::live && record.entry_incarnation.value() != 0 &&
@@ -73,28 +59,7 @@
 
 void set_weights(lookup_table& table, const std::vector<inner::site_weights>& weights)
 {
-    const auto sites = index_by_id(table.plan.sites);
-    const auto domains = index_by_id(table.plan.domains);
-    for (const inner::site_weights& entry : weights) {
-        const auto site = sites.find(entry.site);
-        const auto service = table.service_index.find(entry.service);
-        if (site == sites.end() || service == table.service_index.end()) {
-            continue;
-        }
-        const std::size_t row = site->second * table.plan.services.size() + service->second;
-        const std::size_t first = row * table.weights.domains;
-        for (std::size_t domain = 0; domain < table.weights.domains; ++domain) {
-            table.weights.weights[first + domain] = 0;
-            table.weights.refused[first + domain] = 0;
-        }
-        for (std::size_t index = 0; index < entry.failure_domains.size(); ++index) {
-            const auto domain = domains.find(entry.failure_domains[index]);
-            if (domain == domains.end()) {
-                continue;
-            }
-            table.weights.weights[first + domain->second] = value_at(entry.weights, index);
-            table.weights.refused[first + domain->second] = value_at(entry.refused, index);
-        }
+    for (const std::size_t row : set_rows(table.weights, table.plan, weights)) {
         table.has_weights[row] = true;
     }
 }
--- a/src/config/address.cpp
+++ b/src/config/address.cpp
@@ -1,5 +1,7 @@
 #include "config/address.h"
 
+#include "base/ip_port.h"
+
 #include <arpa/inet.h>
 
 #include <algorithm>
@@ -90,24 +92,10 @@
 
 bool is_address(std::string_view text)
 {
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos || text.size() > max_text) {
-        return false;
-    }
-    constexpr unsigned max_port = 65535;
-    if (parse_number(text.substr(colon + 1), max_port).value_or(0) == 0) {
-        return false;
-    }
-    std::string address(text.substr(0, colon));
-    if (address.find('\0') != std::string::npos) {
-        return false;
-    }
-    std::array<std::uint8_t, 16> bytes{};
-    if (address.size() > 2 && address.front() == '[' && address.back() == ']') {
-        address = address.substr(1, address.size() - 2);
-        return inet_pton(AF_INET6, address.c_str(), bytes.data()) == 1;
-    }
-    return inet_pton(AF_INET, address.c_str(), bytes.data()) == 1;
+    const auto address = base::parse_ip_port(text);
+    // A leading zero in the port would give one address two texts.
+    return address && address->port != 0 && text.size() <= max_text &&
+           text[text.rfind(':') + 1] != '0';
 }
 
 } // namespace snipeshore::config
--- a/src/inner/internal/peer_table.cpp
+++ b/src/inner/internal/peer_table.cpp
@@ -29,11 +29,11 @@
 
 base::status peer_table::check(const std::string& address) const
 {
-    const auto parsed = parse_address(address);
+    const auto parsed = base::parse_ip_port(address);
     if (!parsed || parsed->port == 0) {
         return base::error{base::error_kind::peer_unavailable, "not an ip:port: " + address};
     }
-    if (m_context.tls == nullptr && !parsed->loopback && !m_context.allow_plaintext) {
+    if (m_context.tls == nullptr && !is_loopback(*parsed) && !m_context.allow_plaintext) {
         return base::error{base::error_kind::bad_setting,
                            "only loopback is allowed without TLS: " + address};
     }
--- a/src/inner/internal/rpc_server.cpp
+++ b/src/inner/internal/rpc_server.cpp
@@ -1,6 +1,6 @@
 #include "inner/internal/rpc_server.h"
 
-#include "inner/internal/address.h"
+#include "base/ip_port.h"
 #include "inner/internal/errors.h"
 #include "inner/internal/wire.h"
 #include "inner/internal/work_queue.h"
@@ -23,7 +23,7 @@
     kj::uint length = sizeof(storage);
     auto* const address = reinterpret_cast<sockaddr*>(&storage);
     const auto failed = kj::runCatchingExceptions([&]() { stream.getpeername(address, &length); });
-    return failed == nullptr ? to_string(*address) : std::string();
+    return failed == nullptr ? base::to_string(*address) : std::string();
 }
 
 template <typename Reply, typename Handler, typename... Args>
--- a/src/inner/node.cpp
+++ b/src/inner/node.cpp
@@ -94,11 +94,11 @@
     if (settings.listen_address.empty()) {
         return std::monostate{};
     }
-    auto address = parse_address(settings.listen_address);
+    auto address = base::parse_ip_port(settings.listen_address);
     if (!address) {
         return bad_setting("not an ip:port: " + settings.listen_address);
     }
-    if (!address->loopback && state.tls.get() == nullptr && !settings.allow_plaintext) {
+    if (!is_loopback(*address) && state.tls.get() == nullptr && !settings.allow_plaintext) {
         return bad_setting("only loopback is allowed without TLS: " + settings.listen_address);
     }
     const auto failed = kj::runCatchingExceptions([&]() {
@@ -113,7 +113,7 @@
         return bad_setting("cannot listen on " + settings.listen_address + ": " +
                            exception->getDescription().cStr());
     }
-    bound = to_string(*address);
+    bound = base::to_string(*address);
     return std::monostate{};
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,11 +1,11 @@
 #include "settings/settings.h"
 
-#include <arpa/inet.h>
+#include "base/ip_port.h"
+
 #include <gflags/gflags.h>
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -31,30 +31,6 @@
     return name;
 }
 
-bool is_numeric_ip(const std::string& host)
-{
-    in_addr v4{};
-    in6_addr v6{};
-    return inet_pton(AF_INET, host.c_str(), &v4) == 1 ||
-           inet_pton(AF_INET6, host.c_str(), &v6) == 1;
-}
-
-bool is_address(const std::string& text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return false;
-    }
-    std::string host = text.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-        host = host.substr(1, host.size() - 2);
-    }
-    unsigned port = 0;
-    const char* end = text.data() + text.size();
-    const auto [rest, failed] = std::from_chars(text.data() + colon + 1, end, port);
-    return failed == std::errc{} && rest == end && port <= 65535 && is_numeric_ip(host);
-}
-
 } // namespace
 
 std::vector<std::string> load(int* argc, char*** argv)
@@ -88,7 +64,7 @@
     if (value.empty() && !required) {
         return *this;
     }
-    if (!is_address(value)) {
+    if (!base::parse_ip_port(value)) {
         m_problems.push_back("--" + std::string(flag) + ": \"" + value +
                              "\" is not an address, expected \"ip:port\"");
     }
--- a/tests/system/crash_test.cpp
+++ b/tests/system/crash_test.cpp
@@ -16,11 +16,8 @@
 
 fleet_settings many_targets()
 {
-    fleet_settings settings;
-    settings.failure_domains = {"tunis-a", "sfax-a"};
-    settings.hosts_per_domain = 1;
+    fleet_settings settings = two_domains();
     settings.targets_per_domain = 4;
-    settings.edit = add_test_routes;
     return settings;
 }
 
--- a/tests/system/once_test.cpp
+++ b/tests/system/once_test.cpp
@@ -13,15 +13,6 @@
 
 namespace {
 
-fleet_settings two_domains()
-{
-    fleet_settings settings;
-    settings.failure_domains = {"tunis-a", "sfax-a"};
-    settings.hosts_per_domain = 1;
-    settings.edit = add_test_routes;
-    return settings;
-}
-
 http_request run_request(const std::string& key, const std::string& ticket, const std::string& body)
 {
     http_request request;
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -14,15 +14,6 @@
 
 namespace {
 
-fleet_settings two_domains()
-{
-    fleet_settings settings;
-    settings.failure_domains = {"tunis-a", "sfax-a"};
-    settings.hosts_per_domain = 1;
-    settings.edit = add_test_routes;
-    return settings;
-}
-
 json body_of(const http_reply& reply)
 {
     return json::parse(reply.body, nullptr, false);
--- a/tests/system/test_routes.cpp
+++ b/tests/system/test_routes.cpp
@@ -22,4 +22,13 @@
     }
 }
 
+fleet_settings two_domains()
+{
+    fleet_settings settings;
+    settings.failure_domains = {"tunis-a", "sfax-a"};
+    settings.hosts_per_domain = 1;
+    settings.edit = add_test_routes;
+    return settings;
+}
+
 } // namespace snipeshore::test
--- a/tests/system/test_routes.h
+++ b/tests/system/test_routes.h
@@ -1,6 +1,8 @@
 /// @file Routes to the endpoints of the target stand-in, for system tests.
 #pragma once
 
+#include "tests/support/fleet.h"
+
 #include <nlohmann/json.hpp>
 
 namespace snipeshore::test {
@@ -9,4 +11,7 @@
 /// `/open` that needs no key.
 void add_test_routes(nlohmann::json& document);
 
+/// One host in each of two failure domains of different regions, with the routes above.
+fleet_settings two_domains();
+
 } // namespace snipeshore::test
