--- /dev/null
+++ b/src/affinity/tests/placement_test.cpp
@@ -0,0 +1,147 @@
+#include "affinity/placement.h"
+
+#include "base/hash.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+using namespace snipeshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t object_count = 1000;
+const std::vector<std::uint32_t> regions{0, 0, 1, 1};
+
+affinity::place make_place(int number, std::uint32_t domain, std::uint32_t slots = 4)
+{
+    return {base::stable_hash("target-" + std::to_string(number)), domain, regions[domain], slots};
+}
+
+std::vector<affinity::place> make_places(int per_domain)
+{
+    std::vector<affinity::place> places;
+    for (std::uint32_t domain = 0; domain < regions.size(); ++domain) {
+        for (int i = 0; i < per_domain; ++i) {
+            places.push_back(make_place(static_cast<int>(places.size()), domain));
+        }
+    }
+    return places;
+}
+
+std::uint64_t object(std::uint64_t number)
+{
+    return base::stable_hash("object-" + std::to_string(number));
+}
+
+std::vector<std::uint32_t> rank(const affinity::layout& layout, std::uint64_t number)
+{
+    return affinity::rank_targets(layout, object(number), [](std::uint32_t) { return true; });
+}
+
+} // namespace
+
+TEST_CASE("objects keep to their targets")
+{
+    SUBCASE("two hosts of a failure domain agree whatever order they learned the targets in")
+    {
+        auto places = make_places(4);
+        const auto one = affinity::make_layout(places, regions, 0);
+        std::reverse(places.begin(), places.end());
+        const auto other = affinity::make_layout(places, regions, 0);
+        for (std::uint64_t i = 0; i < object_count; ++i) {
+            CHECK(one.places[rank(one, i).front()].hash == other.places[rank(other, i).front()].hash);
+        }
+    }
+    SUBCASE("a target that leaves moves only its own objects")
+    {
+        auto places = make_places(4);
+        const auto before = affinity::make_layout(places, regions, 0);
+        const std::uint64_t gone = places[2].hash;
+        places.erase(places.begin() + 2);
+        auto after = affinity::make_layout(places, regions, 0);
+        after.domain_part = before.domain_part;
+        after.region_part = before.region_part;
+        for (std::uint64_t i = 0; i < object_count; ++i) {
+            const std::uint64_t first = before.places[rank(before, i).front()].hash;
+            if (first != gone) {
+                CHECK(after.places[rank(after, i).front()].hash == first);
+            }
+        }
+    }
+    SUBCASE("with even capacity nothing leaves its failure domain")
+    {
+        const auto layout = affinity::make_layout(make_places(4), regions, 3);
+        for (std::uint64_t i = 0; i < object_count; ++i) {
+            CHECK(layout.places[rank(layout, i).front()].failure_domain == 3);
+        }
+    }
+    SUBCASE("a small failure domain passes on what it cannot serve, and not to a full one")
+    {
+        std::vector<affinity::place> places{make_place(0, 0), make_place(1, 1)};
+        for (int i = 0; i < 8; ++i) {
+            places.push_back(make_place(2 + i, 2 + static_cast<std::uint32_t>(i % 2)));
+        }
+        const auto layout = affinity::make_layout(places, regions, 0);
+        std::map<std::uint32_t, int> used;
+        for (std::uint64_t i = 0; i < object_count; ++i) {
+            ++used[layout.places[rank(layout, i).front()].failure_domain];
+        }
+        CHECK(used[0] < 600);
+        CHECK(used[1] < 100);
+        CHECK(used[2] + used[3] > 400);
+    }
+    SUBCASE("targets that are not allowed are never ranked")
+    {
+        const auto layout = affinity::make_layout(make_places(2), regions, 0);
+        for (std::uint64_t i = 0; i < object_count; ++i) {
+            const auto ranked = affinity::rank_targets(layout, object(i), [&](std::uint32_t index) {
+                return layout.places[index].region == 1;
+            });
+            CHECK(std::all_of(ranked.begin(), ranked.end(), [&](std::uint32_t index) {
+                return layout.places[index].region == 1;
+            }));
+        }
+    }
+}
+
+TEST_CASE("load is bounded")
+{
+    const std::vector<std::uint32_t> ranked{0, 1, 2};
+    std::vector<affinity::target_load> loads(3);
+    for (auto& load : loads) {
+        load.slots = 4;
+        load.service_time = 100ms;
+    }
+    const auto load_of = [&](std::uint32_t index) { return loads[index]; };
+    SUBCASE("a short wait does not move an object to a cold target")
+    {
+        loads[0].requests = 5;
+        CHECK(affinity::choose(ranked, load_of, 150ms)->target == 0);
+    }
+    SUBCASE("a long wait does")
+    {
+        loads[0].requests = 13;
+        CHECK(affinity::choose(ranked, load_of, 150ms)->target == 1);
+    }
+    SUBCASE("a slow target loses its objects while others are free")
+    {
+        loads[0].service_time = 500ms;
+        CHECK(affinity::choose(ranked, load_of, 150ms)->target == 1);
+    }
+    SUBCASE("an unusable target does not make the next one count as a move")
+    {
+        loads[0].usable = false;
+        CHECK(affinity::choose(ranked, load_of, 150ms)->rank == 0);
+    }
+    SUBCASE("nothing is chosen when all are full")
+    {
+        for (auto& load : loads) {
+            load.requests = 14;
+        }
+        CHECK_FALSE(affinity::choose(ranked, load_of, 150ms).has_value());
+    }
+}
--- /dev/null
+++ b/src/apps/host/forward_task.h
@@ -0,0 +1,104 @@
+/// @file One request of a caller: checked, sent to a target, answered.
+#pragma once
+
+#include "affinity/types/placement.h"
+#include "base/result.h"
+#include "base/time.h"
+#include "base/types/ids.h"
+#include "http/client.h"
+#include "retries/types/next_step.h"
+#include "routing/types/route_table.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipeshore::http {
+class exchange;
+}
+
+namespace snipeshore::apps {
+
+class answer_stream;
+struct host_context;
+struct pooled_target;
+struct target_pool;
+
+/// Belongs to the loop's thread; `host_context::tasks` keeps it alive until the answer was sent or
+/// the caller has gone.
+class forward_task : public std::enable_shared_from_this<forward_task> {
+public:
+    static void start(host_context& context, std::shared_ptr<http::exchange> exchange);
+
+    forward_task(host_context& context, std::shared_ptr<http::exchange> exchange);
+    ~forward_task();
+    forward_task(const forward_task&) = delete;
+    forward_task& operator=(const forward_task&) = delete;
+    forward_task(forward_task&&) = delete;
+    forward_task& operator=(forward_task&&) = delete;
+
+private:
+    void run();
+    base::status resolve();
+    base::status check_quota();
+    void send_to_target();
+    base::status check_placement(const affinity::placement& placement) const;
+    void start_attempt(const affinity::placement& placement);
+    http::request_head make_head(const pooled_target& target, base::time_point now) const;
+    base::time_point attempt_deadline(const affinity::placement& placement,
+                                      base::time_point now) const;
+    http::call_callbacks make_callbacks();
+
+    void on_head(const http::response_head& head);
+    void on_body(std::string_view piece);
+    void on_end(const http::call_end& end);
+    void on_complete();
+    void on_caller_gone();
+
+    /// Whether the response can be the target's response to this request.
+    bool is_own_response(const http::response_head& head) const;
+    bool is_idempotent() const;
+
+    retries::next_step plan_next(retries::attempt_end end) const;
+    /// The attempt failed: goes to another target or answers the caller.
+    void fail_attempt(retries::attempt_end end, std::string_view cause);
+    void blame_target(retries::attempt_end end, std::string_view cause);
+    void close_attempt(bool is_good);
+    void pass_on(const http::response_head& head);
+    void refuse(const base::error& cause);
+    void record_end(int status, std::string_view outcome);
+    void leave();
+
+    pooled_target* current_target() const;
+
+    host_context& m_context;
+    std::shared_ptr<http::exchange> m_exchange;
+    std::shared_ptr<const routing::route_table> m_routes;
+    const routing::route* m_route = nullptr;
+    const routing::account* m_account = nullptr;
+    base::service_id m_service;
+    std::string m_id;
+    std::uint64_t m_object = 0;
+    base::time_point m_arrived;
+    base::time_point m_deadline;
+    base::duration m_retry_after{0};
+
+    // The attempt that runs.
+    std::unique_ptr<http::client_call> m_call;
+    base::target_id m_target;
+    base::time_point m_sent_at{};
+    std::uint32_t m_rank = 0;
+
+    std::vector<base::target_id> m_tried;
+    unsigned m_sent = 0;
+    unsigned m_unsent = 0;
+    bool m_may_have_run = false;
+    bool m_is_passing_on = false;
+    bool m_has_left = false;
+    int m_status = 0;
+    std::shared_ptr<answer_stream> m_stream;
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/host/host_app.cpp
@@ -0,0 +1,498 @@
+#include "apps/host/host_app.h"
+
+#include "apps/host/forward_task.h"
+#include "fleet/exchange_text.h"
+#include "fleet/members.h"
+#include "http/exchange.h"
+#include "http/loop.h"
+#include "http/server.h"
+#include "limits/fleet_share.h"
+#include "routing/route_table.h"
+#include "telemetry/event_log.h"
+
+#include <nlohmann/json.hpp>
+#include <prometheus/gauge.h>
+#include <sodium.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace snipeshore::apps {
+
+using telemetry::severity;
+
+namespace {
+
+constexpr std::chrono::milliseconds housekeeping_interval{500};
+
+/// A change of the operators' table is shown by the call that waits, so it is renewed rarely; the
+/// time-out of the store's client makes a silent connection known soon after.
+constexpr std::chrono::milliseconds operator_wait{4000};
+
+/// Targets report all the time: one call collects the changes of this time. A target that leaves
+/// has to be known within two seconds.
+constexpr std::chrono::milliseconds target_pause{1000};
+
+constexpr std::chrono::milliseconds host_wait{8000};
+
+/// A listed host that was silent for this long is not counted any more: longer than any host stays
+/// cut off while it serves.
+constexpr std::chrono::seconds forget_host_after{60};
+
+/// The first targets and hosts are awaited this long before a host that has a configuration says
+/// that it is ready.
+constexpr std::chrono::milliseconds longest_start{2500};
+
+/// Requests on idle connections of callers are awaited for this long; the configuration's own limit
+/// comes later than the listener.
+constexpr std::chrono::milliseconds caller_idle_timeout{16000};
+
+constexpr std::size_t max_body_bytes = 64U << 20U;
+
+/// A connection attempt across regions takes 30 ms; a lost packet costs more than another target.
+constexpr std::chrono::milliseconds target_connect_timeout{350};
+
+/// Shorter than targets keep idle connections.
+constexpr std::chrono::milliseconds target_idle_timeout{8000};
+
+constexpr std::chrono::milliseconds last_turns{150};
+
+/// Until a host that the store does not list tries again.
+constexpr std::chrono::seconds registration_pause{2};
+
+http::client_settings target_client_settings()
+{
+    http::client_settings settings;
+    settings.connect_timeout = target_connect_timeout;
+    settings.idle_timeout = target_idle_timeout;
+    settings.accepts_unframed = true;
+    return settings;
+}
+
+base::incarnation new_incarnation()
+{
+    std::uint64_t value = 0;
+    randombytes_buf(&value, sizeof value);
+    // Fits the numbers of JSON parsers.
+    return base::incarnation(value >> 16U);
+}
+
+void answer_text(http::exchange& request, int status, std::string text)
+{
+    http::response_head head;
+    head.status = status;
+    head.headers.push_back({"content-type", "application/json"});
+    request.answer(std::move(head), std::move(text));
+}
+
+fleet::member make_member(const host_settings& settings)
+{
+    return {settings.host,         settings.failure_domain, settings.entry_address,
+            settings.control_address, new_incarnation(),    fleet::member_state::starting};
+}
+
+} // namespace
+
+host_app::host_app(http::loop& loop, host_settings settings, row_formats formats,
+                   rows::row_store& store)
+    : m_loop(loop), m_settings(std::move(settings)), m_formats(std::move(formats)),
+      m_store(store), m_client(loop, target_client_settings()),
+      m_context{m_settings, loop, m_client, m_metrics, nullptr, {}, {}, {}, false, {}, {}},
+      m_self(make_member(m_settings)),
+      m_operator_rows(loop, store, {m_formats.operator_table, operator_wait, {}},
+                      [this](const std::vector<rows::row>& changes) {
+                          on_operator_rows(changes);
+                      }),
+      m_target_rows(loop, store, {m_formats.target_table, {}, target_pause},
+                    [this](const std::vector<rows::row>& changes) { on_target_rows(changes); }),
+      m_host_rows(loop, store, {m_formats.host_table, host_wait, {}},
+                  [this](const std::vector<rows::row>& changes) { on_host_rows(changes); }),
+      m_peers(m_context, m_self,
+              {{m_formats.operator_table, &m_operator_rows},
+               {m_formats.target_table, &m_target_rows}}),
+      m_admin(loop, m_metrics,
+              {[this] { return dump(); },
+               [this] { return m_self.state == fleet::member_state::ready; },
+               [this] { refresh_metrics(); }})
+{
+    m_context.random.seed(m_self.incarnation.value());
+    m_context.members.self = m_settings.host;
+}
+
+host_app::~host_app() = default;
+
+base::status host_app::start()
+{
+    m_started = base::boot_clock::now();
+    const base::status listening = listen();
+    if (!base::is_ok(listening)) {
+        return listening;
+    }
+    const base::status peers = m_peers.start();
+    if (!base::is_ok(peers)) {
+        return peers;
+    }
+    m_operator_rows.start();
+    m_target_rows.start();
+    m_host_rows.start();
+    register_host();
+    housekeep();
+    telemetry::log_event(severity::info, "started",
+                         {{"host", m_settings.host.value()},
+                          {"failure_domain", m_settings.failure_domain.value()},
+                          {"address", m_settings.entry_address},
+                          {"incarnation", m_self.incarnation.value()}});
+    return {};
+}
+
+base::status host_app::listen()
+{
+    http::server_settings entry;
+    entry.address = m_settings.entry_address;
+    entry.max_request_bytes = max_body_bytes;
+    entry.request_timeout = caller_idle_timeout;
+    http::server_settings lookup = entry;
+    lookup.address = m_settings.lookup_address;
+    http::server_settings ready = entry;
+    ready.address = m_settings.ready_address;
+    m_entry = std::make_unique<http::server>(
+        m_loop, [this](std::shared_ptr<http::exchange> request) {
+            forward_task::start(m_context, std::move(request));
+        });
+    m_lookup = std::make_unique<http::server>(
+        m_loop,
+        [this](const std::shared_ptr<http::exchange>& request) { answer_lookup(*request); });
+    m_ready = std::make_unique<http::server>(
+        m_loop, [this](const std::shared_ptr<http::exchange>& request) { answer_ready(*request); });
+    base::status status = m_entry->listen(entry);
+    if (base::is_ok(status)) {
+        status = m_lookup->listen(lookup);
+    }
+    if (base::is_ok(status)) {
+        status = m_ready->listen(ready);
+    }
+    if (base::is_ok(status) && !m_settings.metrics_address.empty()) {
+        status = m_admin.listen(m_settings.metrics_address);
+    }
+    return status;
+}
+
+void host_app::register_host()
+{
+    m_registration = m_store.write(
+        m_formats.host_table, m_settings.host.value(), fleet::to_text(m_self),
+        [this](const base::status& written) {
+            if (base::is_ok(written) || m_context.is_leaving) {
+                return;
+            }
+            telemetry::log_event(severity::warning, "host_not_registered",
+                                 {{"cause", base::error_of(written).detail}});
+            m_loop.schedule(base::boot_clock::now() + registration_pause, [this] { register_host(); });
+        });
+}
+
+void host_app::check_ready()
+{
+    if (m_self.state != fleet::member_state::starting || m_context.routes == nullptr) {
+        return;
+    }
+    const bool is_informed = m_target_rows.is_loaded() && m_host_rows.is_loaded();
+    if (!is_informed && base::boot_clock::now() < m_started + longest_start) {
+        return;
+    }
+    m_self.state = fleet::member_state::ready;
+    telemetry::log_event(severity::info, "ready",
+                         {{"config", m_context.routes->version},
+                          {"targets", static_cast<std::uint64_t>(m_registry.targets.size())},
+                          {"informed", is_informed}});
+    m_peers.announce();
+}
+
+void host_app::answer_ready(http::exchange& request) const
+{
+    if (request.head().path != m_settings.names.ready_path) {
+        answer_text(request, 404, "{}");
+        return;
+    }
+    answer_text(request, m_self.state == fleet::member_state::ready ? 200 : 503, "{}");
+}
+
+base::region_id host_app::region_of(const base::failure_domain_id& domain) const
+{
+    const auto found = m_settings.regions.find(domain);
+    return found == m_settings.regions.end() ? base::region_id() : found->second;
+}
+
+void host_app::answer_lookup(http::exchange& request) const
+{
+    const std::string_view path = request.head().path;
+    const std::size_t question = std::min(path.find('?'), path.size());
+    if (path.substr(0, question) != m_settings.names.lookup_path) {
+        answer_text(request, 404, "{}");
+        return;
+    }
+    const std::string_view query = path.substr(std::min(question + 1, path.size()));
+    const std::vector<std::string> addresses = fleet::entry_addresses(
+        m_context.members, m_self, m_formats.caller_domain(query),
+        [this](const base::failure_domain_id& domain) { return region_of(domain); },
+        base::boot_clock::now());
+    if (addresses.empty()) {
+        answer_text(request, 503, "{}");
+        return;
+    }
+    answer_text(request, 200, m_formats.lookup_answer(addresses, m_settings.lookup_ttl));
+}
+
+void host_app::on_operator_rows(const std::vector<rows::row>& changes)
+{
+    bool is_drain_changed = false;
+    for (const rows::row& change : changes) {
+        if (change.key == m_formats.config_key) {
+            take_config(change);
+        } else {
+            is_drain_changed = take_drain(change) || is_drain_changed;
+        }
+    }
+    if (is_drain_changed) {
+        update_targets();
+    }
+}
+
+void host_app::take_config(const rows::row& change)
+{
+    if (change.removed) {
+        telemetry::log_event(severity::warning, "config_row_removed", {});
+        return;
+    }
+    auto parsed = m_formats.parse_routes(change.value);
+    if (!base::is_ok(parsed)) {
+        telemetry::log_event(severity::failure, "config_unreadable",
+                             {{"cause", base::error_of(parsed).detail}});
+        return;
+    }
+    const std::uint64_t version = base::value_of(parsed).version;
+    const std::uint64_t known = m_context.routes == nullptr ? 0 : m_context.routes->version;
+    if (version <= known) {
+        telemetry::log_event(severity::warning, "config_not_newer",
+                             {{"version", version}, {"known", known}});
+        return;
+    }
+    m_context.routes =
+        std::make_shared<const routing::route_table>(std::move(base::value_of(parsed)));
+    telemetry::log_event(severity::info, "config_in_force",
+                         {{"version", version},
+                          {"before", known},
+                          {"row", change.version},
+                          {"accounts",
+                           static_cast<std::uint64_t>(m_context.routes->accounts.size())}});
+    update_targets();
+    update_shares();
+    check_ready();
+}
+
+bool host_app::take_drain(const rows::row& change)
+{
+    const auto domain = m_formats.drained_domain(change.key);
+    if (!domain.has_value()) {
+        return false;
+    }
+    const bool is_changed =
+        change.removed ? m_drained.erase(*domain) > 0 : m_drained.insert(*domain).second;
+    if (is_changed) {
+        telemetry::log_event(severity::info, "failure_domain_drained",
+                             {{"failure_domain", domain->value()}, {"drained", !change.removed}});
+    }
+    return is_changed;
+}
+
+void host_app::on_target_rows(const std::vector<rows::row>& changes)
+{
+    const registry_view view{base::boot_clock::now(), m_target_rows.in_touch_since(),
+                             m_settings.reappear_time};
+    if (take_rows(m_registry, m_formats, changes, view)) {
+        update_targets();
+    }
+    check_ready();
+}
+
+void host_app::on_host_rows(const std::vector<rows::row>& changes)
+{
+    for (const rows::row& change : changes) {
+        if (change.removed) {
+            fleet::remove(m_context.members, base::host_id(change.key));
+            telemetry::log_event(severity::info, "host_left", {{"host", change.key}});
+            continue;
+        }
+        const auto listed = fleet::parse_member(change.value);
+        if (!base::is_ok(listed)) {
+            telemetry::log_event(severity::warning, "host_row_unreadable",
+                                 {{"host", change.key},
+                                  {"cause", base::error_of(listed).detail}});
+            continue;
+        }
+        fleet::list(m_context.members, base::value_of(listed));
+    }
+    update_shares();
+    check_ready();
+    m_peers.announce();
+}
+
+void host_app::update_targets()
+{
+    const base::time_point now = base::boot_clock::now();
+    std::map<base::service_id, std::vector<target_entry>> by_service;
+    for (const auto& [id, pool] : m_context.pools) {
+        by_service[id];
+    }
+    for (const auto& [id, entry] : m_registry.targets) {
+        by_service[entry.service].push_back(entry);
+    }
+    for (const auto& [service, entries] : by_service) {
+        target_pool& pool = pool_of(m_context, service);
+        if (m_context.routes != nullptr) {
+            const auto known = m_context.routes->services.find(service);
+            pool.cold_rate =
+                known == m_context.routes->services.end() ? 0 : known->second.cold_rate;
+        }
+        set_targets(
+            pool, entries,
+            [this](const base::failure_domain_id& domain) { return m_drained.contains(domain); },
+            m_settings.regions, m_settings.failure_domain, now);
+    }
+}
+
+void host_app::update_shares()
+{
+    if (m_context.routes == nullptr) {
+        return;
+    }
+    const base::time_point now = base::boot_clock::now();
+    // Until the hosts are known, at least one for each failure domain is assumed.
+    m_shared_by = std::max(fleet::possible_hosts(m_context.members), m_settings.regions.size());
+    for (const routing::account& account : m_context.routes->accounts) {
+        limits::fleet_limit limit{account.rate, account.burst};
+        limit.rate *= 1 + m_settings.quota_overage;
+        limit.burst = limit.burst * (1 + m_settings.quota_overage) + m_settings.quota_slack;
+        limits::set_limit(m_context.shares[account.id], limit, m_shared_by, now);
+    }
+}
+
+void host_app::housekeep()
+{
+    const base::time_point now = base::boot_clock::now();
+    const base::duration late = now - m_housekeeping_due;
+    if (m_housekeeping_due != base::time_point{} && late > housekeeping_interval) {
+        telemetry::log_event(
+            severity::warning, "loop_delayed",
+            {{"late_ms", std::chrono::duration<double, std::milli>(late).count()}});
+    }
+    if (drop_vanished(m_registry, now)) {
+        update_targets();
+    }
+    drop_dead_hosts();
+    const std::size_t hosts =
+        std::max(fleet::possible_hosts(m_context.members), m_settings.regions.size());
+    if (hosts != m_shared_by) {
+        update_shares();
+    }
+    check_ready();
+    m_housekeeping_due = now + housekeeping_interval;
+    m_loop.schedule(m_housekeeping_due, [this] { housekeep(); });
+}
+
+void host_app::drop_dead_hosts()
+{
+    const base::time_point now = base::boot_clock::now();
+    std::erase_if(m_context.members.members, [&](const auto& entry) {
+        const base::time_point since =
+            entry.second.was_heard ? entry.second.heard : m_started;
+        return now - since > forget_host_after;
+    });
+}
+
+void host_app::stop()
+{
+    if (m_context.is_leaving) {
+        return;
+    }
+    m_context.is_leaving = true;
+    m_self.state = fleet::member_state::leaving;
+    telemetry::log_event(severity::info, "stopping",
+                         {{"requests", static_cast<std::uint64_t>(m_context.tasks.size())},
+                          {"connections", static_cast<std::uint64_t>(
+                                              m_entry->open_connections())}});
+    m_peers.announce();
+    const base::time_point now = base::boot_clock::now();
+    m_loop.schedule(now + m_settings.leave_delay, [this] { drain(); });
+    m_loop.schedule(now + m_settings.stop_deadline, [this] { finish_stop(); });
+}
+
+void host_app::drain()
+{
+    m_entry->drain([this] { finish_stop(); });
+}
+
+void host_app::finish_stop()
+{
+    if (m_has_stopped) {
+        return;
+    }
+    m_has_stopped = true;
+    telemetry::log_event(severity::info, "stopped",
+                         {{"requests_cut", static_cast<std::uint64_t>(m_context.tasks.size())}});
+    m_registration = m_store.write(m_formats.host_table, m_settings.host.value(), std::nullopt,
+                                   [](const base::status&) {});
+    m_loop.schedule(base::boot_clock::now() + last_turns, [this] { m_loop.stop(); });
+}
+
+nlohmann::json host_app::dump() const
+{
+    nlohmann::json all;
+    all["host"] = m_settings.host.value();
+    all["incarnation"] = m_self.incarnation.value();
+    all["state"] = static_cast<int>(m_self.state);
+    all["config_version"] = m_context.routes == nullptr ? 0 : m_context.routes->version;
+    all["requests"] = m_context.tasks.size();
+    for (const auto& [id, known] : m_context.members.members) {
+        all["hosts"][id.value()] = {
+            {"state", static_cast<int>(known.info.state)},
+            {"live", fleet::is_live(known, base::boot_clock::now())}};
+    }
+    for (const auto& [service, pool] : m_context.pools) {
+        nlohmann::json& targets = all["services"][service.value()]["targets"];
+        for (const pooled_target& target : pool.targets) {
+            targets[target.entry.id.value()] = {
+                {"address", target.entry.address},
+                {"running", target.running},
+                {"leaving", target.entry.is_leaving},
+                {"service_ms",
+                 std::chrono::duration<double, std::milli>(target.service_time).count()}};
+        }
+    }
+    return all;
+}
+
+void host_app::refresh_metrics()
+{
+    const auto set = [this](const std::string& name, const std::string& help, double value) {
+        m_metrics.gauge(name, help).Set(value);
+    };
+    const base::time_point now = base::boot_clock::now();
+    set("snipeshore_requests_running", "Requests in progress.",
+        static_cast<double>(m_context.tasks.size()));
+    set("snipeshore_caller_connections", "Open connections of callers.",
+        static_cast<double>(m_entry->open_connections()));
+    set("snipeshore_config_version", "Version of the configuration in force.",
+        m_context.routes == nullptr ? 0 : static_cast<double>(m_context.routes->version));
+    set("snipeshore_targets_known", "Targets that are registered.",
+        static_cast<double>(m_registry.targets.size()));
+    set("snipeshore_hosts_live", "Hosts that were heard lately, without the own one.",
+        static_cast<double>(std::count_if(
+            m_context.members.members.begin(), m_context.members.members.end(),
+            [now](const auto& entry) { return fleet::is_live(entry.second, now); })));
+    set("snipeshore_store_in_touch", "Whether the last call to the operators' table succeeded.",
+        m_operator_rows.is_in_touch() ? 1 : 0);
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/host/host_app.h
@@ -0,0 +1,96 @@
+/// @file snipeshore-host: look-ups, requests and control of one host in one process.
+#pragma once
+
+#include "apps/common/admin_server.h"
+#include "apps/host/host_context.h"
+#include "apps/host/peer_exchange.h"
+#include "apps/host/target_registry.h"
+#include "apps/host/types/host_settings.h"
+#include "apps/host/types/row_formats.h"
+#include "base/result.h"
+#include "http/client.h"
+#include "rows/row_store.h"
+#include "rows/table_follower.h"
+#include "telemetry/metrics.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace snipeshore::http {
+class exchange;
+class loop;
+class server;
+} // namespace snipeshore::http
+
+namespace snipeshore::apps {
+
+/// Belongs to the loop's thread. The store has to outlive it.
+class host_app {
+public:
+    host_app(http::loop& loop, host_settings settings, row_formats formats,
+             rows::row_store& store);
+    ~host_app();
+    host_app(const host_app&) = delete;
+    host_app& operator=(const host_app&) = delete;
+    host_app(host_app&&) = delete;
+    host_app& operator=(host_app&&) = delete;
+
+    base::status start();
+
+    /// Planned stop: leaves the directory, serves what comes for a while, then ends the loop.
+    void stop();
+
+    nlohmann::json dump() const;
+
+private:
+    base::status listen();
+    void register_host();
+    void check_ready();
+    void answer_ready(http::exchange& request) const;
+    void answer_lookup(http::exchange& request) const;
+    base::region_id region_of(const base::failure_domain_id& domain) const;
+
+    void on_operator_rows(const std::vector<rows::row>& changes);
+    void take_config(const rows::row& change);
+    bool take_drain(const rows::row& change);
+    void on_target_rows(const std::vector<rows::row>& changes);
+    void on_host_rows(const std::vector<rows::row>& changes);
+
+    void update_targets();
+    void update_shares();
+    void housekeep();
+    void drop_dead_hosts();
+    void refresh_metrics();
+    void drain();
+    void finish_stop();
+
+    http::loop& m_loop;
+    host_settings m_settings;
+    row_formats m_formats;
+    rows::row_store& m_store;
+    telemetry::metrics m_metrics;
+    http::client m_client;
+    host_context m_context;
+    fleet::member m_self;
+    target_registry m_registry;
+    std::set<base::failure_domain_id> m_drained;
+    rows::table_follower m_operator_rows;
+    rows::table_follower m_target_rows;
+    rows::table_follower m_host_rows;
+    peer_exchange m_peers;
+    admin_server m_admin;
+    std::unique_ptr<http::server> m_entry;
+    std::unique_ptr<http::server> m_lookup;
+    std::unique_ptr<http::server> m_ready;
+    std::unique_ptr<rows::store_call> m_registration;
+    std::size_t m_shared_by = 0; ///< Hosts by which accounts' limits are divided.
+    base::time_point m_started{};
+    base::time_point m_housekeeping_due{};
+    bool m_has_stopped = false;
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/host/host_context.cpp
@@ -0,0 +1,56 @@
+#include "apps/host/host_context.h"
+
+#include "apps/host/forward_task.h"
+#include "fleet/members.h"
+#include "retries/retry_budget.h"
+
+#include <chrono>
+
+namespace snipeshore::apps {
+
+namespace {
+
+/// Part of the allowed ratio that is used: requests and retries are counted in shifted windows.
+constexpr double used_ratio = 0.85;
+
+/// Parts of the fixed allowance that may be saved and that is earned over a window; their sum stays
+/// below 1.
+constexpr double saved_part = 0.5;
+constexpr double earned_part = 0.3;
+
+retries::budget_settings budget_for(const host_context& context)
+{
+    const host_settings& settings = context.settings;
+    const auto hosts = static_cast<double>(fleet::possible_hosts(context.members));
+    const double extra = settings.retry_extra / hosts;
+    const double window_s = std::chrono::duration<double>(settings.retry_window).count();
+    retries::budget_settings budget;
+    budget.per_request = settings.retry_ratio * used_ratio;
+    budget.floor_per_second = extra * earned_part / window_s;
+    budget.max_saved = extra * saved_part;
+    budget.max_saved_by_floor = extra * saved_part;
+    return budget;
+}
+
+} // namespace
+
+target_pool& pool_of(host_context& context, const base::service_id& service)
+{
+    const auto [entry, is_new] = context.pools.try_emplace(service);
+    target_pool& pool = entry->second;
+    if (is_new) {
+        pool.service = service;
+        pool.budget = retries::make_budget(budget_for(context), base::boot_clock::now());
+    }
+    pool.budget.settings = budget_for(context);
+    return pool;
+}
+
+pool_view make_view(const host_context& context, base::time_point now)
+{
+    return {now, [&context, now](const base::target_id& target) {
+                return fleet::is_owner(context.members, target.value(), now);
+            }};
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/host/host_context.h
@@ -0,0 +1,51 @@
+/// @file What the request tasks of one host share. All of it belongs to the loop's thread.
+#pragma once
+
+#include "apps/host/target_pool.h"
+#include "apps/host/types/host_settings.h"
+#include "base/types/ids.h"
+#include "fleet/types/member.h"
+#include "limits/types/fleet_share.h"
+#include "routing/types/route_table.h"
+
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace snipeshore::http {
+class client;
+class loop;
+} // namespace snipeshore::http
+
+namespace snipeshore::telemetry {
+class metrics;
+}
+
+namespace snipeshore::apps {
+
+class forward_task;
+
+struct host_context {
+    const host_settings& settings;
+    http::loop& loop;
+    http::client& client;
+    telemetry::metrics& metrics;
+    std::shared_ptr<const routing::route_table> routes; ///< Null until the first was read.
+    std::unordered_map<base::service_id, target_pool> pools;
+    std::unordered_map<base::account_id, limits::fleet_share> shares;
+    fleet::member_table members;
+    bool is_leaving = false;
+    std::mt19937_64 random;
+    /// Keeps the running tasks alive.
+    std::unordered_set<std::shared_ptr<forward_task>> tasks;
+    std::size_t max_tasks = 2048;
+};
+
+/// Pool of the service, made when it is first needed.
+target_pool& pool_of(host_context& context, const base::service_id& service);
+
+/// How the targets' use depends on the fleet at this moment.
+pool_view make_view(const host_context& context, base::time_point now);
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/host/request_parts.cpp
@@ -0,0 +1,92 @@
+#include "apps/host/request_parts.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace snipeshore::apps {
+
+namespace {
+
+/// Longest time that a caller can ask for; more is nonsense.
+constexpr std::int64_t longest_wait_ms = 3'600'000;
+
+/// Headers about one connection only, beside those that describe the body.
+constexpr std::array<std::string_view, 6> connection_headers = {
+    "te", "trailer", "proxy-connection", "proxy-authenticate", "proxy-authorization", "expect"};
+
+std::string_view trim(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t\"");
+    const std::size_t last = text.find_last_not_of(" \t\"");
+    return first == std::string_view::npos ? std::string_view()
+                                           : text.substr(first, last - first + 1);
+}
+
+bool is_connection_header(std::string_view name)
+{
+    return std::find(connection_headers.begin(), connection_headers.end(), name) !=
+           connection_headers.end();
+}
+
+} // namespace
+
+std::string_view find_cookie(const http::header_list& headers, std::string_view name)
+{
+    for (const http::header& one : headers) {
+        if (one.name != "cookie") {
+            continue;
+        }
+        std::string_view rest = one.value;
+        while (!rest.empty()) {
+            const std::size_t end = std::min(rest.find(';'), rest.size());
+            const std::string_view pair = rest.substr(0, end);
+            const std::size_t equals = pair.find('=');
+            if (equals != std::string_view::npos && trim(pair.substr(0, equals)) == name) {
+                return trim(pair.substr(equals + 1));
+            }
+            rest.remove_prefix(std::min(end + 1, rest.size()));
+        }
+    }
+    return {};
+}
+
+std::optional<std::chrono::milliseconds> read_time_left(const http::header_list& headers,
+                                                        std::string_view name)
+{
+    const auto text = http::find_header(headers, name);
+    if (!text.has_value()) {
+        return std::nullopt;
+    }
+    std::int64_t value = 0;
+    const auto [end, failure] = std::from_chars(text->data(), text->data() + text->size(), value);
+    if (failure != std::errc() || value < 0) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(std::min(value, longest_wait_ms));
+}
+
+std::uint64_t object_hash(const http::header_list& headers, const wire_names& names,
+                          std::string_view scope, std::uint64_t fallback)
+{
+    const std::string_view object = find_cookie(headers, names.object_cookie);
+    return object.empty() ? fallback : base::stable_hash(object, base::stable_hash(scope));
+}
+
+http::header_list make_forwarded_headers(const http::header_list& from, const wire_names& names)
+{
+    http::header_list headers;
+    headers.reserve(from.size() + 3);
+    for (const http::header& one : from) {
+        const bool is_own = one.name == names.key || one.name == names.account ||
+                            one.name == names.target || one.name == names.time_left;
+        if (!is_own && !is_connection_header(one.name)) {
+            headers.push_back(one);
+        }
+    }
+    return headers;
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/host/target_pool.cpp
@@ -0,0 +1,274 @@
+#include "apps/host/target_pool.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <unordered_map>
+#include <utility>
+
+namespace snipeshore::apps {
+
+namespace {
+
+/// Weight of a new sample in the averages: about the last ten answers count.
+constexpr double sample_weight = 0.15;
+
+/// Time constant by which a reported load loses its meaning: a few service times.
+constexpr double report_memory_s = 0.6;
+
+/// Time constant by which a slow target is tried again.
+constexpr double slowness_memory_s = 4.0;
+
+/// Average of failed attempts at which a target is ejected.
+constexpr double ejecting_failure_part = 0.35;
+
+constexpr std::chrono::milliseconds first_ejection{700};
+constexpr unsigned longest_ejection_steps = 4; ///< Doublings of `first_ejection`.
+
+/// Assumed until the first answers.
+constexpr std::chrono::milliseconds first_service_time{150};
+
+/// Work for an unknown object takes about this many times as long in addition, by which a second
+/// target loses against a wait at the first.
+constexpr double move_cost = 1.5;
+
+/// Requests that a cold target may get at once.
+constexpr double cold_burst = 2;
+
+double seconds_between(base::time_point from, base::time_point to)
+{
+    return std::max(0.0, std::chrono::duration<double>(to - from).count());
+}
+
+base::duration blend(base::duration old, base::duration sample)
+{
+    if (old == base::duration{0}) {
+        return sample;
+    }
+    return old + std::chrono::duration_cast<base::duration>((sample - old) * sample_weight);
+}
+
+base::duration typical_time(const target_pool& pool)
+{
+    return pool.service_time == base::duration{0} ? base::duration(first_service_time)
+                                                  : pool.service_time;
+}
+
+/// Service time of the target; falls back to the pool's while there are no new samples.
+base::duration expected_time(const target_pool& pool, const pooled_target& target,
+                             base::time_point now)
+{
+    const base::duration typical = typical_time(pool);
+    if (target.service_time == base::duration{0}) {
+        return typical;
+    }
+    const double age = seconds_between(target.sampled_at, now);
+    const double trust = std::exp(-age / slowness_memory_s);
+    return typical +
+           std::chrono::duration_cast<base::duration>((target.service_time - typical) * trust);
+}
+
+double load_of(const pooled_target& target, base::time_point now)
+{
+    const double fresh = std::exp(-seconds_between(target.reported_at, now) / report_memory_s);
+    const double others =
+        std::max(0.0, target.reported - static_cast<double>(target.running_at_report));
+    return static_cast<double>(target.running) + others * fresh;
+}
+
+bool may_use_cold(const target_pool& pool, const pooled_target& target, const pool_view& view)
+{
+    if (view.now >= target.cold_until || pool.cold_rate <= 0) {
+        return true;
+    }
+    const double tokens =
+        std::min(cold_burst, target.cold_tokens + pool.cold_rate * seconds_between(
+                                                                       target.cold_refilled,
+                                                                       view.now));
+    return tokens >= 1 && view.owns(target.entry.id);
+}
+
+bool is_usable(const target_pool& pool, const pooled_target& target, const pool_view& view)
+{
+    return !target.entry.is_leaving && !target.is_evacuated && !target.is_gone &&
+           view.now >= target.ejected_until && may_use_cold(pool, target, view);
+}
+
+void take_entry(pooled_target& target, const target_entry& entry, base::time_point now)
+{
+    const bool is_new = target.entry.started_ms != entry.started_ms ||
+                        target.entry.address != entry.address;
+    if (is_new) {
+        target = pooled_target{};
+    }
+    target.entry = entry;
+    if (entry.cold_for.count() > 0) {
+        target.cold_until = std::max(target.cold_until, now + entry.cold_for);
+    }
+}
+
+void rebuild_layout(target_pool& pool,
+                    const std::map<base::failure_domain_id, base::region_id>& regions,
+                    const base::failure_domain_id& own_domain)
+{
+    std::map<base::failure_domain_id, std::uint32_t> domain_index;
+    std::map<base::region_id, std::uint32_t> region_index;
+    std::vector<std::uint32_t> domain_regions;
+    for (const auto& [domain, region] : regions) {
+        domain_index.emplace(domain, static_cast<std::uint32_t>(domain_index.size()));
+        const auto [entry, is_new] =
+            region_index.emplace(region, static_cast<std::uint32_t>(region_index.size()));
+        domain_regions.push_back(entry->second);
+    }
+    std::vector<affinity::place> places;
+    for (const pooled_target& target : pool.targets) {
+        const std::uint32_t domain = domain_index[target.entry.failure_domain];
+        const bool may_serve = !target.entry.is_leaving && !target.is_evacuated;
+        places.push_back({base::stable_hash(target.entry.id.value()), domain,
+                          domain_regions[domain], may_serve ? target.entry.slots : 1});
+    }
+    pool.layout = affinity::make_layout(std::move(places), domain_regions,
+                                        domain_index[own_domain]);
+}
+
+} // namespace
+
+void set_targets(target_pool& pool, const std::vector<target_entry>& entries,
+                 const std::function<bool(const base::failure_domain_id&)>& is_evacuated,
+                 const std::map<base::failure_domain_id, base::region_id>& regions,
+                 const base::failure_domain_id& own_domain, base::time_point now)
+{
+    std::unordered_map<base::target_id, pooled_target> old;
+    for (pooled_target& target : pool.targets) {
+        old.emplace(target.entry.id, std::move(target));
+    }
+    pool.targets.clear();
+    for (const target_entry& entry : entries) {
+        if (!regions.contains(entry.failure_domain)) {
+            continue;
+        }
+        const auto known = old.find(entry.id);
+        pool.targets.push_back(known == old.end() ? pooled_target{} : std::move(known->second));
+        take_entry(pool.targets.back(), entry, now);
+        pool.targets.back().is_evacuated = is_evacuated(entry.failure_domain);
+    }
+    rebuild_layout(pool, regions, own_domain);
+}
+
+pooled_target* find_target(target_pool& pool, const base::target_id& id)
+{
+    const auto found =
+        std::find_if(pool.targets.begin(), pool.targets.end(),
+                     [&](const pooled_target& target) { return target.entry.id == id; });
+    return found == pool.targets.end() ? nullptr : &*found;
+}
+
+std::optional<affinity::placement> choose_target(
+    target_pool& pool, std::uint64_t object, const std::vector<base::target_id>& tried,
+    const std::function<bool(const base::region_id&)>& allowed,
+    const std::map<base::failure_domain_id, base::region_id>& regions, const pool_view& view)
+{
+    const auto may_get = [&](std::uint32_t index) {
+        const target_entry& entry = pool.targets[index].entry;
+        return std::find(tried.begin(), tried.end(), entry.id) == tried.end() &&
+               allowed(regions.at(entry.failure_domain));
+    };
+    const auto load = [&](std::uint32_t index) {
+        const pooled_target& target = pool.targets[index];
+        return affinity::target_load{is_usable(pool, target, view), load_of(target, view.now),
+                                     target.entry.slots, expected_time(pool, target, view.now)};
+    };
+    const auto penalty = std::chrono::duration_cast<base::duration>(typical_time(pool) * move_cost);
+    const auto ranked = affinity::rank_targets(pool.layout, object, may_get);
+    const auto chosen = affinity::choose(ranked, load, penalty);
+    if (chosen.has_value()) {
+        return chosen;
+    }
+    // None of the object's own targets can take it: any other is better than a refusal.
+    const auto others = affinity::rank_targets(pool.layout, object, [&](std::uint32_t index) {
+        const affinity::target_load now = load(index);
+        return may_get(index) && now.usable &&
+               now.requests < now.slots * affinity::full_requests_per_slot;
+    });
+    return affinity::choose(others, load, penalty);
+}
+
+void on_sent(target_pool& pool, pooled_target& target, base::time_point now)
+{
+    ++target.running;
+    if (now < target.cold_until && pool.cold_rate > 0) {
+        target.cold_tokens =
+            std::min(cold_burst, target.cold_tokens + pool.cold_rate * seconds_between(
+                                                                           target.cold_refilled,
+                                                                           now));
+        target.cold_refilled = now;
+        target.cold_tokens -= 1;
+    }
+}
+
+void on_ended(target_pool& pool, pooled_target& target, std::optional<base::duration> took,
+              base::time_point now)
+{
+    if (target.running > 0) {
+        --target.running;
+    }
+    if (!took.has_value()) {
+        return;
+    }
+    const double slots = std::max<std::uint32_t>(target.entry.slots, 1);
+    const double busy = std::max(1.0, (load_of(target, now) + 1) / slots);
+    const auto alone = std::chrono::duration_cast<base::duration>(*took / busy);
+    target.service_time = blend(expected_time(pool, target, now), alone);
+    target.sampled_at = now;
+    pool.service_time = blend(pool.service_time, alone);
+}
+
+bool on_failure(pooled_target& target, bool is_hard, base::time_point now)
+{
+    ++target.failures_in_row;
+    target.failure_part += (1 - target.failure_part) * sample_weight;
+    const bool is_repeated = target.failures_in_row >= 2 && is_hard;
+    if (!is_repeated && target.failure_part < ejecting_failure_part) {
+        return false;
+    }
+    const unsigned steps = std::min(target.failures_in_row, longest_ejection_steps);
+    target.ejected_until = now + first_ejection * (1U << (steps == 0 ? 0U : steps - 1));
+    target.failure_part = 0;
+    return true;
+}
+
+void on_success(pooled_target& target)
+{
+    target.failures_in_row = 0;
+    target.failure_part -= target.failure_part * sample_weight;
+}
+
+bool take_load(pooled_target& target, std::string_view text, base::time_point now)
+{
+    std::array<std::uint32_t, 3> figures{};
+    const char* at = text.data();
+    const char* const end = text.data() + text.size();
+    for (std::uint32_t& figure : figures) {
+        const auto [next, failure] = std::from_chars(at, end, figure);
+        if (failure != std::errc()) {
+            return false;
+        }
+        at = next == end ? next : next + 1;
+    }
+    target.reported = figures[0] + figures[1];
+    target.running_at_report = target.running;
+    target.reported_at = now;
+    return true;
+}
+
+void on_rejected(pooled_target& target, base::time_point now)
+{
+    target.reported = std::max(target.reported, target.entry.slots * 4.0);
+    target.running_at_report = target.running;
+    target.reported_at = now;
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/host/types/host_settings.h
@@ -0,0 +1,41 @@
+/// @file Settings of the program that serves a whole host.
+#pragma once
+
+#include "apps/host/types/wire_names.h"
+#include "base/types/ids.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace snipeshore::apps {
+
+struct host_settings {
+    base::host_id host;
+    base::failure_domain_id failure_domain;
+    std::map<base::failure_domain_id, base::region_id> regions;
+    std::string entry_address;   ///< For callers' requests.
+    std::string ready_address;   ///< For readiness checks.
+    std::string lookup_address;  ///< For callers' look-ups.
+    std::string control_address; ///< For the other hosts.
+    std::string metrics_address; ///< Empty: no metrics are served.
+    std::vector<std::string> seeds; ///< Control addresses of other hosts; may be stale.
+    std::size_t memory_limit_bytes = 0;
+    wire_names names;
+
+    std::chrono::milliseconds lookup_ttl{2000}; ///< Time that callers may keep a look-up.
+    /// A planned stop goes on taking requests for this time, as callers keep look-ups.
+    std::chrono::milliseconds leave_delay{3500};
+    std::chrono::milliseconds stop_deadline{5500}; ///< Longest time of a planned stop.
+
+    double retry_ratio = 0.1;       ///< Retries of the fleet for each request of a service.
+    double retry_extra = 10;        ///< Further retries of the fleet in `retry_window`.
+    std::chrono::milliseconds retry_window{10000};
+    double quota_overage = 0;       ///< Part of an account's limit that may be exceeded.
+    double quota_slack = 0;         ///< Requests by which a limit may be exceeded besides.
+    /// A target's entry that vanished during an outage of the store counts this long after it.
+    std::chrono::milliseconds reappear_time{2000};
+};
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/fleet/exchange_text.cpp
@@ -0,0 +1,129 @@
+#include "fleet/exchange_text.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+#include <utility>
+
+namespace snipeshore::fleet {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// Amounts are sent in hundredths, which keeps the messages short.
+constexpr double amount_steps = 100;
+
+json member_json(const member& host)
+{
+    return json::array({host.id.value(), host.failure_domain.value(), host.entry_address,
+                        host.control_address, host.incarnation.value(),
+                        static_cast<int>(host.state)});
+}
+
+member read_member(const json& from)
+{
+    member host;
+    host.id = base::host_id(from.at(0).get<std::string>());
+    host.failure_domain = base::failure_domain_id(from.at(1).get<std::string>());
+    host.entry_address = from.at(2).get<std::string>();
+    host.control_address = from.at(3).get<std::string>();
+    host.incarnation = base::incarnation(from.at(4).get<std::uint64_t>());
+    const int state = from.at(5).get<int>();
+    host.state = state == 1   ? member_state::ready
+                 : state == 2 ? member_state::leaving
+                              : member_state::starting;
+    return host;
+}
+
+json amounts_json(const std::map<base::account_id, double>& amounts)
+{
+    json made = json::object();
+    for (const auto& [account, amount] : amounts) {
+        made[account.value()] = std::floor(amount * amount_steps);
+    }
+    return made;
+}
+
+std::map<base::account_id, double> read_amounts(const json& from)
+{
+    std::map<base::account_id, double> amounts;
+    for (const auto& [account, amount] : from.items()) {
+        amounts[base::account_id(account)] = std::max(0.0, amount.get<double>() / amount_steps);
+    }
+    return amounts;
+}
+
+/// Runs a reader over parsed text and turns what the library throws into an error.
+template <typename Reader>
+auto read_text(std::string_view text, const Reader& read)
+    -> base::result<decltype(read(std::declval<const json&>()))>
+{
+    try {
+        return read(json::parse(text));
+    } catch (const json::exception& failure) {
+        return base::error{base::error_kind::document_invalid, failure.what()};
+    }
+}
+
+} // namespace
+
+std::string to_text(const exchange_message& message)
+{
+    json made{{"m", member_json(message.from)}, {"v", message.versions}};
+    if (!message.wanted.empty()) {
+        made["w"] = amounts_json(message.wanted);
+    }
+    if (!message.given.empty()) {
+        made["g"] = amounts_json(message.given);
+    }
+    return made.dump();
+}
+
+base::result<exchange_message> parse_exchange(std::string_view text)
+{
+    return read_text(text, [](const json& from) {
+        exchange_message message;
+        message.from = read_member(from.at("m"));
+        message.versions = from.at("v").get<std::map<std::string, std::uint64_t>>();
+        message.wanted = read_amounts(from.value("w", json::object()));
+        message.given = read_amounts(from.value("g", json::object()));
+        return message;
+    });
+}
+
+std::string to_text(const member& host)
+{
+    return member_json(host).dump();
+}
+
+base::result<member> parse_member(std::string_view text)
+{
+    return read_text(text, [](const json& from) { return read_member(from); });
+}
+
+std::string to_text(const rows::copy_update& update)
+{
+    json changes = json::array();
+    for (const rows::row& change : update.rows) {
+        changes.push_back(json::array({change.key, change.version, change.removed, change.value}));
+    }
+    const json made{{"v", update.version}, {"full", update.is_full}, {"rows", changes}};
+    return made.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+base::result<rows::copy_update> parse_update(std::string_view text)
+{
+    return read_text(text, [](const json& from) {
+        rows::copy_update update;
+        update.version = from.at("v").get<std::uint64_t>();
+        update.is_full = from.at("full").get<bool>();
+        for (const json& one : from.at("rows")) {
+            update.rows.push_back({one.at(0).get<std::string>(), one.at(3).get<std::string>(),
+                                   one.at(1).get<std::uint64_t>(), one.at(2).get<bool>()});
+        }
+        return update;
+    });
+}
+
+} // namespace snipeshore::fleet
--- /dev/null
+++ b/src/fleet/tests/exchange_text_test.cpp
@@ -0,0 +1,43 @@
+#include "fleet/exchange_text.h"
+
+#include <doctest/doctest.h>
+
+using namespace snipeshore;
+
+TEST_CASE("messages between hosts survive their text form")
+{
+    fleet::exchange_message message;
+    message.from = {base::host_id("h1"),   base::failure_domain_id("d1"), "1.2.3.4:80",
+                    "1.2.3.4:90",          base::incarnation(7),          fleet::member_state::ready};
+    message.versions = {{"op", 12}};
+    message.wanted[base::account_id("coop")] = 2.5;
+    message.given[base::account_id("coop")] = 1.999;
+    const auto read = fleet::parse_exchange(fleet::to_text(message));
+    REQUIRE(base::is_ok(read));
+    const fleet::exchange_message& copy = base::value_of(read);
+    CHECK(copy.from.control_address == "1.2.3.4:90");
+    CHECK(copy.from.state == fleet::member_state::ready);
+    CHECK(copy.versions.at("op") == 12);
+    CHECK(copy.wanted.at(base::account_id("coop")) == doctest::Approx(2.5));
+    SUBCASE("a gift is rounded down, so that no share grows on its way")
+    {
+        CHECK(copy.given.at(base::account_id("coop")) <= 1.999);
+    }
+    SUBCASE("garbage from the network is an error, not a crash")
+    {
+        CHECK_FALSE(base::is_ok(fleet::parse_exchange("{\"m\":[1]}")));
+        CHECK_FALSE(base::is_ok(fleet::parse_exchange("")));
+        CHECK_FALSE(base::is_ok(fleet::parse_update("{\"v\":1,\"rows\":[[1]]}")));
+        CHECK_FALSE(base::is_ok(fleet::parse_member("[]")));
+    }
+    SUBCASE("rows keep version and removal")
+    {
+        const rows::copy_update update{
+            10, true, {{"k", "v", 9, false}, {"gone", "", 10, true}}};
+        const auto read_back = fleet::parse_update(fleet::to_text(update));
+        REQUIRE(base::is_ok(read_back));
+        CHECK(base::value_of(read_back).is_full);
+        CHECK(base::value_of(read_back).rows[0].value == "v");
+        CHECK(base::value_of(read_back).rows[1].removed);
+    }
+}
--- /dev/null
+++ b/src/fleet/tests/members_test.cpp
@@ -0,0 +1,82 @@
+#include "fleet/members.h"
+
+#include <doctest/doctest.h>
+
+using namespace snipeshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+fleet::member make_member(const std::string& name, const std::string& domain,
+                          fleet::member_state state = fleet::member_state::ready)
+{
+    return {base::host_id(name), base::failure_domain_id(domain), name + ":80", name + ":90",
+            base::incarnation(1), state};
+}
+
+base::region_id region_of(const base::failure_domain_id& domain)
+{
+    return base::region_id(domain.value().substr(0, 1));
+}
+
+std::vector<std::string> named(const fleet::member_table& table, const fleet::member& self,
+                               const std::string& domain, base::time_point now)
+{
+    return fleet::entry_addresses(table, self, base::failure_domain_id(domain), region_of, now);
+}
+
+} // namespace
+
+TEST_CASE("callers are sent to hosts that can serve them")
+{
+    const base::time_point now = base::time_point{} + 1h;
+    const fleet::member self = make_member("self", "n1");
+    fleet::member_table table;
+    table.self = self.id;
+    fleet::hear(table, make_member("near", "n2"), now);
+    fleet::hear(table, make_member("far", "s1"), now);
+    SUBCASE("hosts of the caller's failure domain go first, then its region, then all")
+    {
+        CHECK(named(table, self, "n1", now) == std::vector<std::string>{"self:80"});
+        CHECK(named(table, self, "n3", now) == std::vector<std::string>{"self:80", "near:80"});
+        CHECK(named(table, self, "w1", now).size() == 3);
+    }
+    SUBCASE("a host that went silent, leaves or still starts is not named")
+    {
+        CHECK(named(table, self, "s1", now + 3s) == std::vector<std::string>{"self:80"});
+        fleet::hear(table, make_member("far", "s1", fleet::member_state::leaving), now);
+        CHECK(named(table, self, "s1", now).size() == 2);
+        fleet::hear(table, make_member("far", "s1", fleet::member_state::starting), now);
+        CHECK(named(table, self, "s1", now).size() == 2);
+    }
+    SUBCASE("a listed host is not named before it was heard, but may hold a share")
+    {
+        fleet::list(table, make_member("listed", "w1"));
+        CHECK(named(table, self, "w1", now).size() == 3);
+        CHECK(fleet::possible_hosts(table) == 4);
+    }
+    SUBCASE("a cut off host keeps its share, as it may go on serving")
+    {
+        CHECK(fleet::possible_hosts(table) == 3);
+        fleet::remove(table, base::host_id("far"));
+        CHECK(fleet::possible_hosts(table) == 2);
+    }
+}
+
+TEST_CASE("exactly one of the live hosts owns a target")
+{
+    const base::time_point now = base::time_point{} + 1h;
+    const std::vector<std::string> names{"a", "b", "c", "d"};
+    for (int target = 0; target < 100; ++target) {
+        int owners = 0;
+        for (const std::string& self : names) {
+            fleet::member_table table;
+            table.self = base::host_id(self);
+            for (const std::string& other : names) {
+                fleet::hear(table, make_member(other, "n1"), now);
+            }
+            owners += fleet::is_owner(table, "target-" + std::to_string(target), now) ? 1 : 0;
+        }
+        CHECK(owners == 1);
+    }
+}
--- /dev/null
+++ b/src/fleet/types/member.h
@@ -0,0 +1,35 @@
+/// @file Hosts of the fleet as one host knows them.
+#pragma once
+
+#include "base/time.h"
+#include "base/types/ids.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace snipeshore::fleet {
+
+enum class member_state : std::uint8_t { starting, ready, leaving };
+
+struct member {
+    base::host_id id;
+    base::failure_domain_id failure_domain;
+    std::string entry_address;   ///< For callers, "ip:port".
+    std::string control_address; ///< For other hosts, "ip:port".
+    base::incarnation incarnation;
+    member_state state = member_state::starting;
+};
+
+struct known_member {
+    member info;
+    bool was_heard = false;
+    base::time_point heard; ///< Last message from the host itself.
+};
+
+struct member_table {
+    base::host_id self;
+    std::map<base::host_id, known_member> members; ///< Without the own host.
+};
+
+} // namespace snipeshore::fleet
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -65,6 +65,9 @@
     /// How long an unused connection is kept; shorter than any peer keeps it, so that a request
     /// does not meet a connection that is being closed.
     std::chrono::milliseconds idle_timeout{5000};
+    /// Takes a response without a length, which ends with its connection. A peer that dies without
+    /// a reset makes such a response look complete.
+    bool accepts_unframed = false;
 };
 
 /// Belongs to the loop's thread.
--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -294,9 +294,36 @@
         self->forget_connection();
         return nullptr;
     }
+    if (self->m_framing == framing::until_close) {
+        self->m_owner->owner.schedule(base::boot_clock::now(), [weak = self->weak_from_this()] {
+            if (const auto waiting = weak.lock()) {
+                waiting->guard_unframed();
+            }
+        });
+    }
     return on_body;
 }
 
+void call_state::guard_unframed()
+{
+    if (m_phase == phase::reading_body && m_h2o != nullptr && m_h2o->sock != nullptr &&
+        m_h2o->sock->_cb.read != nullptr) {
+        m_unframed_reader = std::exchange(m_h2o->sock->_cb.read, on_unframed_bytes);
+    }
+}
+
+void call_state::on_unframed_bytes(h2o_socket_t* socket, const char* failure)
+{
+    const auto* h2o = static_cast<h2o_http1client_t*>(socket->data);
+    const auto self = static_cast<call_state*>(h2o->data)->shared_from_this();
+    if (failure != nullptr && failure != h2o_socket_error_closed) {
+        // h2o takes a reset for the end of the response.
+        self->end_and_close(make_error(base::error_kind::answer_invalid, self->address(), failure));
+        return;
+    }
+    self->m_unframed_reader(socket, failure);
+}
+
 bool call_state::read_head(int status, const h2o_header_t* headers, std::size_t count,
                            std::size_t head_length)
 {
@@ -342,9 +369,13 @@
         return m_head.status >= first_final_status;
     }
     // h2o keeps the length and the chunk decoder in the same place, so both must not occur.
-    if (is_chunked == m_head.content_length.has_value()) {
+    if (is_chunked && m_head.content_length.has_value()) {
         return false;
     }
+    if (!is_chunked && !m_head.content_length.has_value()) {
+        m_framing = framing::until_close;
+        return m_owner->settings.accepts_unframed;
+    }
     m_framing = is_chunked ? framing::chunked : framing::length;
     return true;
 }
--- a/src/http/internal/call_state.h
+++ b/src/http/internal/call_state.h
@@ -46,7 +46,7 @@
 
 private:
     enum class phase { waiting, connecting, waiting_for_head, reading_body, ended };
-    enum class framing { length, chunked, none };
+    enum class framing { length, chunked, until_close, none };
 
     static h2o_http1client_head_cb on_connect(h2o_http1client_t* h2o, const char* failure,
                                               h2o_iovec_t** buffers, std::size_t* buffer_count,
@@ -63,6 +63,8 @@
     void guard_head();
     static void on_request_written(h2o_socket_t* socket, const char* failure);
     static void on_head_bytes(h2o_socket_t* socket, const char* failure);
+    static void on_unframed_bytes(h2o_socket_t* socket, const char* failure);
+    void guard_unframed();
     std::string_view head_fault(std::string_view bytes) const;
 
     void write_request();
@@ -92,6 +94,7 @@
     std::string m_wire;
     h2o_socket_cb m_write_done = nullptr;  ///< h2o's callback behind `on_request_written`.
     h2o_socket_cb m_head_reader = nullptr; ///< h2o's reader behind `on_head_bytes`.
+    h2o_socket_cb m_unframed_reader = nullptr;
     h2o_socket_cb m_reader = nullptr;      ///< h2o's reader, while reading is paused.
     bool m_is_in_h2o = false; ///< A callback of h2o runs; it closes the connection itself.
     bool m_is_paused = false;
--- /dev/null
+++ b/src/limits/fleet_share.cpp
@@ -0,0 +1,117 @@
+#include "limits/fleet_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace snipeshore::limits {
+
+namespace {
+
+/// Time constant of the average of the demand: short enough to follow a sudden rush.
+constexpr double demand_memory_s = 1.0;
+
+/// Longest time that a share without tokens is said to take; a lower limit may change meanwhile.
+constexpr std::chrono::seconds longest_wait{5};
+
+double seconds_between(base::time_point from, base::time_point to)
+{
+    return std::max(0.0, std::chrono::duration<double>(to - from).count());
+}
+
+void refill(fleet_share& share, base::time_point now)
+{
+    const double grown = share.tokens + share.own.rate * seconds_between(share.refilled, now);
+    share.tokens = std::min(grown, std::max(1.0, share.own.burst));
+    share.refilled = std::max(share.refilled, now);
+    if (now >= share.gifts_end) {
+        share.gifts = 0;
+    }
+}
+
+void fade_demand(fleet_share& share, base::time_point now)
+{
+    share.demand *= std::exp(-seconds_between(share.demand_updated, now) / demand_memory_s);
+    share.demand_updated = now;
+}
+
+/// Part of the demand until `until` that exceeds what is refilled by then.
+double need_until(const fleet_share& share, base::time_point now, base::time_point until)
+{
+    return (share.demand - share.own.rate) * seconds_between(now, until);
+}
+
+} // namespace
+
+void set_limit(fleet_share& share, const fleet_limit& limit, std::size_t hosts,
+               base::time_point now)
+{
+    if (share.is_set) {
+        refill(share, now);
+    }
+    share.is_set = true;
+    share.refilled = now;
+    const auto parts = static_cast<double>(std::max<std::size_t>(hosts, 1));
+    share.own = {limit.rate / parts, limit.burst / parts};
+    share.tokens = std::min(share.tokens, std::max(1.0, share.own.burst));
+}
+
+bool take(fleet_share& share, base::time_point now)
+{
+    fade_demand(share, now);
+    share.demand += 1 / demand_memory_s;
+    if (share.own.rate <= 0) {
+        return true;
+    }
+    refill(share, now);
+    for (double* source : {&share.gifts, &share.tokens}) {
+        if (*source >= 1) {
+            *source -= 1;
+            return true;
+        }
+    }
+    return false;
+}
+
+base::duration time_to_token(const fleet_share& share, base::time_point now)
+{
+    const double missing = 1 - share.tokens - share.own.rate * seconds_between(share.refilled, now);
+    if (missing <= 0 || share.own.rate <= 0) {
+        return base::duration{0};
+    }
+    return std::min<base::duration>(
+        std::chrono::duration_cast<base::duration>(
+            std::chrono::duration<double>(missing / share.own.rate)),
+        longest_wait);
+}
+
+double wanted_tokens(fleet_share& share, base::time_point now, base::time_point until)
+{
+    if (share.own.rate <= 0) {
+        return 0;
+    }
+    refill(share, now);
+    fade_demand(share, now);
+    return std::max(0.0, need_until(share, now, until) - share.tokens - share.gifts);
+}
+
+double give(fleet_share& share, double wanted, base::time_point now, base::time_point until)
+{
+    if (share.own.rate <= 0) {
+        return 0;
+    }
+    refill(share, now);
+    fade_demand(share, now);
+    const double kept = std::max(1.0, need_until(share, now, until));
+    const double given = std::clamp(share.tokens - kept, 0.0, std::max(0.0, wanted));
+    share.tokens -= given;
+    return given;
+}
+
+void receive(fleet_share& share, double tokens, base::time_point now)
+{
+    refill(share, now);
+    share.gifts += tokens;
+    share.gifts_end = now + gift_life;
+}
+
+} // namespace snipeshore::limits
--- /dev/null
+++ b/src/limits/fleet_share.h
@@ -0,0 +1,31 @@
+/// @file A host's part of an account's rate and burst, without agreement on the request path.
+#pragma once
+
+#include "base/time.h"
+#include "limits/types/fleet_share.h"
+
+#include <cstddef>
+
+namespace snipeshore::limits {
+
+/// Sets the account's limit and the number of hosts that share it. A share that is new starts
+/// without tokens: the host's last incarnation may have used them.
+void set_limit(fleet_share& share, const fleet_limit& limit, std::size_t hosts,
+               base::time_point now);
+
+/// Takes the tokens of one request. False: the host has no part left; see `time_to_token`.
+bool take(fleet_share& share, base::time_point now);
+
+base::duration time_to_token(const fleet_share& share, base::time_point now);
+
+/// Tokens that the host will probably lack until `until`; 0 if it has enough.
+double wanted_tokens(fleet_share& share, base::time_point now, base::time_point until);
+
+/// Takes up to `wanted` tokens out of the share for another host, keeping what the own requests will
+/// probably need until `until`. A gift that is lost on its way is lost for all, never doubled.
+double give(fleet_share& share, double wanted, base::time_point now, base::time_point until);
+
+/// Takes a gift; it may be used for `gift_life` only.
+void receive(fleet_share& share, double tokens, base::time_point now);
+
+} // namespace snipeshore::limits
--- /dev/null
+++ b/src/limits/tests/fleet_share_test.cpp
@@ -0,0 +1,109 @@
+#include "limits/fleet_share.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <vector>
+
+using namespace snipeshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::time_point start = base::time_point{} + 1h;
+
+} // namespace
+
+TEST_CASE("a host's share of an account's limit")
+{
+    limits::fleet_share share;
+    limits::set_limit(share, {10, 20}, 2, start);
+    SUBCASE("a new incarnation starts without tokens, so that a restart doubles nothing")
+    {
+        CHECK_FALSE(limits::take(share, start));
+        CHECK(limits::time_to_token(share, start) == 200ms);
+        CHECK(limits::take(share, start + 250ms));
+    }
+    SUBCASE("the burst of the share bounds what is saved")
+    {
+        int taken = 0;
+        while (limits::take(share, start + 1h)) {
+            ++taken;
+        }
+        CHECK(taken == 10);
+    }
+    SUBCASE("a lower limit takes effect at once")
+    {
+        limits::set_limit(share, {2, 2}, 2, start + 1h);
+        int taken = 0;
+        while (limits::take(share, start + 1h)) {
+            ++taken;
+        }
+        CHECK(taken == 1);
+    }
+    SUBCASE("an account without a limit is never refused")
+    {
+        limits::set_limit(share, {0, 0}, 2, start);
+        CHECK(limits::take(share, start));
+        CHECK(limits::wanted_tokens(share, start, start + 1s) == 0);
+    }
+    SUBCASE("an unused gift ends, as the giver has refilled meanwhile")
+    {
+        limits::receive(share, 5, start);
+        CHECK(limits::take(share, start + 1s));
+        CHECK(limits::time_to_token(share, start + 1s) == 0s);
+        int taken = 0;
+        while (limits::take(share, start + 2s)) {
+            ++taken;
+        }
+        CHECK(taken == 10);
+    }
+}
+
+TEST_CASE("hosts with uneven demand stay within the limit, also with restarts and lost gifts")
+{
+    constexpr std::size_t hosts = 6;
+    constexpr limits::fleet_limit limit{60, 30};
+    for (unsigned seed = 0; seed < 50; ++seed) {
+        std::mt19937 random(seed);
+        std::vector<limits::fleet_share> shares(hosts);
+        for (auto& share : shares) {
+            limits::set_limit(share, limit, hosts, start);
+        }
+        std::deque<base::time_point> admitted;
+        std::size_t total = 0;
+        for (int step = 0; step < 2000; ++step) {
+            const base::time_point now = start + step * 10ms;
+            // Nearly all of the demand, three times the limit, meets two hosts.
+            for (int request = 0; request < 2; ++request) {
+                const std::size_t host = random() % 10 < 9 ? random() % 2 : random() % hosts;
+                if (limits::take(shares[host], now)) {
+                    admitted.push_back(now);
+                    ++total;
+                }
+            }
+            const std::size_t asker = random() % hosts;
+            const std::size_t giver = random() % hosts;
+            if (step % 5 == 0 && asker != giver) {
+                const double wanted = limits::wanted_tokens(shares[asker], now, now + 1s);
+                const double given = limits::give(shares[giver], wanted, now, now + 1s);
+                if (random() % 10 != 0) {
+                    limits::receive(shares[asker], given, now);
+                }
+            }
+            if (random() % 500 == 0) {
+                limits::fleet_share fresh;
+                limits::set_limit(fresh, limit, hosts, now);
+                shares[random() % hosts] = fresh;
+            }
+            while (!admitted.empty() && now - admitted.front() > 5s) {
+                admitted.pop_front();
+            }
+            REQUIRE(static_cast<double>(admitted.size()) <= (limit.rate * 5 + limit.burst) * 1.1);
+        }
+        // A static split would admit a third.
+        CHECK(static_cast<double>(total) > limit.rate * 20 * 0.75);
+    }
+}
--- /dev/null
+++ b/src/limits/types/fleet_share.h
@@ -0,0 +1,33 @@
+/// @file State of a host's part of an account's limit.
+#pragma once
+
+#include "base/time.h"
+
+#include <chrono>
+
+namespace snipeshore::limits {
+
+/// A gift that was not used by then is dropped, as its giver has refilled meanwhile.
+inline constexpr std::chrono::milliseconds gift_life{1500};
+
+/// Of an account, over all hosts.
+struct fleet_limit {
+    double rate = 0;  ///< Requests per second; 0: no limit.
+    double burst = 0; ///< Requests.
+
+    bool operator==(const fleet_limit&) const = default;
+};
+
+struct fleet_share {
+    fleet_limit own; ///< Part of this host.
+    double tokens = 0;
+    double gifts = 0;
+    base::time_point gifts_end{};
+    base::time_point refilled{};
+    bool is_set = false;
+    /// Requests per second that asked for a token, as a moving average.
+    double demand = 0;
+    base::time_point demand_updated{};
+};
+
+} // namespace snipeshore::limits
--- /dev/null
+++ b/src/routing/route_table.cpp
@@ -0,0 +1,103 @@
+#include "routing/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <limits>
+#include <string>
+
+namespace snipeshore::routing {
+
+namespace {
+
+/// More than any priority of a route, so that the account decides first.
+constexpr int account_rank = 1000;
+
+std::string host_of(std::string_view authority)
+{
+    const std::size_t colon = authority.rfind(':');
+    const bool has_port =
+        colon != std::string_view::npos && authority.find(']', colon) == std::string_view::npos;
+    std::string host(has_port ? authority.substr(0, colon) : authority);
+    std::transform(host.begin(), host.end(), host.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return host;
+}
+
+bool holds(const std::vector<base::region_id>& homes, const base::region_id& region)
+{
+    return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
+}
+
+} // namespace
+
+void prepare(route_table& table)
+{
+    for (auto& [host, routes] : table.hosts) {
+        std::stable_sort(routes.begin(), routes.end(), [](const route& left, const route& right) {
+            return left.prefix.size() > right.prefix.size();
+        });
+    }
+    table.account_of_key.clear();
+    for (std::size_t index = 0; index < table.accounts.size(); ++index) {
+        for (const std::string& key : table.accounts[index].keys) {
+            table.account_of_key[key] = index;
+        }
+    }
+}
+
+base::result<const route*> find_route(const route_table& table, std::string_view authority,
+                                      std::string_view path)
+{
+    const auto found = table.hosts.find(host_of(authority));
+    const std::string_view path_only = path.substr(0, path.find('?'));
+    if (found != table.hosts.end()) {
+        for (const route& candidate : found->second) {
+            if (path_only.starts_with(candidate.prefix)) {
+                return &candidate;
+            }
+        }
+    }
+    return base::error{base::error_kind::route_unknown, "no route for host and path"};
+}
+
+base::result<const account*> find_account(const route_table& table, std::string_view key)
+{
+    if (key.empty()) {
+        return base::error{base::error_kind::key_missing, "the request has no key"};
+    }
+    const auto found = table.account_of_key.find(std::string(key));
+    if (found == table.account_of_key.end()) {
+        return base::error{base::error_kind::key_unknown, "no client account has the key"};
+    }
+    return &table.accounts[found->second];
+}
+
+const base::service_id& pick_service(const route& from, std::uint64_t random)
+{
+    double total = 0;
+    for (const weighted_service& one : from.services) {
+        total += one.weight;
+    }
+    double point = static_cast<double>(random) /
+                   static_cast<double>(std::numeric_limits<std::uint64_t>::max()) * total;
+    for (const weighted_service& one : from.services) {
+        point -= one.weight;
+        if (point < 0 && one.weight > 0) {
+            return one.service;
+        }
+    }
+    return from.services.back().service;
+}
+
+bool is_home(const route& of_route, const account* of_account, const base::region_id& region)
+{
+    return holds(of_route.homes, region) &&
+           (of_account == nullptr || holds(of_account->homes, region));
+}
+
+int rank_of(const route& of_route, const account* of_account)
+{
+    return (of_account == nullptr ? 0 : of_account->priority * account_rank) + of_route.priority;
+}
+
+} // namespace snipeshore::routing
--- /dev/null
+++ b/src/rows/row_store.h
@@ -0,0 +1,56 @@
+/// @file Tables of rows that all hosts share, kept by the platform.
+#pragma once
+
+#include "base/result.h"
+#include "rows/types/row.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace snipeshore::rows {
+
+/// A call to the store in flight. Destroying it drops its callback and closes its connection.
+class store_call {
+public:
+    store_call() = default;
+    virtual ~store_call() = default;
+    store_call(const store_call&) = delete;
+    store_call& operator=(const store_call&) = delete;
+    store_call(store_call&&) = delete;
+    store_call& operator=(store_call&&) = delete;
+};
+
+/// Asynchronous; callbacks come later on the owner's thread. Errors: `store_unavailable` (had no
+/// effect), `store_unknown` (a write may have taken effect), `stale` (the history is gone).
+class row_store {
+public:
+    row_store() = default;
+    virtual ~row_store() = default;
+    row_store(const row_store&) = delete;
+    row_store& operator=(const row_store&) = delete;
+    row_store(row_store&&) = delete;
+    row_store& operator=(row_store&&) = delete;
+
+    using page_callback = std::function<void(base::result<page>)>;
+    using status_callback = std::function<void(base::status)>;
+
+    /// Rows of the table whose keys are not less than `from`, by key.
+    virtual std::unique_ptr<store_call> read(const std::string& table, const std::string& from,
+                                             page_callback done) = 0;
+
+    /// Rows changed after a version, in order. Waits up to `wait` for the first change.
+    virtual std::unique_ptr<store_call> read_changes(const std::string& table, std::uint64_t after,
+                                                     std::chrono::milliseconds wait,
+                                                     page_callback done) = 0;
+
+    /// Writes or, without a value, removes a row, whatever it holds.
+    virtual std::unique_ptr<store_call> write(const std::string& table, const std::string& key,
+                                              const std::optional<std::string>& value,
+                                              status_callback done) = 0;
+};
+
+} // namespace snipeshore::rows
--- /dev/null
+++ b/src/rows/table_copy.cpp
@@ -0,0 +1,72 @@
+#include "rows/table_copy.h"
+
+#include <algorithm>
+#include <set>
+
+namespace snipeshore::rows {
+
+std::vector<row> merge(table_copy& copy, const std::vector<row>& changes)
+{
+    std::vector<row> news;
+    for (const row& change : changes) {
+        row& known = copy.rows[change.key];
+        if (change.version <= known.version) {
+            continue;
+        }
+        known = change;
+        if (known.removed) {
+            known.value.clear();
+        }
+        news.push_back(known);
+    }
+    return news;
+}
+
+std::vector<row> replace(table_copy& copy, const std::vector<row>& all, std::uint64_t version)
+{
+    std::set<std::string> present;
+    for (const row& one : all) {
+        present.insert(one.key);
+    }
+    std::vector<row> changes = all;
+    for (const auto& [key, known] : copy.rows) {
+        if (!known.removed && !present.contains(key) && known.version <= version) {
+            changes.push_back({key, {}, version, true});
+            // A row changed by the newest transaction and removed since has no later version here.
+            changes.back().version = std::max(version, known.version + 1);
+        }
+    }
+    if (copy.version == 0) {
+        copy.first_version = version;
+    }
+    copy.version = std::max(copy.version, version);
+    return merge(copy, changes);
+}
+
+copy_update update_after(const table_copy& copy, std::uint64_t after)
+{
+    copy_update update;
+    update.version = copy.version;
+    update.is_full = after < copy.first_version;
+    for (const auto& [key, known] : copy.rows) {
+        if (update.is_full ? !known.removed : known.version > after) {
+            update.rows.push_back(known);
+        }
+    }
+    std::sort(update.rows.begin(), update.rows.end(),
+              [](const row& left, const row& right) { return left.version < right.version; });
+    return update;
+}
+
+std::vector<row> apply(table_copy& copy, const copy_update& update)
+{
+    if (update.is_full) {
+        return update.version < copy.version ? std::vector<row>{}
+                                             : replace(copy, update.rows, update.version);
+    }
+    const std::vector<row> news = merge(copy, update.rows);
+    copy.version = std::max(copy.version, update.version);
+    return news;
+}
+
+} // namespace snipeshore::rows
--- /dev/null
+++ b/src/rows/table_follower.cpp
@@ -0,0 +1,179 @@
+#include "rows/table_follower.h"
+
+#include "http/loop.h"
+#include "telemetry/event_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipeshore::rows {
+
+using telemetry::severity;
+
+table_follower::table_follower(http::loop& loop, row_store& store, follow_settings settings,
+                               change_callback on_change)
+    : m_loop(loop), m_store(store), m_settings(std::move(settings)),
+      m_on_change(std::move(on_change)), m_in_touch_since(base::boot_clock::now()),
+      m_retry(m_settings.first_retry)
+{}
+
+table_follower::~table_follower()
+{
+    m_loop.cancel(m_timer);
+}
+
+void table_follower::start()
+{
+    schedule_next(std::chrono::milliseconds{0});
+}
+
+void table_follower::restart()
+{
+    m_call.reset();
+    schedule_next(std::chrono::milliseconds{0});
+}
+
+void table_follower::schedule_next(std::chrono::milliseconds pause)
+{
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.schedule(base::boot_clock::now() + pause, [this] {
+        m_timer = 0;
+        if (m_needs_all) {
+            m_partial.clear();
+            read_all({});
+        } else {
+            read_changes();
+        }
+    });
+}
+
+void table_follower::read_all(const std::string& from)
+{
+    m_call = m_store.read(m_settings.table, from,
+                          [this](base::result<page> answer) { on_all(std::move(answer)); });
+}
+
+void table_follower::on_all(base::result<page> answer)
+{
+    if (!base::is_ok(answer)) {
+        on_failure(base::error_of(answer));
+        return;
+    }
+    page& part = base::value_of(answer);
+    // Changes between two pages are read again as changes after the first page's version.
+    m_partial_version = m_partial.empty() ? part.version : std::min(m_partial_version, part.version);
+    std::move(part.rows.begin(), part.rows.end(), std::back_inserter(m_partial));
+    if (part.has_more && !m_partial.empty()) {
+        read_all(m_partial.back().key); // That row comes again; merging takes it once.
+        return;
+    }
+    on_success();
+    if (m_partial_version < m_copy.version) {
+        // An answer older than what is known already, as of a store that lags.
+        schedule_next(m_settings.first_retry);
+        return;
+    }
+    const std::vector<row> changes = replace(m_copy, m_partial, m_partial_version);
+    m_partial.clear();
+    m_needs_all = false;
+    m_is_loaded = true;
+    telemetry::log_event(severity::info, "table_read",
+                         {{"table", m_settings.table},
+                          {"version", m_copy.version},
+                          {"rows", static_cast<std::uint64_t>(m_copy.rows.size())}});
+    m_on_change(changes);
+    schedule_next(m_settings.pause);
+}
+
+void table_follower::read_changes()
+{
+    m_call = m_store.read_changes(
+        m_settings.table, m_copy.version, m_settings.wait,
+        [this](base::result<page> answer) { on_changes(std::move(answer)); });
+}
+
+void table_follower::on_changes(base::result<page> answer)
+{
+    if (!base::is_ok(answer)) {
+        const base::error& failure = base::error_of(answer);
+        if (failure.kind == base::error_kind::stale) {
+            m_needs_all = true;
+            telemetry::log_event(severity::warning, "table_history_gone",
+                                 {{"table", m_settings.table}, {"version", m_copy.version}});
+            schedule_next(std::chrono::milliseconds{0});
+            return;
+        }
+        on_failure(failure);
+        return;
+    }
+    on_success();
+    const page& part = base::value_of(answer);
+    const std::vector<row> changes = merge(m_copy, part.rows);
+    m_copy.version = std::max(m_copy.version, part.version);
+    if (!changes.empty()) {
+        m_on_change(changes);
+    }
+    schedule_next(m_settings.pause);
+}
+
+void table_follower::on_failure(const base::error& failure)
+{
+    if (m_is_in_touch || m_retry == m_settings.first_retry) {
+        telemetry::log_event(severity::warning, "store_lost",
+                             {{"table", m_settings.table}, {"cause", failure.detail}});
+    }
+    m_is_in_touch = false;
+    schedule_next(m_retry);
+    m_retry = std::min(m_retry * 2, m_settings.longest_retry);
+}
+
+void table_follower::on_success()
+{
+    m_retry = m_settings.first_retry;
+    m_last_success = base::boot_clock::now();
+    if (m_is_in_touch) {
+        return;
+    }
+    m_is_in_touch = true;
+    m_in_touch_since = base::boot_clock::now();
+    telemetry::log_event(severity::info, "store_in_touch",
+                         {{"table", m_settings.table}, {"version", m_copy.version}});
+}
+
+void table_follower::take_from_peer(const copy_update& update)
+{
+    const std::vector<row> changes = apply(m_copy, update);
+    m_is_loaded = m_is_loaded || update.version > 0;
+    if (!changes.empty()) {
+        m_on_change(changes);
+    }
+}
+
+const table_copy& table_follower::copy() const
+{
+    return m_copy;
+}
+
+bool table_follower::is_loaded() const
+{
+    return m_is_loaded;
+}
+
+bool table_follower::is_in_touch() const
+{
+    return m_is_in_touch;
+}
+
+bool table_follower::is_expected_current(base::time_point now) const
+{
+    // A call that waits should have shown the change by now; polls may need their pause.
+    return m_is_in_touch && m_settings.wait.count() == 0 &&
+           now - m_last_success < 2 * m_settings.pause;
+}
+
+base::time_point table_follower::in_touch_since() const
+{
+    return m_in_touch_since;
+}
+
+} // namespace snipeshore::rows
--- /dev/null
+++ b/src/rows/tests/table_copy_test.cpp
@@ -0,0 +1,49 @@
+#include "rows/table_copy.h"
+
+#include <doctest/doctest.h>
+
+using namespace snipeshore;
+
+TEST_CASE("a copy of a table never goes backwards")
+{
+    rows::table_copy copy;
+    rows::replace(copy, {{"a", "1", 3, false}, {"b", "1", 4, false}}, 5);
+    SUBCASE("an older row of a peer changes nothing")
+    {
+        CHECK(rows::merge(copy, {{"a", "0", 2, false}}).empty());
+        CHECK(copy.rows["a"].value == "1");
+    }
+    SUBCASE("an older row does not bring a removed one back")
+    {
+        CHECK(rows::merge(copy, {{"a", "", 6, true}}).size() == 1);
+        CHECK(rows::merge(copy, {{"a", "1", 3, false}}).empty());
+        CHECK(copy.rows["a"].removed);
+    }
+    SUBCASE("a full read removes what it lacks, but not what a peer knew later")
+    {
+        rows::merge(copy, {{"c", "1", 9, false}});
+        const auto changes = rows::replace(copy, {{"a", "1", 3, false}}, 8);
+        REQUIRE(changes.size() == 1);
+        CHECK(changes.front().key == "b");
+        CHECK(changes.front().removed);
+        CHECK_FALSE(copy.rows["c"].removed);
+    }
+    SUBCASE("changes are handed on in order, with removed rows")
+    {
+        rows::merge(copy, {{"b", "", 7, true}, {"a", "2", 6, false}});
+        const auto update = rows::update_after(copy, 5);
+        CHECK_FALSE(update.is_full);
+        REQUIRE(update.rows.size() == 2);
+        CHECK(update.rows[0].key == "a");
+        CHECK(update.rows[1].removed);
+    }
+    SUBCASE("a copy older than the known history gets the whole table, so no row survives there")
+    {
+        rows::table_copy old;
+        rows::replace(old, {{"gone", "1", 1, false}}, 2);
+        const auto changes = rows::apply(old, rows::update_after(copy, old.version));
+        CHECK(changes.size() == 3);
+        CHECK(old.rows["gone"].removed);
+        CHECK(old.version == 5);
+    }
+}
--- /dev/null
+++ b/src/rows/tests/table_follower_test.cpp
@@ -0,0 +1,117 @@
+#include "rows/table_follower.h"
+
+#include "http/loop.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+using namespace snipeshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Answers each call with the next scripted answer; stops the loop after the last.
+class scripted_store final : public rows::row_store {
+public:
+    explicit scripted_store(http::loop& loop) : m_loop(loop) {}
+
+    std::unique_ptr<rows::store_call> read(const std::string& /*table*/, const std::string& from,
+                                           page_callback done) override
+    {
+        calls.push_back("read " + from);
+        return answer(std::move(done));
+    }
+
+    std::unique_ptr<rows::store_call> read_changes(const std::string& /*table*/,
+                                                   std::uint64_t after,
+                                                   std::chrono::milliseconds /*wait*/,
+                                                   page_callback done) override
+    {
+        calls.push_back("changes " + std::to_string(after));
+        return answer(std::move(done));
+    }
+
+    std::unique_ptr<rows::store_call> write(const std::string& /*table*/,
+                                            const std::string& /*key*/,
+                                            const std::optional<std::string>& /*value*/,
+                                            status_callback /*done*/) override
+    {
+        return nullptr;
+    }
+
+    std::deque<base::result<rows::page>> answers;
+    std::vector<std::string> calls;
+
+private:
+    std::unique_ptr<rows::store_call> answer(page_callback done)
+    {
+        if (answers.empty()) {
+            m_loop.stop();
+            return nullptr;
+        }
+        m_loop.schedule(base::boot_clock::now(),
+                        [done = std::move(done), next = std::move(answers.front())] { done(next); });
+        answers.pop_front();
+        return nullptr;
+    }
+
+    http::loop& m_loop;
+};
+
+} // namespace
+
+TEST_CASE("a follower keeps up with its table")
+{
+    http::loop loop;
+    scripted_store store(loop);
+    std::vector<std::string> seen;
+    rows::follow_settings settings;
+    settings.first_retry = 1ms;
+    rows::table_follower follower(loop, store, settings, [&](const std::vector<rows::row>& changes) {
+        for (const rows::row& change : changes) {
+            seen.push_back((change.removed ? "-" : "+") + change.key);
+        }
+    });
+    SUBCASE("it reads all pages and then the changes after the first page")
+    {
+        store.answers = {rows::page{{{"a", "1", 3, false}}, true, 5},
+                         rows::page{{{"a", "1", 3, false}, {"b", "1", 6, false}}, false, 6},
+                         rows::page{{{"b", "1", 6, false}, {"a", "", 7, true}}, false, 7}};
+        follower.start();
+        loop.run();
+        CHECK(store.calls ==
+              std::vector<std::string>{"read ", "read a", "changes 5", "changes 7"});
+        CHECK(seen == std::vector<std::string>{"+a", "+b", "-a"});
+    }
+    SUBCASE("a lost history is read anew, and rows that vanished meanwhile are removed")
+    {
+        store.answers = {rows::page{{{"a", "1", 3, false}}, false, 5},
+                         base::error{base::error_kind::stale, "gone"},
+                         rows::page{{{"c", "1", 8, false}}, false, 9}};
+        follower.start();
+        loop.run();
+        CHECK(seen == std::vector<std::string>{"+a", "+c", "-a"});
+        CHECK(store.calls.back() == "changes 9");
+    }
+    SUBCASE("an outage is noticed, and a peer's rows serve meanwhile")
+    {
+        store.answers = {rows::page{{{"a", "1", 3, false}}, false, 5},
+                         base::error{base::error_kind::store_unavailable, "down"}};
+        follower.start();
+        loop.run();
+        CHECK_FALSE(follower.is_in_touch());
+        follower.take_from_peer({7, false, {{"a", "2", 6, false}}});
+        CHECK(follower.copy().rows.at("a").value == "2");
+        CHECK(follower.copy().version == 7);
+    }
+    SUBCASE("an answer older than what is known is not taken")
+    {
+        store.answers = {rows::page{{{"a", "1", 3, false}}, false, 5},
+                         base::error{base::error_kind::stale, "gone"},
+                         rows::page{{}, false, 2}, rows::page{{{"a", "1", 3, false}}, false, 6}};
+        follower.start();
+        loop.run();
+        CHECK(seen == std::vector<std::string>{"+a"});
+    }
+}
--- /dev/null
+++ b/src/rows/types/row.h
@@ -0,0 +1,24 @@
+/// @file Rows of the store's tables.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace snipeshore::rows {
+
+struct row {
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0; ///< Grows with every change in the store.
+    bool removed = false;
+};
+
+/// Part of a table, or of its changes.
+struct page {
+    std::vector<row> rows;
+    bool has_more = false;
+    std::uint64_t version = 0; ///< Newest version in the store when it answered.
+};
+
+} // namespace snipeshore::rows
