--- a/src/apps/common/stop_signal.h
+++ b/src/apps/common/stop_signal.h
@@ -1,4 +1,4 @@
-/// @file Turns SIGTERM and SIGINT into a call on the loop's thread.
+/// @file Turns signals into calls on the loop's thread.
 #pragma once
 
 #include <atomic>
@@ -11,11 +11,13 @@
 
 namespace snipeshore::apps {
 
-/// Blocks the signals; must be constructed before any other thread starts, so that they inherit
-/// the mask. `on_stop` is posted to the loop once per signal.
+/// Blocks SIGTERM, SIGINT and SIGHUP; must be constructed before any other thread starts, so that
+/// they inherit the mask. `on_stop` is posted to the loop once per SIGTERM or SIGINT, `on_reload`
+/// once per SIGHUP.
 class stop_signal {
 public:
-    stop_signal(http::loop& loop, std::function<void()> on_stop);
+    stop_signal(http::loop& loop, std::function<void()> on_stop,
+                std::function<void()> on_reload = {});
     ~stop_signal();
     stop_signal(const stop_signal&) = delete;
     stop_signal& operator=(const stop_signal&) = delete;
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -39,6 +39,9 @@
 constexpr int first_success_status = 200;
 constexpr int first_redirect_status = 300;
 
+/// Limit of a request whose caller and route set none.
+constexpr std::chrono::seconds longest_request{60};
+
 /// Time kept back from the targets' limit, so that this host's own answer is in time.
 constexpr std::chrono::milliseconds answer_reserve{10};
 
@@ -129,10 +132,11 @@
     const std::uint64_t random = m_context.random();
     m_service = routing::pick_service(*m_route, random);
     m_object = object_hash(head.headers, names, m_service.value(), random);
-    m_deadline = base::time_point::max();
+    m_deadline = m_arrived + longest_request;
     if (const auto left = read_time_left(head.headers, names.time_left)) {
         m_deadline = m_arrived + *left;
     }
+    m_caller_deadline = m_deadline;
     if (m_route->time_limit.count() > 0) {
         m_deadline = std::min<base::time_point>(m_deadline, m_arrived + m_route->time_limit);
     }
@@ -210,8 +214,43 @@
     request.address = target.entry.address;
     request.head = make_head(target, now);
     request.body = std::string(m_exchange->body());
-    request.deadline = attempt_deadline(placement, now);
+    // A response that has begun may go on until the caller gives up.
+    request.deadline = m_caller_deadline;
     m_call = m_context.client.send(std::move(request), make_callbacks());
+    arm_timer(attempt_deadline(placement, now));
+}
+
+void forward_task::arm_timer(base::time_point deadline)
+{
+    m_timer = m_context.loop.schedule(deadline, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self != nullptr) {
+            self->m_timer = 0;
+            self->on_time_out();
+        }
+    });
+}
+
+void forward_task::cancel_timer()
+{
+    if (m_timer != 0) {
+        m_context.loop.cancel(std::exchange(m_timer, 0));
+    }
+}
+
+void forward_task::on_time_out()
+{
+    if (m_has_left || m_is_passing_on || m_call == nullptr) {
+        return;
+    }
+    if (!m_call->request_sent()) {
+        ++m_unsent;
+        fail_attempt(attempt_end::not_sent, "no connection in time");
+        return;
+    }
+    ++m_sent;
+    m_may_have_run = true;
+    fail_attempt(attempt_end::timed_out, "no response in time");
 }
 
 http::request_head forward_task::make_head(const pooled_target& target, base::time_point now) const
@@ -227,10 +266,8 @@
     if (m_account != nullptr) {
         head.headers.push_back({names.account, m_account->id.value()});
     }
-    if (m_deadline != base::time_point::max()) {
-        const auto left = std::chrono::floor<std::chrono::milliseconds>(m_deadline - now);
-        head.headers.push_back({names.time_left, std::to_string(left.count())});
-    }
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(m_deadline - now);
+    head.headers.push_back({names.time_left, std::to_string(left.count())});
     return head;
 }
 
@@ -278,6 +315,7 @@
 
 void forward_task::on_head(const http::response_head& head)
 {
+    cancel_timer();
     const wire_names& names = m_context.settings.names;
     const base::time_point now = base::boot_clock::now();
     pooled_target* target = current_target();
@@ -413,6 +451,7 @@
 {
     const std::string detail(cause);
     const base::time_point now = base::boot_clock::now();
+    cancel_timer();
     blame_target(end, detail);
     const base::target_id target = m_target;
     close_attempt(false);
@@ -514,6 +553,7 @@
 
 void forward_task::leave()
 {
+    cancel_timer();
     m_has_left = true;
     m_context.tasks.erase(shared_from_this());
 }
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -50,6 +50,9 @@
     base::time_point attempt_deadline(const affinity::placement& placement,
                                       base::time_point now) const;
     http::call_callbacks make_callbacks();
+    void arm_timer(base::time_point deadline);
+    void cancel_timer();
+    void on_time_out();
 
     void on_head(const http::response_head& head);
     void on_body(std::string_view piece);
@@ -82,7 +85,8 @@
     std::string m_id;
     std::uint64_t m_object = 0;
     base::time_point m_arrived;
-    base::time_point m_deadline;
+    base::time_point m_deadline; ///< Of the first byte of the response.
+    base::time_point m_caller_deadline; ///< Of the whole response.
     base::duration m_retry_after{0};
 
     // The attempt that runs.
@@ -90,6 +94,7 @@
     base::target_id m_target;
     base::time_point m_sent_at{};
     std::uint32_t m_rank = 0;
+    std::uint64_t m_timer = 0; ///< Of the attempt until its response begins.
 
     std::vector<base::target_id> m_tried;
     unsigned m_sent = 0;
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -56,7 +56,9 @@
 /// Shorter than targets keep idle connections.
 constexpr std::chrono::milliseconds target_idle_timeout{8000};
 
+/// Lets the removal of the host's row reach the store.
 constexpr std::chrono::milliseconds last_turns{150};
+constexpr std::chrono::milliseconds idle_check_interval{20};
 
 /// Until a host that the store does not list tries again.
 constexpr std::chrono::seconds registration_pause{2};
@@ -424,8 +426,26 @@
                                               m_entry->open_connections())}});
     m_peers.announce();
     const base::time_point now = base::boot_clock::now();
+    m_stop_deadline = now + m_settings.stop_deadline;
     m_loop.schedule(now + m_settings.leave_delay, [this] { drain(); });
-    m_loop.schedule(now + m_settings.stop_deadline, [this] { finish_stop(); });
+    m_loop.schedule(m_stop_deadline, [this] { finish_stop(); });
+}
+
+void host_app::reload(const host_settings& settings)
+{
+    m_settings.seeds = settings.seeds;
+    m_settings.retry_ratio = settings.retry_ratio;
+    m_settings.retry_extra = settings.retry_extra;
+    m_settings.quota_overage = settings.quota_overage;
+    m_settings.quota_slack = settings.quota_slack;
+    m_settings.leave_delay = settings.leave_delay;
+    m_settings.stop_deadline = settings.stop_deadline;
+    update_shares();
+    telemetry::log_event(
+        severity::info, "settings_reloaded",
+        {{"seeds", static_cast<std::uint64_t>(m_settings.seeds.size())},
+         {"addresses_changed", settings.entry_address != m_settings.entry_address ||
+                                   settings.control_address != m_settings.control_address}});
 }
 
 void host_app::drain()
@@ -439,11 +459,21 @@
         return;
     }
     m_has_stopped = true;
-    telemetry::log_event(severity::info, "stopped",
-                         {{"requests_cut", static_cast<std::uint64_t>(m_context.tasks.size())}});
     m_registration = m_store.write(m_formats.host_table, m_settings.host.value(), std::nullopt,
                                    [](const base::status&) {});
-    m_loop.schedule(base::boot_clock::now() + last_turns, [this] { m_loop.stop(); });
+    m_loop.schedule(base::boot_clock::now() + last_turns, [this] { end_when_idle(); });
+}
+
+void host_app::end_when_idle()
+{
+    // A caller may have sent a request before it saw that its connection closes.
+    if (!m_context.tasks.empty() && base::boot_clock::now() < m_stop_deadline) {
+        m_loop.schedule(base::boot_clock::now() + idle_check_interval, [this] { end_when_idle(); });
+        return;
+    }
+    telemetry::log_event(severity::info, "stopped",
+                         {{"requests_cut", static_cast<std::uint64_t>(m_context.tasks.size())}});
+    m_loop.stop();
 }
 
 nlohmann::json host_app::dump() const
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -44,6 +44,9 @@
     /// Planned stop: leaves the directory, serves what comes for a while, then ends the loop.
     void stop();
 
+    /// Takes changed settings, as far as they do not concern addresses that are bound.
+    void reload(const host_settings& settings);
+
     nlohmann::json dump() const;
 
 private:
@@ -67,6 +70,7 @@
     void refresh_metrics();
     void drain();
     void finish_stop();
+    void end_when_idle();
 
     http::loop& m_loop;
     host_settings m_settings;
@@ -89,6 +93,7 @@
     std::unique_ptr<rows::store_call> m_registration;
     std::size_t m_shared_by = 0; ///< Hosts by which accounts' limits are divided.
     base::time_point m_started{};
+    base::time_point m_stop_deadline{};
     base::time_point m_housekeeping_due{};
     bool m_has_stopped = false;
 };
