Give an attempt up only without a sign of life and with a sure second target

Change: an attempt is given up only if its target has answered nothing since, and attempts, budget and a usable target are there; never while the host leaves.

--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -46,8 +46,9 @@
 constexpr std::chrono::milliseconds answer_reserve{10};
 
 /// An idempotent request goes to another target when the first takes this many times as long as
-/// predicted and its latency objective has passed.
+/// predicted, and its latency objective and this part of its time have passed.
 constexpr double patience = 3.0;
+constexpr double patient_part = 0.45;
 
 double milliseconds_of(base::duration time)
 {
@@ -156,15 +157,18 @@
     return error{error_kind::rate_exceeded, "the account's rate and burst are used up here"};
 }
 
-void forward_task::send_to_target()
+std::optional<affinity::placement> forward_task::place(base::time_point now) const
 {
-    const base::time_point now = base::boot_clock::now();
-    target_pool& pool = pool_of(m_context, m_service);
     const auto allowed = [this](const base::region_id& region) {
         return routing::is_home(*m_route, m_account, region);
     };
-    const auto placement = choose_target(pool, m_object, m_tried, allowed,
-                                         m_context.settings.regions, make_view(m_context, now));
+    return choose_target(pool_of(m_context, m_service), m_object, m_tried, allowed,
+                         m_context.settings.regions, make_view(m_context, now));
+}
+
+void forward_task::send_to_target()
+{
+    const auto placement = place(base::boot_clock::now());
     if (!placement.has_value()) {
         refuse({retries::final_answer(attempt_end::rejected, m_may_have_run),
                 "no target can take the request"});
@@ -196,7 +200,10 @@
     }
     const auto predicted =
         std::chrono::duration_cast<base::duration>(placement.finish * patience);
-    return std::min(m_deadline, now + std::max<base::duration>(predicted, m_route->objective));
+    const auto part =
+        std::chrono::duration_cast<base::duration>((m_deadline - now) * patient_part);
+    return std::min(m_deadline,
+                    now + std::max<base::duration>({predicted, part, m_route->objective}));
 }
 
 void forward_task::start_attempt(const affinity::placement& placement)
@@ -243,6 +250,11 @@
     if (m_has_left || m_is_passing_on || m_call == nullptr) {
         return;
     }
+    const base::time_point now = base::boot_clock::now();
+    if (now < m_deadline && !may_abandon(now)) {
+        arm_timer(m_deadline);
+        return;
+    }
     if (!m_call->request_sent()) {
         ++m_unsent;
         fail_attempt(attempt_end::not_sent, "no connection in time");
@@ -253,6 +265,22 @@
     fail_attempt(attempt_end::timed_out, "no response in time");
 }
 
+bool forward_task::may_abandon(base::time_point now)
+{
+    const pooled_target* target = current_target();
+    if (m_context.is_leaving || (target != nullptr && target->answered_at > m_sent_at)) {
+        return false;
+    }
+    retries::request_progress progress = make_progress();
+    ++progress.sent;
+    progress.may_have_run = true;
+    if (!retries::decide_next(attempt_end::timed_out, progress).retry) {
+        return false;
+    }
+    target_pool& pool = pool_of(m_context, m_service);
+    return retries::has_budget(pool.budget, now) && place(now).has_value();
+}
+
 http::request_head forward_task::make_head(const pooled_target& target, base::time_point now) const
 {
     const wire_names& names = m_context.settings.names;
@@ -319,6 +347,9 @@
     const wire_names& names = m_context.settings.names;
     const base::time_point now = base::boot_clock::now();
     pooled_target* target = current_target();
+    if (target != nullptr) {
+        target->answered_at = now;
+    }
     if (!is_own_response(head)) {
         m_may_have_run = true;
         ++m_sent;
@@ -476,7 +507,7 @@
     refuse({step.answer, detail});
 }
 
-retries::next_step forward_task::plan_next(attempt_end end) const
+retries::request_progress forward_task::make_progress() const
 {
     retries::request_progress progress;
     progress.idempotent = is_idempotent();
@@ -486,7 +517,12 @@
     progress.may_have_run = m_may_have_run;
     progress.left = m_deadline - base::boot_clock::now();
     progress.expected = m_context.pools.at(m_service).service_time;
-    return retries::decide_next(end, progress);
+    return progress;
+}
+
+retries::next_step forward_task::plan_next(attempt_end end) const
+{
+    return retries::decide_next(end, make_progress());
 }
 
 void forward_task::on_caller_gone()
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,7 @@
     void run();
     base::status resolve();
     base::status check_quota();
+    std::optional<affinity::placement> place(base::time_point now) const;
     void send_to_target();
     base::status check_placement(const affinity::placement& placement) const;
     void start_attempt(const affinity::placement& placement);
@@ -53,6 +55,9 @@
     void arm_timer(base::time_point deadline);
     void cancel_timer();
     void on_time_out();
+    /// Whether the running attempt may be given up for another target: nothing was heard of the
+    /// target since, and the request can surely go elsewhere.
+    bool may_abandon(base::time_point now);
 
     void on_head(const http::response_head& head);
     void on_body(std::string_view piece);
@@ -64,6 +69,7 @@
     bool is_own_response(const http::response_head& head) const;
     bool is_idempotent() const;
 
+    retries::request_progress make_progress() const;
     retries::next_step plan_next(retries::attempt_end end) const;
     /// The attempt failed: goes to another target or answers the caller.
     void fail_attempt(retries::attempt_end end, std::string_view cause);
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -23,6 +23,7 @@
     double reported = 0;               ///< Requests of all hosts when it last answered.
     std::uint32_t running_at_report = 0;
     base::time_point reported_at{};
+    base::time_point answered_at{};    ///< Of its last response of any kind.
     base::duration service_time{0};    ///< Moving average without waiting; 0: no sample yet.
     base::time_point sampled_at{};
     double failure_part = 0;           ///< Moving average of failed attempts.
--- a/src/retries/retry_budget.cpp
+++ b/src/retries/retry_budget.cpp
@@ -34,6 +34,12 @@
     budget.saved = std::min(budget.saved + budget.settings.per_request, budget.settings.max_saved);
 }
 
+bool has_budget(const retry_budget& budget, base::time_point now)
+{
+    retry_budget copy = budget;
+    return try_spend(copy, now);
+}
+
 bool try_spend(retry_budget& budget, base::time_point now)
 {
     refill(budget, now);
