Borrow quota on demand, read the store through one host a failure domain, expect cold after a drain

Ruled out: larger parts, which would overrun the limit when all hosts' buckets are full. Change: a request without a token waits up to 60 ms for gifts of holders near by; changes of tables come from one reader of the failure domain; far hosts exchange messages less often in a large fleet; targets of a domain count as cold for their cold time when its drain ends.

--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -101,16 +101,12 @@
         refuse({error_kind::overloaded, "too many requests in progress on this host"});
         return;
     }
-    base::status step = resolve();
-    if (base::is_ok(step)) {
-        step = check_quota();
-    }
+    const base::status step = resolve();
     if (!base::is_ok(step)) {
         refuse(base::error_of(step));
         return;
     }
-    retries::record_request(pool_of(m_context, m_service).budget, m_arrived);
-    send_to_target();
+    check_quota();
 }
 
 base::status forward_task::resolve()
@@ -144,17 +140,43 @@
     return {};
 }
 
-base::status forward_task::check_quota()
+void forward_task::check_quota()
 {
-    if (m_account == nullptr || m_account->rate <= 0) {
-        return {};
+    if (m_account == nullptr || m_account->rate <= 0 ||
+        limits::take(m_context.shares[m_account->id], m_arrived)) {
+        begin();
+        return;
     }
-    limits::fleet_share& share = m_context.shares[m_account->id];
-    if (limits::take(share, m_arrived)) {
-        return {};
+    const bool is_asked = m_context.borrow(m_account->id, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->m_has_left) {
+            self->check_borrowed();
+        }
+    });
+    if (!is_asked) {
+        refuse_over_quota();
     }
-    m_retry_after = limits::time_to_token(share, m_arrived);
-    return error{error_kind::rate_exceeded, "the account's rate and burst are used up here"};
+}
+
+void forward_task::check_borrowed()
+{
+    if (limits::take_again(m_context.shares[m_account->id], base::boot_clock::now())) {
+        begin();
+        return;
+    }
+    refuse_over_quota();
+}
+
+void forward_task::refuse_over_quota()
+{
+    m_retry_after = limits::time_to_token(m_context.shares[m_account->id], m_arrived);
+    refuse({error_kind::rate_exceeded, "the account's rate and burst are used up"});
+}
+
+void forward_task::begin()
+{
+    retries::record_request(pool_of(m_context, m_service).budget, m_arrived);
+    send_to_target();
 }
 
 std::optional<affinity::placement> forward_task::place(base::time_point now) const
@@ -465,6 +487,9 @@
     const bool is_hard = end == attempt_end::not_sent || end == attempt_end::timed_out ||
                          end == attempt_end::broken;
     if (on_failure(*target, is_hard, now)) {
+        if (end == attempt_end::not_sent) {
+            on_unreachable(m_context.pools.at(m_service), *target);
+        }
         telemetry::log_event(severity::warning, "target_ejected",
                              {{"target", target->entry.id.value()},
                               {"service", m_service.value()},
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -43,7 +43,10 @@
 private:
     void run();
     base::status resolve();
-    base::status check_quota();
+    void check_quota();
+    void check_borrowed();
+    void refuse_over_quota();
+    void begin();
     std::optional<affinity::placement> place(base::time_point now) const;
     void send_to_target();
     base::status check_placement(const affinity::placement& placement) const;
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -36,6 +36,10 @@
 
 constexpr std::chrono::milliseconds host_wait{8000};
 
+/// Between calls to a store that fails: each costs, and it may be back at any moment.
+constexpr std::chrono::milliseconds first_retry{200};
+constexpr std::chrono::milliseconds longest_retry{1000};
+
 /// A listed host that was silent for this long is not counted any more: longer than any host stays
 /// cut off while it serves.
 constexpr std::chrono::seconds forget_host_after{60};
@@ -100,19 +104,24 @@
                    rows::row_store& store)
     : m_loop(loop), m_settings(std::move(settings)), m_formats(std::move(formats)),
       m_store(store), m_client(loop, target_client_settings()),
-      m_context{m_settings, loop, m_client, m_metrics, nullptr, {}, {}, {}, false, {}, {}},
-      m_self(make_member(m_settings)),
-      m_operator_rows(loop, store, {m_formats.operator_table, operator_wait, {}},
+      m_context{m_settings, loop, m_client, m_metrics}, m_self(make_member(m_settings)),
+      m_relay(m_context, m_self, store),
+      m_operator_rows(loop, m_relay, {m_formats.operator_table, operator_wait, {}},
                       [this](const std::vector<rows::row>& changes) {
                           on_operator_rows(changes);
                       }),
-      m_target_rows(loop, store, {m_formats.target_table, {}, target_pause},
+      m_target_rows(loop, m_relay,
+                    {m_formats.target_table, {}, target_pause, first_retry, longest_retry,
+                     [this](const rows::row& before, const rows::row& after) {
+                         return is_mere_report(m_formats, before, after);
+                     }},
                     [this](const std::vector<rows::row>& changes) { on_target_rows(changes); }),
-      m_host_rows(loop, store, {m_formats.host_table, host_wait, {}},
+      m_host_rows(loop, m_relay, {m_formats.host_table, host_wait, {}},
                   [this](const std::vector<rows::row>& changes) { on_host_rows(changes); }),
       m_peers(m_context, m_self,
               {{m_formats.operator_table, &m_operator_rows},
-               {m_formats.target_table, &m_target_rows}}),
+               {m_formats.target_table, &m_target_rows},
+               {m_formats.host_table, &m_host_rows}}),
       m_admin(loop, m_metrics,
               {[this] { return dump(); },
                [this] { return m_self.state == fleet::member_state::ready; },
@@ -120,6 +129,10 @@
 {
     m_context.random.seed(m_self.incarnation.value());
     m_context.members.self = m_settings.host;
+    m_context.members.own_domain = m_settings.failure_domain;
+    m_context.borrow = [this](const base::account_id& account, std::function<void()> done) {
+        return m_peers.borrow(account, std::move(done));
+    };
 }
 
 host_app::~host_app() = default;
@@ -259,6 +272,7 @@
     if (is_drain_changed) {
         update_targets();
     }
+    m_peers.on_rows_changed(m_formats.operator_table);
 }
 
 void host_app::take_config(const rows::row& change)
@@ -301,6 +315,9 @@
     }
     const bool is_changed =
         change.removed ? m_drained.erase(*domain) > 0 : m_drained.insert(*domain).second;
+    if (is_changed && change.removed) {
+        expect_cold(*domain);
+    }
     if (is_changed) {
         telemetry::log_event(severity::info, "failure_domain_drained",
                              {{"failure_domain", domain->value()}, {"drained", !change.removed}});
@@ -308,12 +325,25 @@
     return is_changed;
 }
 
+void host_app::expect_cold(const base::failure_domain_id& domain)
+{
+    const base::time_point now = base::boot_clock::now();
+    for (auto& [service, pool] : m_context.pools) {
+        for (pooled_target& target : pool.targets) {
+            if (target.entry.failure_domain == domain) {
+                target.cold_until = std::max(target.cold_until, now + pool.cold_time);
+            }
+        }
+    }
+}
+
 void host_app::on_target_rows(const std::vector<rows::row>& changes)
 {
     const registry_view view{base::boot_clock::now(), m_target_rows.in_touch_since(),
                              m_settings.reappear_time};
     if (take_rows(m_registry, m_formats, changes, view)) {
         update_targets();
+        m_peers.on_rows_changed(m_formats.target_table);
     }
     check_ready();
 }
@@ -337,7 +367,7 @@
     }
     update_shares();
     check_ready();
-    m_peers.announce();
+    m_peers.on_rows_changed(m_formats.host_table);
 }
 
 void host_app::update_targets()
@@ -354,8 +384,9 @@
         target_pool& pool = pool_of(m_context, service);
         if (m_context.routes != nullptr) {
             const auto known = m_context.routes->services.find(service);
-            pool.cold_rate =
-                known == m_context.routes->services.end() ? 0 : known->second.cold_rate;
+            const bool is_known = known != m_context.routes->services.end();
+            pool.cold_rate = is_known ? known->second.cold_rate : 0;
+            pool.cold_time = is_known ? known->second.cold_time : pool.cold_time;
         }
         set_targets(
             pool, entries,
@@ -376,7 +407,11 @@
         limits::fleet_limit limit{account.rate, account.burst};
         limit.rate *= 1 + m_settings.quota_overage;
         limit.burst = limit.burst * (1 + m_settings.quota_overage) + m_settings.quota_slack;
-        limits::set_limit(m_context.shares[account.id], limit, m_shared_by, now);
+        m_context.limits[account.id] = limit;
+        const std::size_t holders = limits::holders_of(limit, m_shared_by);
+        const bool is_holder =
+            fleet::is_among_first(m_context.members, account.id.value(), holders);
+        limits::set_limit(m_context.shares[account.id], limit, is_holder ? holders : 0, now);
     }
 }
 
@@ -487,7 +522,7 @@
     for (const auto& [id, known] : m_context.members.members) {
         all["hosts"][id.value()] = {
             {"state", static_cast<int>(known.info.state)},
-            {"live", fleet::is_live(known, base::boot_clock::now())}};
+            {"live", fleet::is_live(m_context.members, known, base::boot_clock::now())}};
     }
     for (const auto& [service, pool] : m_context.pools) {
         nlohmann::json& targets = all["services"][service.value()]["targets"];
@@ -520,7 +555,9 @@
     set("snipeshore_hosts_live", "Hosts that were heard lately, without the own one.",
         static_cast<double>(std::count_if(
             m_context.members.members.begin(), m_context.members.members.end(),
-            [now](const auto& entry) { return fleet::is_live(entry.second, now); })));
+            [this, now](const auto& entry) {
+                return fleet::is_live(m_context.members, entry.second, now);
+            })));
     set("snipeshore_store_in_touch", "Whether the last call to the operators' table succeeded.",
         m_operator_rows.is_in_touch() ? 1 : 0);
 }
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -4,6 +4,7 @@
 #include "apps/common/admin_server.h"
 #include "apps/host/host_context.h"
 #include "apps/host/peer_exchange.h"
+#include "apps/host/relay_store.h"
 #include "apps/host/target_registry.h"
 #include "apps/host/types/host_settings.h"
 #include "apps/host/types/row_formats.h"
@@ -60,6 +61,8 @@
     void on_operator_rows(const std::vector<rows::row>& changes);
     void take_config(const rows::row& change);
     bool take_drain(const rows::row& change);
+    /// Targets of a failure domain whose drain has ended may have turned cold without any word yet.
+    void expect_cold(const base::failure_domain_id& domain);
     void on_target_rows(const std::vector<rows::row>& changes);
     void on_host_rows(const std::vector<rows::row>& changes);
 
@@ -80,6 +83,7 @@
     http::client m_client;
     host_context m_context;
     fleet::member m_self;
+    relay_store m_relay;
     target_registry m_registry;
     std::set<base::failure_domain_id> m_drained;
     rows::table_follower m_operator_rows;
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -8,6 +8,7 @@
 #include "limits/types/fleet_share.h"
 #include "routing/types/route_table.h"
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <unordered_map>
@@ -34,12 +35,15 @@
     std::shared_ptr<const routing::route_table> routes; ///< Null until the first was read.
     std::unordered_map<base::service_id, target_pool> pools;
     std::unordered_map<base::account_id, limits::fleet_share> shares;
+    std::unordered_map<base::account_id, limits::fleet_limit> limits; ///< Of all hosts together.
     fleet::member_table members;
     bool is_leaving = false;
     std::mt19937_64 random;
     /// Keeps the running tasks alive.
     std::unordered_set<std::shared_ptr<forward_task>> tasks;
     std::size_t max_tasks = 2048;
+    /// Asks other hosts for parts of an account's limit, see `peer_exchange::borrow`.
+    std::function<bool(const base::account_id&, std::function<void()>)> borrow;
 };
 
 /// Pool of the service, made when it is first needed.
--- /dev/null
+++ b/src/apps/host/peer_calls.h
@@ -0,0 +1,37 @@
+/// @file Calls between hosts, over HTTP on the control addresses.
+#pragma once
+
+#include "http/client.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace snipeshore::apps {
+
+inline constexpr int peer_status_ok = 200;
+
+/// Largest table that hosts pass on to each other.
+inline constexpr std::size_t max_update_bytes = 8U << 20U;
+
+inline constexpr std::string_view exchange_path = "/fleet/exchange";
+inline constexpr std::string_view rows_prefix = "/fleet/rows?";
+
+/// Path of a call for the changes of a table; the peer waits for the first of them.
+std::string rows_path(std::string_view table, std::uint64_t after, std::chrono::milliseconds wait);
+
+struct rows_query {
+    std::string table;
+    std::uint64_t after = 0;
+    std::chrono::milliseconds wait{0};
+};
+
+/// Reads what follows `rows_prefix`; an empty table if it is malformed.
+rows_query parse_rows_query(std::string_view query);
+
+http::client_request make_peer_request(const std::string& address, std::string_view method,
+                                       std::string path, std::chrono::milliseconds timeout);
+
+} // namespace snipeshore::apps
--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "apps/host/peer_exchange.h"
 
 #include "apps/host/host_context.h"
+#include "apps/host/peer_calls.h"
 #include "fleet/exchange_text.h"
 #include "fleet/members.h"
 #include "http/exchange.h"
@@ -27,23 +28,19 @@
 constexpr std::chrono::milliseconds exchange_timeout{900};
 constexpr std::chrono::milliseconds fetch_timeout{1500};
 constexpr std::size_t max_exchange_bytes = 256U << 10U;
-constexpr std::size_t max_update_bytes = 8U << 20U;
 constexpr std::chrono::milliseconds peer_idle_timeout{10000};
 
-constexpr std::string_view exchange_path = "/fleet/exchange";
-constexpr std::string_view rows_path = "/fleet/rows?";
+/// A request waits this long for gifts: hosts of other regions answer within 30 ms.
+constexpr std::chrono::milliseconds borrow_timeout{60};
 
-http::client_request make_request(const std::string& address, std::string_view method,
-                                  std::string path, std::chrono::milliseconds timeout)
-{
-    http::client_request request;
-    request.address = address;
-    request.head.method = method;
-    request.head.path = std::move(path);
-    request.head.authority = address;
-    request.deadline = base::boot_clock::now() + timeout;
-    return request;
-}
+/// Hosts that are asked at once for a request that waits.
+constexpr std::size_t borrow_peers = 3;
+
+/// After nobody had a part left, it takes this long until some have refilled.
+constexpr std::chrono::milliseconds borrow_pause{150};
+
+/// Tokens asked for one waiting request; what is left over serves the next ones.
+constexpr double borrow_tokens = 1.5;
 
 void answer_text(http::exchange& request, int status, std::string text)
 {
@@ -59,7 +56,7 @@
     : m_context(context), m_self(self), m_tables(std::move(tables)),
       m_server(std::make_unique<http::server>(
           context.loop, [this](const std::shared_ptr<http::exchange>& request) {
-              handle(*request);
+              handle(request);
           }))
 {}
 
@@ -79,42 +76,117 @@
 
 void peer_exchange::tick()
 {
-    announce();
+    contact_due_peers();
     m_context.loop.schedule(base::boot_clock::now() + exchange_interval, [this] { tick(); });
 }
 
 void peer_exchange::announce()
 {
-    std::vector<std::string> addresses;
     for (const auto& [id, known] : m_context.members.members) {
-        addresses.push_back(known.info.control_address);
+        contact(known.info.control_address);
     }
-    // Seeds only help before anything is known: they may be stale.
-    if (addresses.empty()) {
-        addresses = m_context.settings.seeds;
+}
+
+void peer_exchange::contact_due_peers()
+{
+    const unsigned interval = fleet::far_interval_s(m_context.members);
+    unsigned position = 0;
+    for (const auto& [id, known] : m_context.members.members) {
+        const bool is_near = known.info.failure_domain == m_self.failure_domain;
+        if (is_near || (position + m_ticks) % interval == 0) {
+            contact(known.info.control_address);
+        }
+        ++position;
     }
-    for (const std::string& address : addresses) {
-        if (address != m_self.control_address) {
+    ++m_ticks;
+    // Seeds only help before anything is known: they may be stale.
+    if (m_context.members.members.empty()) {
+        for (const std::string& address : m_context.settings.seeds) {
             contact(address);
         }
     }
 }
 
 void peer_exchange::contact(const std::string& address)
+{
+    if (address == m_self.control_address) {
+        return;
+    }
+    send(address, make_message(true), exchange_timeout, m_calls[address], [] {});
+}
+
+void peer_exchange::send(const std::string& address, const fleet::exchange_message& message,
+                         std::chrono::milliseconds timeout,
+                         std::unique_ptr<http::client_call>& call, std::function<void()> done)
 {
     http::client_request request =
-        make_request(address, "POST", std::string(exchange_path), exchange_timeout);
-    request.body = fleet::to_text(make_message(true));
-    m_calls[address] = m_context.client.fetch(
+        make_peer_request(address, "POST", std::string(exchange_path), timeout);
+    request.body = fleet::to_text(message);
+    call = m_context.client.fetch(
         std::move(request), max_exchange_bytes,
-        [this, address](const base::result<std::pair<http::response_head, std::string>>& reply,
-                        bool /*sent*/) {
+        [this, address, done = std::move(done)](
+            const base::result<std::pair<http::response_head, std::string>>& reply,
+            bool /*sent*/) {
             if (base::is_ok(reply)) {
                 on_reply(address, base::value_of(reply).second);
             }
+            done();
         });
 }
 
+bool peer_exchange::borrow(const base::account_id& account, std::function<void()> done)
+{
+    const base::time_point now = base::boot_clock::now();
+    borrowing& state = m_borrowing[account];
+    if (!state.waiting.empty()) {
+        state.waiting.push_back(std::move(done));
+        return true;
+    }
+    const std::size_t holders = limits::holders_of(
+        m_context.limits[account], fleet::possible_hosts(m_context.members));
+    std::vector<fleet::member> peers =
+        fleet::first_peers(m_context.members, account.value(), holders, now);
+    if (now < state.pause_until || peers.empty()) {
+        return false;
+    }
+    // The near ones come first; which of them is asked changes from time to time.
+    const std::size_t kept = std::min(borrow_peers, peers.size());
+    std::rotate(peers.begin(),
+                peers.begin() + static_cast<std::ptrdiff_t>(m_context.random() % kept),
+                peers.begin() + static_cast<std::ptrdiff_t>(kept));
+    peers.resize(kept);
+    state.waiting.push_back(std::move(done));
+    state.calls.clear();
+    state.calls.resize(kept);
+    state.open = kept;
+    for (std::size_t i = 0; i < kept; ++i) {
+        fleet::exchange_message message;
+        message.from = m_self;
+        message.wanted[account] = borrow_tokens / static_cast<double>(kept);
+        send(peers[i].control_address, message, borrow_timeout, state.calls[i],
+             [this, account] { on_borrowed(account); });
+    }
+    return true;
+}
+
+void peer_exchange::on_borrowed(const base::account_id& account)
+{
+    borrowing& state = m_borrowing[account];
+    --state.open;
+    const base::time_point now = base::boot_clock::now();
+    const bool is_enough = m_context.shares[account].gifts >= 1;
+    if ((!is_enough && state.open > 0) || state.waiting.empty()) {
+        return;
+    }
+    if (!is_enough) {
+        state.pause_until = now + borrow_pause;
+    }
+    const auto waiting = std::exchange(state.waiting, {});
+    for (const auto& done : waiting) {
+        done();
+    }
+}
+
 void peer_exchange::on_reply(const std::string& address, std::string_view text)
 {
     const auto message = fleet::parse_exchange(text);
@@ -131,15 +203,15 @@
     }
 }
 
-void peer_exchange::handle(http::exchange& request)
+void peer_exchange::handle(const std::shared_ptr<http::exchange>& request)
 {
-    const std::string& path = request.head().path;
+    const std::string& path = request->head().path;
     if (path == exchange_path) {
-        answer_exchange(request);
-    } else if (path.starts_with(rows_path)) {
+        answer_exchange(*request);
+    } else if (path.starts_with(rows_prefix)) {
         answer_rows(request);
     } else {
-        answer_text(request, 404, "");
+        answer_text(*request, 404, "");
     }
 }
 
@@ -169,19 +241,52 @@
     answer_text(request, 200, fleet::to_text(reply));
 }
 
-void peer_exchange::answer_rows(http::exchange& request) const
+void peer_exchange::answer_rows(const std::shared_ptr<http::exchange>& request)
 {
-    const std::string_view query = std::string_view(request.head().path).substr(rows_path.size());
-    const std::size_t comma = query.find(',');
-    const auto table = m_tables.find(std::string(query.substr(0, comma)));
-    if (comma == std::string_view::npos || table == m_tables.end()) {
-        answer_text(request, 404, "");
+    const rows_query query =
+        parse_rows_query(std::string_view(request->head().path).substr(rows_prefix.size()));
+    const auto table = m_tables.find(query.table);
+    if (table == m_tables.end()) {
+        answer_text(*request, 404, "");
         return;
     }
-    const std::uint64_t after =
-        std::strtoull(std::string(query.substr(comma + 1)).c_str(), nullptr, 10);
-    answer_text(request, 200,
-                fleet::to_text(rows::update_after(table->second->copy(), after)));
+    const rows::table_follower& follower = *table->second;
+    if (query.wait.count() > 0 && !follower.is_in_touch()) {
+        answer_text(*request, 503, "");
+        return;
+    }
+    const rows::copy_update update = rows::update_after(follower.copy(), query.after);
+    if (!update.rows.empty() || update.is_full || query.wait.count() == 0) {
+        answer_text(*request, 200, fleet::to_text(update));
+        return;
+    }
+    m_waiting[query.table].push_back({request, query.after});
+    m_context.loop.schedule(base::boot_clock::now() + query.wait,
+                            [this, weak = std::weak_ptr(request), name = query.table] {
+                                if (const auto late = weak.lock()) {
+                                    answer_waiting(name, late.get());
+                                }
+                            });
+}
+
+void peer_exchange::on_rows_changed(const std::string& table)
+{
+    // The follower is in the middle of its change.
+    m_context.loop.schedule(base::boot_clock::now(),
+                            [this, table] { answer_waiting(table, nullptr); });
+}
+
+void peer_exchange::answer_waiting(const std::string& table, const http::exchange* late)
+{
+    const rows::table_copy& copy = m_tables.at(table)->copy();
+    std::erase_if(m_waiting[table], [&](const waiting_call& call) {
+        const rows::copy_update update = rows::update_after(copy, call.after);
+        if (update.rows.empty() && call.request.get() != late) {
+            return false;
+        }
+        answer_text(*call.request, 200, fleet::to_text(update));
+        return true;
+    });
 }
 
 fleet::exchange_message peer_exchange::make_message(bool wants)
@@ -195,7 +300,8 @@
         return message;
     }
     const base::time_point now = base::boot_clock::now();
-    const std::size_t peers = std::max<std::size_t>(m_context.members.members.size(), 1);
+    const std::size_t peers = std::max<std::size_t>(
+        m_context.members.members.size() / fleet::far_interval_s(m_context.members), 1);
     for (auto& [account, share] : m_context.shares) {
         const double wanted = limits::wanted_tokens(share, now, now + exchange_interval);
         if (wanted >= 1) {
@@ -211,7 +317,7 @@
     const base::time_point now = base::boot_clock::now();
     const auto known = m_context.members.members.find(message.from.id);
     const bool is_news = known == m_context.members.members.end() ||
-                         !fleet::is_live(known->second, now) ||
+                         !fleet::is_live(m_context.members, known->second, now) ||
                          known->second.info.state != message.from.state ||
                          known->second.info.incarnation != message.from.incarnation;
     if (!fleet::hear(m_context.members, message.from, now)) {
@@ -250,10 +356,9 @@
         return;
     }
     rows::table_follower* follower = m_tables.at(table);
-    const std::string path = std::string(rows_path) + table + "," +
-                             std::to_string(follower->copy().version);
+    const std::string path = rows_path(table, follower->copy().version, {});
     m_fetches[table] = m_context.client.fetch(
-        make_request(address, "GET", path, fetch_timeout), max_update_bytes,
+        make_peer_request(address, "GET", path, fetch_timeout), max_update_bytes,
         [this, follower, table,
          address](const base::result<std::pair<http::response_head, std::string>>& reply,
                   bool /*sent*/) {
--- a/src/apps/host/peer_exchange.h
+++ b/src/apps/host/peer_exchange.h
@@ -5,11 +5,14 @@
 #include "fleet/types/exchange.h"
 #include "http/client.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace snipeshore::http {
 class exchange;
@@ -43,13 +46,40 @@
     /// Tells all hosts the own state at once.
     void announce();
 
+    /// Rows of a table have changed: answers the hosts that wait for them.
+    void on_rows_changed(const std::string& table);
+
+    /// Asks other hosts for parts of the account's limit and calls `done` when they have answered.
+    /// False: none was asked, as nobody has anything left.
+    bool borrow(const base::account_id& account, std::function<void()> done);
+
 private:
+    /// A host that waits for changes after a version.
+    struct waiting_call {
+        std::shared_ptr<http::exchange> request;
+        std::uint64_t after = 0;
+    };
+
+    /// Requests of one account that wait for gifts.
+    struct borrowing {
+        std::vector<std::function<void()>> waiting;
+        std::vector<std::unique_ptr<http::client_call>> calls;
+        std::size_t open = 0;
+        base::time_point pause_until{};
+    };
+
     void tick();
+    void contact_due_peers();
     void contact(const std::string& address);
+    void send(const std::string& address, const fleet::exchange_message& message,
+              std::chrono::milliseconds timeout, std::unique_ptr<http::client_call>& call,
+              std::function<void()> done);
     void on_reply(const std::string& address, std::string_view text);
-    void handle(http::exchange& request);
+    void on_borrowed(const base::account_id& account);
+    void handle(const std::shared_ptr<http::exchange>& request);
     void answer_exchange(http::exchange& request);
-    void answer_rows(http::exchange& request) const;
+    void answer_rows(const std::shared_ptr<http::exchange>& request);
+    void answer_waiting(const std::string& table, const http::exchange* late);
     fleet::exchange_message make_message(bool wants);
     void hear(const fleet::exchange_message& message);
     void compare_versions(const fleet::exchange_message& message);
@@ -61,6 +91,9 @@
     std::unique_ptr<http::server> m_server;
     std::map<std::string, std::unique_ptr<http::client_call>> m_calls;  ///< By control address.
     std::map<std::string, std::unique_ptr<http::client_call>> m_fetches; ///< By table.
+    std::map<std::string, std::vector<waiting_call>> m_waiting;          ///< By table.
+    std::map<base::account_id, borrowing> m_borrowing;
+    unsigned m_ticks = 0;
 };
 
 } // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/host/relay_store.cpp
@@ -0,0 +1,102 @@
+#include "apps/host/relay_store.h"
+
+#include "apps/host/host_context.h"
+#include "apps/host/peer_calls.h"
+#include "fleet/exchange_text.h"
+#include "fleet/members.h"
+#include "telemetry/event_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipeshore::apps {
+
+namespace {
+
+/// A change waits for the reader's own poll at most; the call is renewed after this time.
+constexpr std::chrono::milliseconds relay_wait{4000};
+
+/// Added to the wait; hosts of a failure domain are less than a millisecond apart.
+constexpr std::chrono::milliseconds relay_timeout{800};
+
+/// A reader that failed may be busy or cut off from the store itself.
+constexpr std::chrono::milliseconds avoid_reader_for{3000};
+
+class relayed_call final : public rows::store_call {
+public:
+    explicit relayed_call(std::unique_ptr<http::client_call> call) : m_call(std::move(call)) {}
+
+private:
+    std::unique_ptr<http::client_call> m_call;
+};
+
+} // namespace
+
+relay_store::relay_store(host_context& context, const fleet::member& self, rows::row_store& store)
+    : m_context(context), m_self(self), m_store(store)
+{}
+
+relay_store::~relay_store() = default;
+
+std::unique_ptr<rows::store_call> relay_store::read(const std::string& table,
+                                                    const std::string& from, page_callback done)
+{
+    return m_store.read(table, from, std::move(done));
+}
+
+std::unique_ptr<rows::store_call> relay_store::read_changes(const std::string& table,
+                                                            std::uint64_t after,
+                                                            std::chrono::milliseconds wait,
+                                                            page_callback done)
+{
+    const base::time_point now = base::boot_clock::now();
+    const auto reader = fleet::reader_of(m_context.members, m_self, now);
+    if (!reader.has_value() || now < m_store_until) {
+        return m_store.read_changes(table, after, wait, std::move(done));
+    }
+    const std::string path = rows_path(table, after, relay_wait);
+    return std::make_unique<relayed_call>(m_context.client.fetch(
+        make_peer_request(reader->control_address, "GET", path, relay_wait + relay_timeout),
+        max_update_bytes,
+        [this, reader = reader->id.value(), done = std::move(done)](
+            const base::result<std::pair<http::response_head, std::string>>& reply,
+            bool /*sent*/) { on_update(reader, reply, done); }));
+}
+
+void relay_store::on_update(
+    const std::string& reader,
+    const base::result<std::pair<http::response_head, std::string>>& reply,
+    const page_callback& done)
+{
+    base::error failure{base::error_kind::store_unavailable, "reader " + reader + " failed"};
+    if (base::is_ok(reply) && base::value_of(reply).first.status == peer_status_ok) {
+        const auto update = fleet::parse_update(base::value_of(reply).second);
+        if (base::is_ok(update)) {
+            const rows::copy_update& news = base::value_of(update);
+            if (news.is_full) {
+                // The reader does not know all changes: the whole table is read again.
+                done(base::error{base::error_kind::stale, "reader has not the history"});
+                return;
+            }
+            done(rows::page{news.rows, false, news.version});
+            return;
+        }
+        failure.detail = base::error_of(update).detail;
+    } else if (!base::is_ok(reply)) {
+        failure.detail = base::error_of(reply).detail;
+    }
+    m_store_until = base::boot_clock::now() + avoid_reader_for;
+    telemetry::log_event(telemetry::severity::info, "reader_failed",
+                         {{"host", reader}, {"cause", failure.detail}});
+    done(failure);
+}
+
+std::unique_ptr<rows::store_call> relay_store::write(const std::string& table,
+                                                     const std::string& key,
+                                                     const std::optional<std::string>& value,
+                                                     status_callback done)
+{
+    return m_store.write(table, key, value, std::move(done));
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/host/relay_store.h
@@ -0,0 +1,49 @@
+/// @file Reads the store's tables through one host of each failure domain, so that calls to the store
+/// and bytes between failure domains do not grow with the hosts.
+#pragma once
+
+#include "base/time.h"
+#include "fleet/types/member.h"
+#include "http/client.h"
+#include "rows/row_store.h"
+
+#include <memory>
+#include <string>
+
+namespace snipeshore::apps {
+
+struct host_context;
+
+/// Belongs to the loop's thread. The first read of a table and all writes go to the store; changes
+/// come from the host that reads for the failure domain, and from the store when that host is the
+/// own one or has failed.
+class relay_store final : public rows::row_store {
+public:
+    relay_store(host_context& context, const fleet::member& self, rows::row_store& store);
+    ~relay_store() override;
+    relay_store(const relay_store&) = delete;
+    relay_store& operator=(const relay_store&) = delete;
+    relay_store(relay_store&&) = delete;
+    relay_store& operator=(relay_store&&) = delete;
+
+    std::unique_ptr<rows::store_call> read(const std::string& table, const std::string& from,
+                                           page_callback done) override;
+    std::unique_ptr<rows::store_call> read_changes(const std::string& table, std::uint64_t after,
+                                                   std::chrono::milliseconds wait,
+                                                   page_callback done) override;
+    std::unique_ptr<rows::store_call> write(const std::string& table, const std::string& key,
+                                            const std::optional<std::string>& value,
+                                            status_callback done) override;
+
+private:
+    void on_update(const std::string& reader,
+                   const base::result<std::pair<http::response_head, std::string>>& reply,
+                   const page_callback& done);
+
+    host_context& m_context;
+    const fleet::member& m_self;
+    rows::row_store& m_store;
+    base::time_point m_store_until{}; ///< The reader has failed: the store is read until then.
+};
+
+} // namespace snipeshore::apps
--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -240,6 +240,11 @@
     return true;
 }
 
+void on_unreachable(const target_pool& pool, pooled_target& target)
+{
+    target.cold_until = std::max(target.cold_until, target.ejected_until + pool.cold_time);
+}
+
 void on_success(pooled_target& target)
 {
     target.failures_in_row = 0;
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -7,6 +7,7 @@
 #include "retries/types/retry.h"
 #include "routing/types/route_table.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -40,6 +41,7 @@
 struct target_pool {
     base::service_id service;
     double cold_rate = 0; ///< Requests per second that a cold target bears.
+    std::chrono::milliseconds cold_time{0}; ///< After a start.
     std::vector<pooled_target> targets;
     affinity::layout layout; ///< Of `targets`, same indexes.
     base::duration service_time{0}; ///< Moving average over all targets.
@@ -77,6 +79,9 @@
 /// The target failed a request in a way that speaks against it. True if it is ejected by that.
 bool on_failure(pooled_target& target, bool is_hard, base::time_point now);
 
+/// The target took no connection: it may have ended, and is cold when it is back.
+void on_unreachable(const target_pool& pool, pooled_target& target);
+
 void on_success(pooled_target& target);
 
 /// Takes a load report "running,waiting,slots"; false if it is not one.
--- a/src/apps/host/target_registry.cpp
+++ b/src/apps/host/target_registry.cpp
@@ -86,6 +86,16 @@
     return is_changed;
 }
 
+bool is_mere_report(const row_formats& formats, const rows::row& before, const rows::row& after)
+{
+    const auto old_entry = formats.parse_target(before.key, before.value);
+    const auto new_entry = formats.parse_target(after.key, after.value);
+    return base::is_ok(old_entry) && base::is_ok(new_entry) &&
+           base::value_of(new_entry).cold_for.count() == 0 &&
+           base::value_of(old_entry).cold_for.count() == 0 &&
+           lasting_parts(base::value_of(old_entry)) == lasting_parts(base::value_of(new_entry));
+}
+
 bool drop_vanished(target_registry& registry, base::time_point now)
 {
     bool is_changed = false;
--- a/src/apps/host/target_registry.h
+++ b/src/apps/host/target_registry.h
@@ -32,6 +32,9 @@
 bool take_rows(target_registry& registry, const row_formats& formats,
                const std::vector<rows::row>& changes, const registry_view& view);
 
+/// Whether a row of a target says nothing new but that the target lives.
+bool is_mere_report(const row_formats& formats, const rows::row& before, const rows::row& after);
+
 /// Drops vanished targets whose time has come. True if there were any.
 bool drop_vanished(target_registry& registry, base::time_point now);
 
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -3,9 +3,19 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace snipeshore::fleet {
 
+namespace {
+
+/// Messages to hosts of other failure domains that one host sends in a second.
+constexpr unsigned far_messages = 12;
+
+constexpr std::string_view reader_item = "reader";
+
+} // namespace
+
 bool hear(member_table& table, const member& from, base::time_point now)
 {
     if (from.id == table.self) {
@@ -37,11 +47,76 @@
     table.members.erase(host);
 }
 
-bool is_live(const known_member& of_host, base::time_point now)
+unsigned far_interval_s(const member_table& table)
+{
+    return std::max<unsigned>(1, static_cast<unsigned>(table.members.size()) / far_messages);
+}
+
+bool is_fresh(const known_member& of_host, base::time_point now)
 {
     return of_host.was_heard && now - of_host.heard < silent_after;
 }
 
+bool is_live(const member_table& table, const known_member& of_host, base::time_point now)
+{
+    if (of_host.info.failure_domain == table.own_domain) {
+        return is_fresh(of_host, now);
+    }
+    return of_host.was_heard && now - of_host.heard < silent_after * far_interval_s(table);
+}
+
+std::optional<member> reader_of(const member_table& table, const member& self,
+                                base::time_point now)
+{
+    std::optional<member> best;
+    std::uint64_t best_weight = self.state == member_state::leaving
+                                    ? 0
+                                    : base::rendezvous_weight(reader_item, self.id.value());
+    for (const auto& [id, known] : table.members) {
+        const bool may_read = known.info.failure_domain == table.own_domain &&
+                              known.info.state != member_state::leaving && is_fresh(known, now);
+        const std::uint64_t weight = base::rendezvous_weight(reader_item, id.value());
+        if (may_read && weight > best_weight) {
+            best = known.info;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+bool is_among_first(const member_table& table, std::string_view item, std::size_t count)
+{
+    const std::uint64_t own = base::rendezvous_weight(item, table.self.value());
+    const auto before =
+        std::count_if(table.members.begin(), table.members.end(), [&](const auto& entry) {
+            return base::rendezvous_weight(item, entry.first.value()) > own;
+        });
+    return static_cast<std::size_t>(before) < count;
+}
+
+std::vector<member> first_peers(const member_table& table, std::string_view item,
+                                std::size_t count, base::time_point now)
+{
+    std::vector<std::pair<std::uint64_t, const known_member*>> ranked;
+    for (const auto& [id, known] : table.members) {
+        ranked.emplace_back(base::rendezvous_weight(item, id.value()), &known);
+    }
+    const std::size_t kept = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+                      ranked.end(), std::greater<>());
+    std::vector<member> near;
+    std::vector<member> far;
+    for (std::size_t i = 0; i < kept; ++i) {
+        const known_member& known = *ranked[i].second;
+        if (is_live(table, known, now)) {
+            const bool is_near = known.info.failure_domain == table.own_domain;
+            (is_near ? near : far).push_back(known.info);
+        }
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
 std::size_t possible_hosts(const member_table& table)
 {
     return table.members.size() + 1;
@@ -69,7 +144,7 @@
     };
     add(self);
     for (const auto& [id, known] : table.members) {
-        if (is_live(known, now)) {
+        if (is_fresh(known, now)) {
             add(known.info);
         }
     }
@@ -83,7 +158,7 @@
 {
     const std::uint64_t own = base::rendezvous_weight(target, table.self.value());
     return std::none_of(table.members.begin(), table.members.end(), [&](const auto& entry) {
-        return is_live(entry.second, now) && entry.second.info.state == member_state::ready &&
+        return is_live(table, entry.second, now) && entry.second.info.state == member_state::ready &&
                base::rendezvous_weight(target, entry.first.value()) > own;
     });
 }
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -6,16 +6,22 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace snipeshore::fleet {
 
-/// A host that was silent for this long is not named to callers. Hosts exchange messages every
-/// second; one lost message is no death.
+/// A host that was silent for this long is not named to callers. Hosts of a failure domain exchange
+/// messages every second; one lost message is no death.
 inline constexpr std::chrono::milliseconds silent_after{2500};
 
+/// Seconds between two messages to a host of another failure domain: grows with the fleet, so that
+/// each host sends a bounded number of messages a second.
+unsigned far_interval_s(const member_table& table);
+
 /// Takes a message from the host itself. False if it is from an earlier incarnation that has ended.
 bool hear(member_table& table, const member& from, base::time_point now);
 
@@ -24,7 +30,24 @@
 
 void remove(member_table& table, const base::host_id& host);
 
-bool is_live(const known_member& of_host, base::time_point now);
+/// Whether the host was heard within `silent_after`.
+bool is_fresh(const known_member& of_host, base::time_point now);
+
+/// Whether the host is believed alive, from the messages that are due from it.
+bool is_live(const member_table& table, const known_member& of_host, base::time_point now);
+
+/// The host of the own failure domain that reads the store for the others; nothing if it is the own
+/// host.
+std::optional<member> reader_of(const member_table& table, const member& self,
+                                base::time_point now);
+
+/// Whether the own host is among the first `count` of all possible hosts for `item`.
+bool is_among_first(const member_table& table, std::string_view item, std::size_t count);
+
+/// The first `count` possible hosts for `item` that are believed alive, those of the own failure
+/// domain first; without the own host.
+std::vector<member> first_peers(const member_table& table, std::string_view item,
+                                std::size_t count, base::time_point now);
 
 /// Number of hosts that may admit requests, the own one included. Silent hosts count: they may
 /// only be cut off.
--- a/src/fleet/tests/members_test.cpp
+++ b/src/fleet/tests/members_test.cpp
@@ -80,3 +80,55 @@
         CHECK(owners == 1);
     }
 }
+
+TEST_CASE("work is dealt out without agreement")
+{
+    const base::time_point now = base::time_point{} + 1h;
+    const std::vector<std::string> names{"a", "b", "c", "d", "e", "f"};
+    const auto table_of = [&](const std::string& self) {
+        fleet::member_table table;
+        table.self = base::host_id(self);
+        table.own_domain = base::failure_domain_id("n1");
+        for (const std::string& other : names) {
+            fleet::hear(table, make_member(other, "n1"), now);
+        }
+        return table;
+    };
+    SUBCASE("one host of a failure domain reads the store for the others")
+    {
+        int readers = 0;
+        for (const std::string& self : names) {
+            const auto table = table_of(self);
+            readers += fleet::reader_of(table, make_member(self, "n1"), now) ? 0 : 1;
+            // After a silence of all others each reads itself.
+            CHECK_FALSE(fleet::reader_of(table, make_member(self, "n1"), now + 3s).has_value());
+        }
+        CHECK(readers == 1);
+    }
+    SUBCASE("as many hosts as asked for hold a part")
+    {
+        int holders = 0;
+        for (const std::string& self : names) {
+            holders += fleet::is_among_first(table_of(self), "account", 4) ? 1 : 0;
+        }
+        CHECK(holders == 4);
+    }
+    SUBCASE("peers of the own failure domain are asked first, silent ones not at all")
+    {
+        auto table = table_of("a");
+        table.own_domain = base::failure_domain_id("n2");
+        fleet::hear(table, make_member("near", "n2"), now);
+        fleet::list(table, make_member("silent", "n2"));
+        const auto peers = fleet::first_peers(table, "account", 10, now);
+        REQUIRE(peers.size() == 6);
+        CHECK(peers.front().id == base::host_id("near"));
+    }
+    SUBCASE("the number of messages to far hosts stays bounded")
+    {
+        fleet::member_table table;
+        for (int i = 0; i < 300; ++i) {
+            fleet::list(table, make_member("h" + std::to_string(i), "s1"));
+        }
+        CHECK(300 / fleet::far_interval_s(table) <= 12);
+    }
+}
--- a/src/fleet/types/member.h
+++ b/src/fleet/types/member.h
@@ -29,6 +29,7 @@
 
 struct member_table {
     base::host_id self;
+    base::failure_domain_id own_domain;
     std::map<base::host_id, known_member> members; ///< Without the own host.
 };
 
--- a/src/limits/fleet_share.cpp
+++ b/src/limits/fleet_share.cpp
@@ -21,7 +21,7 @@
 void refill(fleet_share& share, base::time_point now)
 {
     const double grown = share.tokens + share.own.rate * seconds_between(share.refilled, now);
-    share.tokens = std::min(grown, std::max(1.0, share.own.burst));
+    share.tokens = std::min(grown, share.own.burst);
     share.refilled = std::max(share.refilled, now);
     if (now >= share.gifts_end) {
         share.gifts = 0;
@@ -42,42 +42,61 @@
 
 } // namespace
 
-void set_limit(fleet_share& share, const fleet_limit& limit, std::size_t hosts,
+std::size_t holders_of(const fleet_limit& limit, std::size_t hosts)
+{
+    const double whole = std::floor(std::max(1.0, limit.burst));
+    return static_cast<std::size_t>(std::min(static_cast<double>(hosts), whole));
+}
+
+void set_limit(fleet_share& share, const fleet_limit& limit, std::size_t holders,
                base::time_point now)
 {
     if (share.is_set) {
         refill(share, now);
     }
     share.is_set = true;
+    share.is_limited = limit.rate > 0;
     share.refilled = now;
-    const auto parts = static_cast<double>(std::max<std::size_t>(hosts, 1));
-    share.own = {limit.rate / parts, limit.burst / parts};
-    share.tokens = std::min(share.tokens, std::max(1.0, share.own.burst));
+    if (holders == 0) {
+        share.own = {};
+    } else {
+        const auto parts = static_cast<double>(holders);
+        share.own = {limit.rate / parts, std::max(1.0, limit.burst) / parts};
+    }
+    share.tokens = std::min(share.tokens, share.own.burst);
 }
 
 bool take(fleet_share& share, base::time_point now)
 {
     fade_demand(share, now);
     share.demand += 1 / demand_memory_s;
-    if (share.own.rate <= 0) {
+    return take_again(share, now);
+}
+
+bool take_again(fleet_share& share, base::time_point now)
+{
+    if (!share.is_limited) {
         return true;
     }
     refill(share, now);
-    for (double* source : {&share.gifts, &share.tokens}) {
-        if (*source >= 1) {
-            *source -= 1;
-            return true;
-        }
+    if (share.gifts + share.tokens < 1) {
+        return false;
     }
-    return false;
+    const double from_gifts = std::min(1.0, share.gifts);
+    share.gifts -= from_gifts;
+    share.tokens -= 1 - from_gifts;
+    return true;
 }
 
 base::duration time_to_token(const fleet_share& share, base::time_point now)
 {
     const double missing = 1 - share.tokens - share.own.rate * seconds_between(share.refilled, now);
-    if (missing <= 0 || share.own.rate <= 0) {
+    if (missing <= 0) {
         return base::duration{0};
     }
+    if (share.own.rate <= 0) {
+        return longest_wait;
+    }
     return std::min<base::duration>(
         std::chrono::duration_cast<base::duration>(
             std::chrono::duration<double>(missing / share.own.rate)),
@@ -86,7 +105,7 @@
 
 double wanted_tokens(fleet_share& share, base::time_point now, base::time_point until)
 {
-    if (share.own.rate <= 0) {
+    if (!share.is_limited) {
         return 0;
     }
     refill(share, now);
@@ -96,12 +115,12 @@
 
 double give(fleet_share& share, double wanted, base::time_point now, base::time_point until)
 {
-    if (share.own.rate <= 0) {
+    if (!share.is_limited) {
         return 0;
     }
     refill(share, now);
     fade_demand(share, now);
-    const double kept = std::max(1.0, need_until(share, now, until));
+    const double kept = std::max(0.0, need_until(share, now, until));
     const double given = std::clamp(share.tokens - kept, 0.0, std::max(0.0, wanted));
     share.tokens -= given;
     return given;
--- a/src/limits/fleet_share.h
+++ b/src/limits/fleet_share.h
@@ -8,14 +8,21 @@
 
 namespace snipeshore::limits {
 
-/// Sets the account's limit and the number of hosts that share it. A share that is new starts
-/// without tokens: the host's last incarnation may have used them.
-void set_limit(fleet_share& share, const fleet_limit& limit, std::size_t hosts,
+/// Number of hosts that hold parts of the limit: all, or as many as get a whole token each. The
+/// others ask those for every request.
+std::size_t holders_of(const fleet_limit& limit, std::size_t hosts);
+
+/// Sets the account's limit and the number of hosts that hold parts of it; 0: this host holds none.
+/// A share that is new starts without tokens: the host's last incarnation may have used them.
+void set_limit(fleet_share& share, const fleet_limit& limit, std::size_t holders,
                base::time_point now);
 
 /// Takes the tokens of one request. False: the host has no part left; see `time_to_token`.
 bool take(fleet_share& share, base::time_point now);
 
+/// The same for a request that waited for gifts and was counted already.
+bool take_again(fleet_share& share, base::time_point now);
+
 base::duration time_to_token(const fleet_share& share, base::time_point now);
 
 /// Tokens that the host will probably lack until `until`; 0 if it has enough.
--- a/src/limits/tests/fleet_share_test.cpp
+++ b/src/limits/tests/fleet_share_test.cpp
@@ -49,6 +49,21 @@
         CHECK(limits::take(share, start));
         CHECK(limits::wanted_tokens(share, start, start + 1s) == 0);
     }
+    SUBCASE("a host without a part lives on gifts, also on pieces of several")
+    {
+        limits::set_limit(share, {10, 20}, 0, start);
+        CHECK_FALSE(limits::take(share, start + 1h));
+        limits::receive(share, 0.6, start + 1h);
+        CHECK_FALSE(limits::take_again(share, start + 1h));
+        limits::receive(share, 0.6, start + 1h);
+        CHECK(limits::take_again(share, start + 1h));
+    }
+    SUBCASE("no more hosts hold a part than there are whole tokens in the burst")
+    {
+        CHECK(limits::holders_of({10, 20}, 12) == 12);
+        CHECK(limits::holders_of({10, 20}, 300) == 20);
+        CHECK(limits::holders_of({10, 0}, 300) == 1);
+    }
     SUBCASE("an unused gift ends, as the giver has refilled meanwhile")
     {
         limits::receive(share, 5, start);
--- a/src/limits/types/fleet_share.h
+++ b/src/limits/types/fleet_share.h
@@ -19,6 +19,7 @@
 };
 
 struct fleet_share {
+    bool is_limited = false;
     fleet_limit own; ///< Part of this host.
     double tokens = 0;
     double gifts = 0;
--- a/src/rows/table_copy.cpp
+++ b/src/rows/table_copy.cpp
@@ -13,7 +13,11 @@
         if (change.version <= known.version) {
             continue;
         }
+        const bool is_repeat = copy.is_repeat && known.version != 0 && !known.removed &&
+                               !change.removed && copy.is_repeat(known, change);
+        const std::uint64_t changed = is_repeat ? known.changed : change.version;
         known = change;
+        known.changed = changed;
         if (known.removed) {
             known.value.clear();
         }
@@ -49,7 +53,7 @@
     update.version = copy.version;
     update.is_full = after < copy.first_version;
     for (const auto& [key, known] : copy.rows) {
-        if (update.is_full ? !known.removed : known.version > after) {
+        if (update.is_full ? !known.removed : known.changed > after) {
             update.rows.push_back(known);
         }
     }
--- a/src/rows/table_copy.h
+++ b/src/rows/table_copy.h
@@ -4,6 +4,7 @@
 #include "rows/types/row.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -12,6 +13,9 @@
 
 /// Rows by key, with the versions of removed ones, so that an older state cannot bring them back.
 struct table_copy {
+    /// Whether a row only repeats the one before, as a regular report does: such changes are not
+    /// passed on. Null: none does.
+    std::function<bool(const row& before, const row& after)> is_repeat;
     std::map<std::string, row> rows; ///< Removed ones stay as markers without a value.
     std::uint64_t version = 0;       ///< All changes up to it are known.
     /// Markers of rows removed up to here may be missing: the first full read saw only what was
--- a/src/rows/table_follower.cpp
+++ b/src/rows/table_follower.cpp
@@ -15,7 +15,9 @@
     : m_loop(loop), m_store(store), m_settings(std::move(settings)),
       m_on_change(std::move(on_change)), m_in_touch_since(base::boot_clock::now()),
       m_retry(m_settings.first_retry)
-{}
+{
+    m_copy.is_repeat = m_settings.is_repeat;
+}
 
 table_follower::~table_follower()
 {
--- a/src/rows/table_follower.h
+++ b/src/rows/table_follower.h
@@ -27,6 +27,7 @@
     /// Pause after a failed call; doubles up to `longest_retry`.
     std::chrono::milliseconds first_retry{200};
     std::chrono::milliseconds longest_retry{1000};
+    std::function<bool(const row& before, const row& after)> is_repeat; ///< See `table_copy`.
 };
 
 /// Belongs to the loop's thread. Reads the whole table once and its changes from then on; reads it
--- a/src/rows/tests/table_copy_test.cpp
+++ b/src/rows/tests/table_copy_test.cpp
@@ -46,4 +46,14 @@
         CHECK(old.rows["gone"].removed);
         CHECK(old.version == 5);
     }
+    SUBCASE("mere repeats are not handed on, so that reports cost only their reader")
+    {
+        copy.is_repeat = [](const rows::row& before, const rows::row& after) {
+            return before.value == after.value;
+        };
+        CHECK(rows::merge(copy, {{"a", "1", 6, false}, {"b", "2", 7, false}}).size() == 2);
+        const auto update = rows::update_after(copy, 5);
+        REQUIRE(update.rows.size() == 1);
+        CHECK(update.rows[0].key == "b");
+    }
 }
--- a/src/rows/types/row.h
+++ b/src/rows/types/row.h
@@ -12,6 +12,7 @@
     std::string value;
     std::uint64_t version = 0; ///< Grows with every change in the store.
     bool removed = false;
+    std::uint64_t changed = 0; ///< Version of the last change that was no mere repeat.
 };
 
 /// Part of a table, or of its changes.
