Keep gifts within the own part, ask for what lacks, read only through hosts in touch

Cause: gifts expired unused, so a borrowed request cost 1.5 tokens; hosts of a domain whose reader had lost the store all called the store. Change: gifts fill the own bucket first; a round asks four holders for twice what lacks; a host says whether it reads the store.

--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -34,13 +34,13 @@
 constexpr std::chrono::milliseconds borrow_timeout{60};
 
 /// Hosts that are asked at once for a request that waits.
-constexpr std::size_t borrow_peers = 3;
+constexpr std::size_t borrow_peers = 4;
 
 /// After nobody had a part left, it takes this long until some have refilled.
 constexpr std::chrono::milliseconds borrow_pause{150};
 
-/// Tokens asked for one waiting request; what is left over serves the next ones.
-constexpr double borrow_tokens = 1.5;
+/// Hosts are asked for this many times what is lacking, as some have nothing left.
+constexpr double borrow_factor = 2;
 
 void answer_text(http::exchange& request, int status, std::string text)
 {
@@ -159,10 +159,11 @@
     state.calls.clear();
     state.calls.resize(kept);
     state.open = kept;
+    const double lacking = limits::lacking_tokens(m_context.shares[account]);
     for (std::size_t i = 0; i < kept; ++i) {
         fleet::exchange_message message;
         message.from = m_self;
-        message.wanted[account] = borrow_tokens / static_cast<double>(kept);
+        message.wanted[account] = lacking * borrow_factor / static_cast<double>(kept);
         send(peers[i].control_address, message, borrow_timeout, state.calls[i],
              [this, account] { on_borrowed(account); });
     }
@@ -174,7 +175,7 @@
     borrowing& state = m_borrowing[account];
     --state.open;
     const base::time_point now = base::boot_clock::now();
-    const bool is_enough = m_context.shares[account].gifts >= 1;
+    const bool is_enough = limits::lacking_tokens(m_context.shares[account]) <= 0;
     if ((!is_enough && state.open > 0) || state.waiting.empty()) {
         return;
     }
@@ -292,6 +293,7 @@
 fleet::exchange_message peer_exchange::make_message(bool wants)
 {
     fleet::exchange_message message;
+    m_self.reads_store = m_tables.begin()->second->is_in_touch();
     message.from = m_self;
     for (const auto& [table, follower] : m_tables) {
         message.versions[table] = follower->copy().version;
--- a/src/fleet/exchange_text.cpp
+++ b/src/fleet/exchange_text.cpp
@@ -18,7 +18,7 @@
 {
     return json::array({host.id.value(), host.failure_domain.value(), host.entry_address,
                         host.control_address, host.incarnation.value(),
-                        static_cast<int>(host.state)});
+                        static_cast<int>(host.state), host.reads_store});
 }
 
 member read_member(const json& from)
@@ -33,6 +33,7 @@
     host.state = state == 1   ? member_state::ready
                  : state == 2 ? member_state::leaving
                               : member_state::starting;
+    host.reads_store = from.size() <= 6 || from.at(6).get<bool>();
     return host;
 }
 
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -74,7 +74,8 @@
                                     : base::rendezvous_weight(reader_item, self.id.value());
     for (const auto& [id, known] : table.members) {
         const bool may_read = known.info.failure_domain == table.own_domain &&
-                              known.info.state != member_state::leaving && is_fresh(known, now);
+                              known.info.state != member_state::leaving &&
+                              known.info.reads_store && is_fresh(known, now);
         const std::uint64_t weight = base::rendezvous_weight(reader_item, id.value());
         if (may_read && weight > best_weight) {
             best = known.info;
--- a/src/fleet/tests/members_test.cpp
+++ b/src/fleet/tests/members_test.cpp
@@ -105,6 +105,18 @@
         }
         CHECK(readers == 1);
     }
+    SUBCASE("a host that lost the store does not read for the others")
+    {
+        fleet::member_table table;
+        table.self = base::host_id("a");
+        table.own_domain = base::failure_domain_id("n1");
+        for (const std::string& other : names) {
+            fleet::member cut = make_member(other, "n1");
+            cut.reads_store = false;
+            fleet::hear(table, cut, now);
+        }
+        CHECK_FALSE(fleet::reader_of(table, make_member("a", "n1"), now).has_value());
+    }
     SUBCASE("as many hosts as asked for hold a part")
     {
         int holders = 0;
--- a/src/fleet/types/member.h
+++ b/src/fleet/types/member.h
@@ -19,6 +19,7 @@
     std::string control_address; ///< For other hosts, "ip:port".
     base::incarnation incarnation;
     member_state state = member_state::starting;
+    bool reads_store = true; ///< Its last calls to the store, or to its own reader, succeeded.
 };
 
 struct known_member {
--- a/src/limits/fleet_share.cpp
+++ b/src/limits/fleet_share.cpp
@@ -129,8 +129,17 @@
 void receive(fleet_share& share, double tokens, base::time_point now)
 {
     refill(share, now);
-    share.gifts += tokens;
-    share.gifts_end = now + gift_life;
+    const double kept = std::clamp(share.own.burst - share.tokens, 0.0, tokens);
+    share.tokens += kept;
+    if (tokens > kept) {
+        share.gifts += tokens - kept;
+        share.gifts_end = now + gift_life;
+    }
+}
+
+double lacking_tokens(const fleet_share& share)
+{
+    return std::max(0.0, 1 - share.tokens - share.gifts);
 }
 
 } // namespace snipeshore::limits
--- a/src/limits/fleet_share.h
+++ b/src/limits/fleet_share.h
@@ -32,7 +32,10 @@
 /// probably need until `until`. A gift that is lost on its way is lost for all, never doubled.
 double give(fleet_share& share, double wanted, base::time_point now, base::time_point until);
 
-/// Takes a gift; it may be used for `gift_life` only.
+/// Takes a gift. What exceeds the own part of the burst may be used for `gift_life` only.
 void receive(fleet_share& share, double tokens, base::time_point now);
 
+/// Tokens that the next request lacks, as of the last call of another function.
+double lacking_tokens(const fleet_share& share);
+
 } // namespace snipeshore::limits
