Spread borrowing over all holders and use the fixed overrun for the rate too

Cause: all hosts without a part asked the same first holders; small accounts' limits allow 20 requests a window beside their rate, which only the burst used. Change: far holders are asked by chance; limits::with_overrun divides the overrun between burst and rate, below what any window allows.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -404,9 +404,8 @@
     // Until the hosts are known, at least one for each failure domain is assumed.
     m_shared_by = std::max(fleet::possible_hosts(m_context.members), m_settings.regions.size());
     for (const routing::account& account : m_context.routes->accounts) {
-        limits::fleet_limit limit{account.rate, account.burst};
-        limit.rate *= 1 + m_settings.quota_overage;
-        limit.burst = limit.burst * (1 + m_settings.quota_overage) + m_settings.quota_slack;
+        const limits::fleet_limit limit =
+            limits::with_overrun({account.rate, account.burst}, m_settings.quota_overrun);
         m_context.limits[account.id] = limit;
         const std::size_t holders = limits::holders_of(limit, m_shared_by);
         const bool is_holder =
@@ -471,8 +470,7 @@
     m_settings.seeds = settings.seeds;
     m_settings.retry_ratio = settings.retry_ratio;
     m_settings.retry_extra = settings.retry_extra;
-    m_settings.quota_overage = settings.quota_overage;
-    m_settings.quota_slack = settings.quota_slack;
+    m_settings.quota_overrun = settings.quota_overrun;
     m_settings.leave_delay = settings.leave_delay;
     m_settings.stop_deadline = settings.stop_deadline;
     update_shares();
--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -149,11 +149,13 @@
     if (now < state.pause_until || peers.empty()) {
         return false;
     }
-    // The near ones come first; which of them is asked changes from time to time.
+    // Near hosts answer sooner; the far ones are taken by chance, so that none is drained by all.
+    const auto far = std::stable_partition(peers.begin(), peers.end(), [&](const auto& peer) {
+        return peer.failure_domain == m_self.failure_domain;
+    });
+    std::shuffle(peers.begin(), far, m_context.random);
+    std::shuffle(far, peers.end(), m_context.random);
     const std::size_t kept = std::min(borrow_peers, peers.size());
-    std::rotate(peers.begin(),
-                peers.begin() + static_cast<std::ptrdiff_t>(m_context.random() % kept),
-                peers.begin() + static_cast<std::ptrdiff_t>(kept));
     peers.resize(kept);
     state.waiting.push_back(std::move(done));
     state.calls.clear();
--- a/src/apps/host/types/host_settings.h
+++ b/src/apps/host/types/host_settings.h
@@ -3,6 +3,7 @@
 
 #include "apps/host/types/wire_names.h"
 #include "base/types/ids.h"
+#include "limits/types/fleet_share.h"
 
 #include <chrono>
 #include <map>
@@ -32,8 +33,7 @@
     double retry_ratio = 0.1;       ///< Retries of the fleet for each request of a service.
     double retry_extra = 10;        ///< Further retries of the fleet in `retry_window`.
     std::chrono::milliseconds retry_window{10000};
-    double quota_overage = 0;       ///< Part of an account's limit that may be exceeded.
-    double quota_slack = 0;         ///< Requests by which a limit may be exceeded besides.
+    limits::allowed_overrun quota_overrun;
     /// A target's entry that vanished during an outage of the store counts this long after it.
     std::chrono::milliseconds reappear_time{2000};
 };
--- a/src/limits/fleet_share.cpp
+++ b/src/limits/fleet_share.cpp
@@ -13,6 +13,13 @@
 /// Longest time that a share without tokens is said to take; a lower limit may change meanwhile.
 constexpr std::chrono::seconds longest_wait{5};
 
+/// Part of the overrun in proportion to the limit that is used.
+constexpr double used_overrun = 0.8;
+
+/// Parts of the fixed overrun that are added to the burst and, over a window, to the rate.
+constexpr double burst_part = 0.4;
+constexpr double rate_part = 0.35;
+
 double seconds_between(base::time_point from, base::time_point to)
 {
     return std::max(0.0, std::chrono::duration<double>(to - from).count());
@@ -42,6 +49,18 @@
 
 } // namespace
 
+fleet_limit with_overrun(const fleet_limit& limit, const allowed_overrun& overrun)
+{
+    const double window_s = std::chrono::duration<double>(overrun.window).count();
+    const double factor = 1 + overrun.part * used_overrun;
+    fleet_limit divided{limit.rate * factor, limit.burst * factor};
+    if (limit.rate > 0) {
+        divided.burst += overrun.requests * burst_part;
+        divided.rate += overrun.requests * rate_part / window_s;
+    }
+    return divided;
+}
+
 std::size_t holders_of(const fleet_limit& limit, std::size_t hosts)
 {
     const double whole = std::floor(std::max(1.0, limit.burst));
--- a/src/limits/fleet_share.h
+++ b/src/limits/fleet_share.h
@@ -8,6 +8,11 @@
 
 namespace snipeshore::limits {
 
+/// The limit that the hosts divide among them. It uses most of the allowed overrun, since a limit
+/// in many parts wrongly refuses some requests; the rest is for what is in flight when a limit or the
+/// number of hosts changes.
+fleet_limit with_overrun(const fleet_limit& limit, const allowed_overrun& overrun);
+
 /// Number of hosts that hold parts of the limit: all, or as many as get a whole token each. The
 /// others ask those for every request.
 std::size_t holders_of(const fleet_limit& limit, std::size_t hosts);
--- a/src/limits/tests/fleet_share_test.cpp
+++ b/src/limits/tests/fleet_share_test.cpp
@@ -58,6 +58,16 @@
         limits::receive(share, 0.6, start + 1h);
         CHECK(limits::take_again(share, start + 1h));
     }
+    SUBCASE("the divided limit stays below the allowed overrun in any window")
+    {
+        const limits::allowed_overrun overrun{0.1, 20, 5s};
+        for (const limits::fleet_limit limit : {limits::fleet_limit{2, 2}, {120, 60}}) {
+            const limits::fleet_limit divided = limits::with_overrun(limit, overrun);
+            CHECK(divided.rate * 5 + divided.burst <=
+                  (limit.rate * 5 + limit.burst) * 1.1 + 20 * 0.8);
+        }
+        CHECK(limits::with_overrun({0, 0}, overrun).rate == 0);
+    }
     SUBCASE("no more hosts hold a part than there are whole tokens in the burst")
     {
         CHECK(limits::holders_of({10, 20}, 12) == 12);
--- a/src/limits/types/fleet_share.h
+++ b/src/limits/types/fleet_share.h
@@ -18,6 +18,13 @@
     bool operator==(const fleet_limit&) const = default;
 };
 
+/// By how much the requests of any window may exceed rate and burst.
+struct allowed_overrun {
+    double part = 0;                        ///< Of rate times window plus burst.
+    double requests = 0;                    ///< Besides.
+    std::chrono::milliseconds window{1000}; ///< In which requests are counted.
+};
+
 struct fleet_share {
     bool is_limited = false;
     fleet_limit own; ///< Part of this host.
