--- a/src/affinity/placement.cpp
+++ b/src/affinity/placement.cpp
@@ -83,8 +83,7 @@
         std::count(domain_regions.begin(), domain_regions.end(), made.own_region));
     if (total > 0) {
         made.domain_part = std::min(1.0, local_slack * domain_slots[own_domain] / even);
-        made.region_part =
-            std::min(1.0, local_slack * region_slots / (even * region_domains));
+        made.region_part = std::min(1.0, local_slack * region_slots / (even * region_domains));
     }
     for (const place& target : places) {
         const double slots = domain_slots[target.failure_domain];
--- a/src/affinity/placement.h
+++ b/src/affinity/placement.h
@@ -1,5 +1,5 @@
-/// @file Places objects on targets by rendezvous hashing with bounded load, so that all hosts send an
-/// object's requests to the same few targets and little moves when targets come and go.
+/// @file Places objects on targets by rendezvous hashing with bounded load, so that all hosts send
+/// an object's requests to the same few targets and little moves when targets come and go.
 #pragma once
 
 #include "affinity/types/placement.h"
--- a/src/affinity/tests/admission_test.cpp
+++ b/src/affinity/tests/admission_test.cpp
@@ -24,7 +24,8 @@
         CHECK_FALSE(decided.admitted);
         CHECK(decided.retry_after == 200ms);
     }
-    SUBCASE("a more urgent request waits longer, so that it is never refused before a less urgent one")
+    SUBCASE(
+        "a more urgent request waits longer, so that it is never refused before a less urgent one")
     {
         for (auto wait = 0ms; wait < 2s; wait += 50ms) {
             request.wait = wait;
--- a/src/affinity/tests/placement_test.cpp
+++ b/src/affinity/tests/placement_test.cpp
@@ -53,7 +53,8 @@
         std::reverse(places.begin(), places.end());
         const auto other = affinity::make_layout(places, regions, 0);
         for (std::uint64_t i = 0; i < object_count; ++i) {
-            CHECK(one.places[rank(one, i).front()].hash == other.places[rank(other, i).front()].hash);
+            CHECK(one.places[rank(one, i).front()].hash ==
+                  other.places[rank(other, i).front()].hash);
         }
     }
     SUBCASE("a target that leaves moves only its own objects")
@@ -116,7 +117,9 @@
         load.slots = 4;
         load.service_time = 100ms;
     }
-    const auto load_of = [&](std::uint32_t index) { return loads[index]; };
+    const auto load_of = [&](std::uint32_t index) {
+        return loads[index];
+    };
     SUBCASE("a short wait does not move an object to a cold target")
     {
         loads[0].requests = 5;
--- a/src/affinity/types/placement.h
+++ b/src/affinity/types/placement.h
@@ -38,9 +38,9 @@
 /// Chosen target and when it would probably finish.
 struct placement {
     std::uint32_t target = 0;
-    std::uint32_t rank = 0;        ///< 0: the object's first target.
-    base::duration wait{0};        ///< Predicted wait for a slot.
-    base::duration finish{0};      ///< Predicted wait and service time.
+    std::uint32_t rank = 0;   ///< 0: the object's first target.
+    base::duration wait{0};   ///< Predicted wait for a slot.
+    base::duration finish{0}; ///< Predicted wait and service time.
 };
 
 } // namespace snipeshore::affinity
--- a/src/apps/common/stop_signal.cpp
+++ b/src/apps/common/stop_signal.cpp
@@ -29,8 +29,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     const sigset_t set = stop_signals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    m_thread = std::thread([this, &loop, stop = std::move(on_stop),
-                            reload = std::move(on_reload)] {
+    m_thread = std::thread([this, &loop, stop = std::move(on_stop), reload = std::move(on_reload)] {
         const sigset_t awaited = stop_signals();
         const timespec poll_interval{0, 100'000'000};
         while (!m_done) {
--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -1,8 +1,8 @@
 #include "apps/entry/request_task.h"
 
+#include "apps/common/answer_stream.h"
 #include "apps/common/fleet_state.h"
 #include "apps/common/request_headers.h"
-#include "apps/common/answer_stream.h"
 #include "apps/entry/crash_monitor.h"
 #include "apps/entry/entry_services.h"
 #include "apps/entry/share_manager.h"
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -212,8 +212,7 @@
     request.service_time = placement.finish - placement.wait;
     request.objective = m_route->objective;
     request.left = m_deadline - base::boot_clock::now() - answer_reserve;
-    request.urgency =
-        routing::urgency_of(*m_routes, routing::rank_of(*m_route, m_account));
+    request.urgency = routing::urgency_of(*m_routes, routing::rank_of(*m_route, m_account));
     const affinity::admission decided = affinity::admit(request);
     if (decided.admitted && request.left > base::duration{0}) {
         return {};
@@ -229,10 +228,8 @@
     if (!is_idempotent() || m_sent + 1 >= m_route->max_attempts) {
         return m_deadline;
     }
-    const auto predicted =
-        std::chrono::duration_cast<base::duration>(placement.finish * patience);
-    const auto part =
-        std::chrono::duration_cast<base::duration>((m_deadline - now) * patient_part);
+    const auto predicted = std::chrono::duration_cast<base::duration>(placement.finish * patience);
+    const auto part = std::chrono::duration_cast<base::duration>((m_deadline - now) * patient_part);
     return std::min(m_deadline,
                     now + std::max<base::duration>({predicted, part, m_route->objective}));
 }
@@ -399,15 +396,15 @@
         } else if (target != nullptr && !rejects_without_load(*target)) {
             on_rejected(*target, now);
         }
-        fail_attempt(attempt_end::rejected, "target rejected the request with " +
-                                                std::to_string(head.status));
+        fail_attempt(attempt_end::rejected,
+                     "target rejected the request with " + std::to_string(head.status));
         return;
     }
     m_may_have_run = true;
     ++m_sent;
     if (head.status >= first_failure_status && plan_next(attempt_end::failed_answer).retry) {
-        fail_attempt(attempt_end::failed_answer, "target failed with " +
-                                                     std::to_string(head.status));
+        fail_attempt(attempt_end::failed_answer,
+                     "target failed with " + std::to_string(head.status));
         return;
     }
     pass_on(head);
@@ -493,19 +490,19 @@
         return;
     }
     const base::time_point now = base::boot_clock::now();
-    const bool is_hard = end == attempt_end::not_sent || end == attempt_end::timed_out ||
-                         end == attempt_end::broken;
+    const bool is_hard =
+        end == attempt_end::not_sent || end == attempt_end::timed_out || end == attempt_end::broken;
     if (on_failure(*target, is_hard, now)) {
         if (end == attempt_end::not_sent) {
             on_unreachable(m_context.pools.at(m_service), *target);
         }
-        telemetry::log_event(severity::warning, "target_ejected",
-                             {{"target", target->entry.id.value()},
-                              {"service", m_service.value()},
-                              {"cause", cause},
-                              {"for_ms", milliseconds_of(target->ejected_until - now)},
-                              {"failures_in_row", static_cast<std::uint64_t>(
-                                                      target->failures_in_row)}});
+        telemetry::log_event(
+            severity::warning, "target_ejected",
+            {{"target", target->entry.id.value()},
+             {"service", m_service.value()},
+             {"cause", cause},
+             {"for_ms", milliseconds_of(target->ejected_until - now)},
+             {"failures_in_row", static_cast<std::uint64_t>(target->failures_in_row)}});
         m_context.metrics
             .counter("snipeshore_target_ejections_total", "Targets left out after failures.")
             .Increment();
@@ -580,9 +577,8 @@
     head.headers.push_back({"content-type", "application/json"});
     if (answer.retry == base::retry_advice::after_delay ||
         answer.retry == base::retry_advice::other_host) {
-        head.headers.push_back(
-            {"retry-after",
-             seconds_text(std::max<base::duration>(m_retry_after, least_retry_after))});
+        head.headers.push_back({"retry-after", seconds_text(std::max<base::duration>(
+                                                   m_retry_after, least_retry_after))});
     }
     telemetry::log_event(severity::info, "refused",
                          {{"request_id", m_id},
@@ -631,9 +627,8 @@
 
 pooled_target* forward_task::current_target() const
 {
-    return m_target.value().empty()
-               ? nullptr
-               : find_target(m_context.pools.at(m_service), m_target);
+    return m_target.value().empty() ? nullptr
+                                    : find_target(m_context.pools.at(m_service), m_target);
 }
 
 } // namespace snipeshore::apps
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -94,7 +94,7 @@
     std::string m_id;
     std::uint64_t m_object = 0;
     base::time_point m_arrived;
-    base::time_point m_deadline; ///< Of the first byte of the response.
+    base::time_point m_deadline;        ///< Of the first byte of the response.
     base::time_point m_caller_deadline; ///< Of the whole response.
     base::duration m_retry_after{0};
 
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -94,24 +94,26 @@
 
 fleet::member make_member(const host_settings& settings)
 {
-    return {settings.host,         settings.failure_domain, settings.entry_address,
-            settings.control_address, new_incarnation(),    fleet::member_state::starting};
+    return {settings.host,          settings.failure_domain,
+            settings.entry_address, settings.control_address,
+            new_incarnation(),      fleet::member_state::starting};
 }
 
 } // namespace
 
 host_app::host_app(http::loop& loop, host_settings settings, row_formats formats,
                    rows::row_store& store)
-    : m_loop(loop), m_settings(std::move(settings)), m_formats(std::move(formats)),
-      m_store(store), m_client(loop, target_client_settings()),
-      m_context{m_settings, loop, m_client, m_metrics}, m_self(make_member(m_settings)),
-      m_relay(m_context, m_self, store),
+    : m_loop(loop), m_settings(std::move(settings)), m_formats(std::move(formats)), m_store(store),
+      m_client(loop, target_client_settings()), m_context{m_settings, loop, m_client, m_metrics},
+      m_self(make_member(m_settings)), m_relay(m_context, m_self, store),
       m_operator_rows(loop, m_relay, {m_formats.operator_table, operator_wait, {}},
-                      [this](const std::vector<rows::row>& changes) {
-                          on_operator_rows(changes);
-                      }),
+                      [this](const std::vector<rows::row>& changes) { on_operator_rows(changes); }),
       m_target_rows(loop, m_relay,
-                    {m_formats.target_table, {}, target_pause, first_retry, longest_retry,
+                    {m_formats.target_table,
+                     {},
+                     target_pause,
+                     first_retry,
+                     longest_retry,
                      [this](const rows::row& before, const rows::row& after) {
                          return is_mere_report(m_formats, before, after);
                      }},
@@ -123,9 +125,10 @@
                {m_formats.target_table, &m_target_rows},
                {m_formats.host_table, &m_host_rows}}),
       m_admin(loop, m_metrics,
-              {[this] { return dump(); },
-               [this] { return m_self.state == fleet::member_state::ready; },
-               [this] { refresh_metrics(); }})
+              {[this] { return dump(); }, [this] { return is_ready(); },
+               [this] {
+                   refresh_metrics();
+               }})
 {
     m_context.random.seed(m_self.incarnation.value());
     m_context.members.self = m_settings.host;
@@ -171,8 +174,8 @@
     lookup.address = m_settings.lookup_address;
     http::server_settings ready = entry;
     ready.address = m_settings.ready_address;
-    m_entry = std::make_unique<http::server>(
-        m_loop, [this](std::shared_ptr<http::exchange> request) {
+    m_entry =
+        std::make_unique<http::server>(m_loop, [this](std::shared_ptr<http::exchange> request) {
             forward_task::start(m_context, std::move(request));
         });
     m_lookup = std::make_unique<http::server>(
@@ -195,16 +198,17 @@
 
 void host_app::register_host()
 {
-    m_registration = m_store.write(
-        m_formats.host_table, m_settings.host.value(), fleet::to_text(m_self),
-        [this](const base::status& written) {
-            if (base::is_ok(written) || m_context.is_leaving) {
-                return;
-            }
-            telemetry::log_event(severity::warning, "host_not_registered",
-                                 {{"cause", base::error_of(written).detail}});
-            m_loop.schedule(base::boot_clock::now() + registration_pause, [this] { register_host(); });
-        });
+    m_registration =
+        m_store.write(m_formats.host_table, m_settings.host.value(), fleet::to_text(m_self),
+                      [this](const base::status& written) {
+                          if (base::is_ok(written) || m_context.is_leaving) {
+                              return;
+                          }
+                          telemetry::log_event(severity::warning, "host_not_registered",
+                                               {{"cause", base::error_of(written).detail}});
+                          m_loop.schedule(base::boot_clock::now() + registration_pause,
+                                          [this] { register_host(); });
+                      });
 }
 
 void host_app::check_ready()
@@ -230,7 +234,7 @@
         answer_text(request, 404, "{}");
         return;
     }
-    answer_text(request, m_self.state == fleet::member_state::ready ? 200 : 503, "{}");
+    answer_text(request, is_ready() ? 200 : 503, "{}");
 }
 
 base::region_id host_app::region_of(const base::failure_domain_id& domain) const
@@ -288,7 +292,7 @@
         return;
     }
     const std::uint64_t version = base::value_of(parsed).version;
-    const std::uint64_t known = m_context.routes == nullptr ? 0 : m_context.routes->version;
+    const std::uint64_t known = config_version();
     if (version <= known) {
         telemetry::log_event(severity::warning, "config_not_newer",
                              {{"version", version}, {"known", known}});
@@ -296,12 +300,12 @@
     }
     m_context.routes =
         std::make_shared<const routing::route_table>(std::move(base::value_of(parsed)));
-    telemetry::log_event(severity::info, "config_in_force",
-                         {{"version", version},
-                          {"before", known},
-                          {"row", change.version},
-                          {"accounts",
-                           static_cast<std::uint64_t>(m_context.routes->accounts.size())}});
+    telemetry::log_event(
+        severity::info, "config_in_force",
+        {{"version", version},
+         {"before", known},
+         {"row", change.version},
+         {"accounts", static_cast<std::uint64_t>(m_context.routes->accounts.size())}});
     update_targets();
     update_shares();
     check_ready();
@@ -359,8 +363,7 @@
         const auto listed = fleet::parse_member(change.value);
         if (!base::is_ok(listed)) {
             telemetry::log_event(severity::warning, "host_row_unreadable",
-                                 {{"host", change.key},
-                                  {"cause", base::error_of(listed).detail}});
+                                 {{"host", change.key}, {"cause", base::error_of(listed).detail}});
             continue;
         }
         fleet::list(m_context.members, base::value_of(listed));
@@ -441,8 +444,7 @@
 {
     const base::time_point now = base::boot_clock::now();
     std::erase_if(m_context.members.members, [&](const auto& entry) {
-        const base::time_point since =
-            entry.second.was_heard ? entry.second.heard : m_started;
+        const base::time_point since = entry.second.was_heard ? entry.second.heard : m_started;
         return now - since > forget_host_after;
     });
 }
@@ -454,10 +456,10 @@
     }
     m_context.is_leaving = true;
     m_self.state = fleet::member_state::leaving;
-    telemetry::log_event(severity::info, "stopping",
-                         {{"requests", static_cast<std::uint64_t>(m_context.tasks.size())},
-                          {"connections", static_cast<std::uint64_t>(
-                                              m_entry->open_connections())}});
+    telemetry::log_event(
+        severity::info, "stopping",
+        {{"requests", static_cast<std::uint64_t>(m_context.tasks.size())},
+         {"connections", static_cast<std::uint64_t>(m_entry->open_connections())}});
     m_peers.announce();
     const base::time_point now = base::boot_clock::now();
     m_stop_deadline = now + m_settings.stop_deadline;
@@ -509,13 +511,28 @@
     m_loop.stop();
 }
 
+bool host_app::is_ready() const
+{
+    return m_self.state == fleet::member_state::ready;
+}
+
+std::uint64_t host_app::config_version() const
+{
+    return m_context.routes == nullptr ? 0 : m_context.routes->version;
+}
+
+std::size_t host_app::known_targets() const
+{
+    return m_registry.targets.size();
+}
+
 nlohmann::json host_app::dump() const
 {
     nlohmann::json all;
     all["host"] = m_settings.host.value();
     all["incarnation"] = m_self.incarnation.value();
     all["state"] = static_cast<int>(m_self.state);
-    all["config_version"] = m_context.routes == nullptr ? 0 : m_context.routes->version;
+    all["config_version"] = config_version();
     all["requests"] = m_context.tasks.size();
     for (const auto& [id, known] : m_context.members.members) {
         all["hosts"][id.value()] = {
@@ -547,15 +564,15 @@
     set("snipeshore_caller_connections", "Open connections of callers.",
         static_cast<double>(m_entry->open_connections()));
     set("snipeshore_config_version", "Version of the configuration in force.",
-        m_context.routes == nullptr ? 0 : static_cast<double>(m_context.routes->version));
+        static_cast<double>(config_version()));
     set("snipeshore_targets_known", "Targets that are registered.",
         static_cast<double>(m_registry.targets.size()));
     set("snipeshore_hosts_live", "Hosts that were heard lately, without the own one.",
-        static_cast<double>(std::count_if(
-            m_context.members.members.begin(), m_context.members.members.end(),
-            [this, now](const auto& entry) {
-                return fleet::is_live(m_context.members, entry.second, now);
-            })));
+        static_cast<double>(
+            std::count_if(m_context.members.members.begin(), m_context.members.members.end(),
+                          [this, now](const auto& entry) {
+                              return fleet::is_live(m_context.members, entry.second, now);
+                          })));
     set("snipeshore_store_in_touch", "Whether the last call to the operators' table succeeded.",
         m_operator_rows.is_in_touch() ? 1 : 0);
 }
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -32,8 +32,7 @@
 /// Belongs to the loop's thread. The store has to outlive it.
 class host_app {
 public:
-    host_app(http::loop& loop, host_settings settings, row_formats formats,
-             rows::row_store& store);
+    host_app(http::loop& loop, host_settings settings, row_formats formats, rows::row_store& store);
     ~host_app();
     host_app(const host_app&) = delete;
     host_app& operator=(const host_app&) = delete;
@@ -50,6 +49,10 @@
 
     nlohmann::json dump() const;
 
+    bool is_ready() const;
+    std::uint64_t config_version() const; ///< 0: none yet.
+    std::size_t known_targets() const;
+
 private:
     base::status listen();
     void register_host();
--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -55,9 +55,8 @@
                              std::map<std::string, rows::table_follower*> tables)
     : m_context(context), m_self(self), m_tables(std::move(tables)),
       m_server(std::make_unique<http::server>(
-          context.loop, [this](const std::shared_ptr<http::exchange>& request) {
-              handle(request);
-          }))
+          context.loop,
+          [this](const std::shared_ptr<http::exchange>& request) { handle(request); }))
 {}
 
 peer_exchange::~peer_exchange() = default;
@@ -125,8 +124,7 @@
     call = m_context.client.fetch(
         std::move(request), max_exchange_bytes,
         [this, address, done = std::move(done)](
-            const base::result<std::pair<http::response_head, std::string>>& reply,
-            bool /*sent*/) {
+            const base::result<std::pair<http::response_head, std::string>>& reply, bool /*sent*/) {
             if (base::is_ok(reply)) {
                 on_reply(address, base::value_of(reply).second);
             }
@@ -142,8 +140,8 @@
         state.waiting.push_back(std::move(done));
         return true;
     }
-    const std::size_t holders = limits::holders_of(
-        m_context.limits[account], fleet::possible_hosts(m_context.members));
+    const std::size_t holders =
+        limits::holders_of(m_context.limits[account], fleet::possible_hosts(m_context.members));
     std::vector<fleet::member> peers =
         fleet::first_peers(m_context.members, account.value(), holders, now);
     if (now < state.pause_until || peers.empty()) {
@@ -194,9 +192,8 @@
 {
     const auto message = fleet::parse_exchange(text);
     if (!base::is_ok(message)) {
-        telemetry::log_event(
-            severity::warning, "peer_message_unreadable",
-            {{"peer", address}, {"cause", base::error_of(message).detail}});
+        telemetry::log_event(severity::warning, "peer_message_unreadable",
+                             {{"peer", address}, {"cause", base::error_of(message).detail}});
         return;
     }
     hear(base::value_of(message));
@@ -222,9 +219,9 @@
 {
     const auto message = fleet::parse_exchange(request.body());
     if (!base::is_ok(message)) {
-        telemetry::log_event(severity::warning, "peer_message_unreadable",
-                             {{"peer", request.peer_address()},
-                              {"cause", base::error_of(message).detail}});
+        telemetry::log_event(
+            severity::warning, "peer_message_unreadable",
+            {{"peer", request.peer_address()}, {"cause", base::error_of(message).detail}});
         answer_text(request, 400, "");
         return;
     }
@@ -363,9 +360,8 @@
     const std::string path = rows_path(table, follower->copy().version, {});
     m_fetches[table] = m_context.client.fetch(
         make_peer_request(address, "GET", path, fetch_timeout), max_update_bytes,
-        [this, follower, table,
-         address](const base::result<std::pair<http::response_head, std::string>>& reply,
-                  bool /*sent*/) {
+        [this, follower, table, address](
+            const base::result<std::pair<http::response_head, std::string>>& reply, bool /*sent*/) {
             if (base::is_ok(reply)) {
                 const auto update = fleet::parse_update(base::value_of(reply).second);
                 if (base::is_ok(update)) {
--- a/src/apps/host/peer_exchange.h
+++ b/src/apps/host/peer_exchange.h
@@ -89,7 +89,7 @@
     fleet::member& m_self;
     std::map<std::string, rows::table_follower*> m_tables;
     std::unique_ptr<http::server> m_server;
-    std::map<std::string, std::unique_ptr<http::client_call>> m_calls;  ///< By control address.
+    std::map<std::string, std::unique_ptr<http::client_call>> m_calls;   ///< By control address.
     std::map<std::string, std::unique_ptr<http::client_call>> m_fetches; ///< By table.
     std::map<std::string, std::vector<waiting_call>> m_waiting;          ///< By table.
     std::map<base::account_id, borrowing> m_borrowing;
--- a/src/apps/host/relay_store.cpp
+++ b/src/apps/host/relay_store.cpp
@@ -59,14 +59,14 @@
         make_peer_request(reader->control_address, "GET", path, relay_wait + relay_timeout),
         max_update_bytes,
         [this, reader = reader->id.value(), done = std::move(done)](
-            const base::result<std::pair<http::response_head, std::string>>& reply,
-            bool /*sent*/) { on_update(reader, reply, done); }));
+            const base::result<std::pair<http::response_head, std::string>>& reply, bool /*sent*/) {
+            on_update(reader, reply, done);
+        }));
 }
 
-void relay_store::on_update(
-    const std::string& reader,
-    const base::result<std::pair<http::response_head, std::string>>& reply,
-    const page_callback& done)
+void relay_store::on_update(const std::string& reader,
+                            const base::result<std::pair<http::response_head, std::string>>& reply,
+                            const page_callback& done)
 {
     base::error failure{base::error_kind::store_unavailable, "reader " + reader + " failed"};
     if (base::is_ok(reply) && base::value_of(reply).first.status == peer_status_ok) {
--- a/src/apps/host/relay_store.h
+++ b/src/apps/host/relay_store.h
@@ -1,5 +1,5 @@
-/// @file Reads the store's tables through one host of each failure domain, so that calls to the store
-/// and bytes between failure domains do not grow with the hosts.
+/// @file Reads the store's tables through one host of each failure domain, so that calls to the
+/// store and bytes between failure domains do not grow with the hosts.
 #pragma once
 
 #include "base/time.h"
--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -85,9 +85,8 @@
         return true;
     }
     const double tokens =
-        std::min(cold_burst, target.cold_tokens + pool.cold_rate * seconds_between(
-                                                                       target.cold_refilled,
-                                                                       view.now));
+        std::min(cold_burst, target.cold_tokens +
+                                 pool.cold_rate * seconds_between(target.cold_refilled, view.now));
     return tokens >= 1 && view.owns(target.entry.id);
 }
 
@@ -99,8 +98,8 @@
 
 void take_entry(pooled_target& target, const target_entry& entry, base::time_point now)
 {
-    const bool is_new = target.entry.started_ms != entry.started_ms ||
-                        target.entry.address != entry.address;
+    const bool is_new =
+        target.entry.started_ms != entry.started_ms || target.entry.address != entry.address;
     if (is_new) {
         target = pooled_target{};
     }
@@ -130,8 +129,8 @@
         places.push_back({base::stable_hash(target.entry.id.value()), domain,
                           domain_regions[domain], may_serve ? target.entry.slots : 1});
     }
-    pool.layout = affinity::make_layout(std::move(places), domain_regions,
-                                        domain_index[own_domain]);
+    pool.layout =
+        affinity::make_layout(std::move(places), domain_regions, domain_index[own_domain]);
 }
 
 } // namespace
@@ -166,10 +165,11 @@
     return found == pool.targets.end() ? nullptr : &*found;
 }
 
-std::optional<affinity::placement> choose_target(
-    target_pool& pool, std::uint64_t object, const std::vector<base::target_id>& tried,
-    const std::function<bool(const base::region_id&)>& allowed,
-    const std::map<base::failure_domain_id, base::region_id>& regions, const pool_view& view)
+std::optional<affinity::placement>
+choose_target(target_pool& pool, std::uint64_t object, const std::vector<base::target_id>& tried,
+              const std::function<bool(const base::region_id&)>& allowed,
+              const std::map<base::failure_domain_id, base::region_id>& regions,
+              const pool_view& view)
 {
     const auto may_get = [&](std::uint32_t index) {
         const target_entry& entry = pool.targets[index].entry;
@@ -201,9 +201,8 @@
     ++target.running;
     if (now < target.cold_until && pool.cold_rate > 0) {
         target.cold_tokens =
-            std::min(cold_burst, target.cold_tokens + pool.cold_rate * seconds_between(
-                                                                           target.cold_refilled,
-                                                                           now));
+            std::min(cold_burst, target.cold_tokens +
+                                     pool.cold_rate * seconds_between(target.cold_refilled, now));
         target.cold_refilled = now;
         target.cold_tokens -= 1;
     }
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -20,30 +20,30 @@
 
 struct pooled_target {
     target_entry entry;
-    std::uint32_t running = 0;         ///< Requests of this host.
-    double reported = 0;               ///< Requests of all hosts when it last answered.
+    std::uint32_t running = 0; ///< Requests of this host.
+    double reported = 0;       ///< Requests of all hosts when it last answered.
     std::uint32_t running_at_report = 0;
     base::time_point reported_at{};
-    base::time_point answered_at{};    ///< Of its last response of any kind.
-    base::duration service_time{0};    ///< Moving average without waiting; 0: no sample yet.
+    base::time_point answered_at{}; ///< Of its last response of any kind.
+    base::duration service_time{0}; ///< Moving average without waiting; 0: no sample yet.
     base::time_point sampled_at{};
-    double failure_part = 0;           ///< Moving average of failed attempts.
+    double failure_part = 0; ///< Moving average of failed attempts.
     unsigned failures_in_row = 0;
     base::time_point ejected_until{};
     base::time_point cold_until{};
-    double cold_tokens = 0;            ///< Requests that may be sent while it is cold.
+    double cold_tokens = 0; ///< Requests that may be sent while it is cold.
     base::time_point cold_refilled{};
     bool is_evacuated = false;
-    bool is_gone = false;              ///< Its address answers as another target.
+    bool is_gone = false; ///< Its address answers as another target.
 };
 
 /// State of one service. Belongs to the loop's thread.
 struct target_pool {
     base::service_id service;
-    double cold_rate = 0; ///< Requests per second that a cold target bears.
+    double cold_rate = 0;                   ///< Requests per second that a cold target bears.
     std::chrono::milliseconds cold_time{0}; ///< After a start.
     std::vector<pooled_target> targets;
-    affinity::layout layout; ///< Of `targets`, same indexes.
+    affinity::layout layout;        ///< Of `targets`, same indexes.
     base::duration service_time{0}; ///< Moving average over all targets.
     retries::retry_budget budget;
 };
@@ -63,10 +63,11 @@
 
 /// Chooses a target for the object. `tried` targets are left out, as are regions that are not
 /// allowed.
-std::optional<affinity::placement> choose_target(
-    target_pool& pool, std::uint64_t object, const std::vector<base::target_id>& tried,
-    const std::function<bool(const base::region_id&)>& allowed,
-    const std::map<base::failure_domain_id, base::region_id>& regions, const pool_view& view);
+std::optional<affinity::placement>
+choose_target(target_pool& pool, std::uint64_t object, const std::vector<base::target_id>& tried,
+              const std::function<bool(const base::region_id&)>& allowed,
+              const std::map<base::failure_domain_id, base::region_id>& regions,
+              const pool_view& view);
 
 pooled_target* find_target(target_pool& pool, const base::target_id& id);
 
--- a/src/apps/host/target_registry.cpp
+++ b/src/apps/host/target_registry.cpp
@@ -20,8 +20,7 @@
 
 bool is_older(const target_entry& entry, const target_entry& known)
 {
-    return std::tie(entry.started_ms, entry.sequence) <
-           std::tie(known.started_ms, known.sequence);
+    return std::tie(entry.started_ms, entry.sequence) < std::tie(known.started_ms, known.sequence);
 }
 
 bool take_entry(target_registry& registry, const target_entry& entry)
@@ -76,9 +75,8 @@
         }
         const auto entry = formats.parse_target(change.key, change.value);
         if (!base::is_ok(entry)) {
-            telemetry::log_event(
-                severity::warning, "target_row_unreadable",
-                {{"target", change.key}, {"cause", base::error_of(entry).detail}});
+            telemetry::log_event(severity::warning, "target_row_unreadable",
+                                 {{"target", change.key}, {"cause", base::error_of(entry).detail}});
             continue;
         }
         is_changed = take_entry(registry, base::value_of(entry)) || is_changed;
--- /dev/null
+++ b/src/apps/host/tests/host_fixture.cpp
@@ -0,0 +1,162 @@
+#include "apps/host/tests/host_fixture.h"
+
+#include "http/exchange.h"
+#include "platform/formats.h"
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace snipeshore::apps::tests {
+
+const std::string plain_config = R"({"version":"00000005","services":[{"name":"svc",
+"coldStart":"3s","coldPerS":2.5}],"tenants":[{"name":"coop","apiKeys":["key"],"ratePerS":0}],
+"hosts":[{"host":"a.example","paths":[
+{"name":"safe","prefix":"/safe/","kind":"safe","timeout":"2s","targetLatency":"1s","service":"svc",
+"maxAttempts":2},
+{"name":"once","prefix":"/once/","kind":"unsafe","timeout":"2s","targetLatency":"1s",
+"service":"svc","maxAttempts":2},
+{"name":"open","prefix":"/open/","kind":"safe","timeout":"2s","service":"svc","maxAttempts":2,
+"allowAnonymous":true}]}]})";
+
+std::string free_address()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    close(descriptor);
+    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+test_target::test_target(http::loop& loop, handler on_request)
+    : m_on_request(std::move(on_request)),
+      m_server(loop, [this](const std::shared_ptr<http::exchange>& request) {
+          ++requests;
+          m_on_request(request);
+      })
+{
+    http::server_settings settings;
+    settings.address = "127.0.0.1:0";
+    REQUIRE(base::is_ok(m_server.listen(settings)));
+}
+
+std::string test_target::address() const
+{
+    return m_server.bound_address();
+}
+
+void answer_well(const std::shared_ptr<http::exchange>& request)
+{
+    http::response_head head;
+    head.headers.push_back({"x-response-seal", "sealed"});
+    const auto id = http::find_header(request->head().headers, "x-attempt-id");
+    head.headers.push_back({"x-attempt-id", std::string(id.value_or(""))});
+    for (const http::header& one : request->head().headers) {
+        head.headers.push_back({"seen-" + one.name, one.value});
+    }
+    request->answer(head, "whole answer");
+}
+
+host_fixture::host_fixture(const std::string& config) : store(loop), m_client(loop, {})
+{
+    settings.host = base::host_id("h1");
+    settings.failure_domain = base::failure_domain_id("z1");
+    settings.regions = {{settings.failure_domain, base::region_id("north")}};
+    settings.entry_address = free_address();
+    settings.ready_address = free_address();
+    settings.lookup_address = free_address();
+    settings.control_address = free_address();
+    settings.names = platform_adapter::make_names();
+    settings.leave_delay = std::chrono::milliseconds(100);
+    settings.stop_deadline = std::chrono::seconds(20);
+    if (!config.empty()) {
+        store.set("op", "config", config);
+    }
+    app = std::make_unique<host_app>(loop, settings, platform_adapter::make_formats(), store);
+    REQUIRE(base::is_ok(app->start()));
+}
+
+bool host_fixture::run_until(const std::function<bool()>& holds)
+{
+    return http::tests::run_until(loop, holds);
+}
+
+void host_fixture::add_target(const std::string& id, const std::string& address)
+{
+    store.set("servers", id,
+              R"({"service":"svc","zone":"z1","slots":4,"state":"ready","sequence":1,"address":")" +
+                  address + "\"}");
+}
+
+void host_fixture::await_targets(std::size_t count)
+{
+    REQUIRE(run_until([&] { return app->known_targets() == count && app->is_ready(); }));
+}
+
+void host_fixture::begin(const std::string& path, const http::header_list& headers,
+                         std::optional<reply>& into)
+{
+    http::client_request request;
+    request.address = settings.entry_address;
+    request.head = {"GET", path, "a.example", headers};
+    request.deadline = base::boot_clock::now() + std::chrono::seconds(30);
+    m_calls.push_back(m_client.fetch(
+        std::move(request), 1U << 20U,
+        [&into](const base::result<std::pair<http::response_head, std::string>>& got, bool) {
+            into = reply{};
+            if (base::is_ok(got)) {
+                const auto& [head, body] = base::value_of(got);
+                into = reply{head.status, head.headers, body};
+            }
+        }));
+}
+
+reply host_fixture::send(const std::string& path, const http::header_list& headers,
+                         const std::string& method, const std::string& body)
+{
+    http::client_request request;
+    request.address = settings.entry_address;
+    request.head = {method, path, "a.example", headers};
+    request.body = body;
+    request.deadline = base::boot_clock::now() + std::chrono::seconds(30);
+    std::optional<reply> got;
+    const auto call = m_client.fetch(
+        std::move(request), 1U << 20U,
+        [&got](const base::result<std::pair<http::response_head, std::string>>& answer, bool) {
+            got = reply{};
+            if (base::is_ok(answer)) {
+                const auto& [head, text] = base::value_of(answer);
+                got = reply{head.status, head.headers, text};
+            }
+        });
+    REQUIRE(run_until([&] { return got.has_value(); }));
+    return *got;
+}
+
+reply host_fixture::get(const std::string& address, const std::string& path)
+{
+    http::client_request request;
+    request.address = address;
+    request.head = {"GET", path, address, {}};
+    request.deadline = base::boot_clock::now() + std::chrono::seconds(30);
+    std::optional<reply> got;
+    const auto call = m_client.fetch(
+        std::move(request), 1U << 20U,
+        [&got](const base::result<std::pair<http::response_head, std::string>>& answer, bool) {
+            got = reply{};
+            if (base::is_ok(answer)) {
+                got = reply{base::value_of(answer).first.status, {}, base::value_of(answer).second};
+            }
+        });
+    REQUIRE(run_until([&] { return got.has_value(); }));
+    return *got;
+}
+
+} // namespace snipeshore::apps::tests
--- /dev/null
+++ b/src/apps/host/tests/host_fixture.h
@@ -0,0 +1,83 @@
+/// @file A whole host with a store in memory and targets on the same loop.
+#pragma once
+
+#include "apps/host/host_app.h"
+#include "apps/host/tests/memory_store.h"
+#include "http/client.h"
+#include "http/loop.h"
+#include "http/server.h"
+#include "http/tests/test_support.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace snipeshore::apps::tests {
+
+/// Address on loopback that nothing listens on.
+std::string free_address();
+
+struct reply {
+    int status = 0; ///< 0: the connection ended without a response.
+    http::header_list headers;
+    std::string body;
+};
+
+/// A target whose answers the test decides.
+class test_target {
+public:
+    using handler = std::function<void(const std::shared_ptr<http::exchange>&)>;
+
+    test_target(http::loop& loop, handler on_request);
+
+    std::string address() const;
+
+    int requests = 0;
+
+private:
+    handler m_on_request;
+    http::server m_server;
+};
+
+/// Answers as a well target does.
+void answer_well(const std::shared_ptr<http::exchange>& request);
+
+class host_fixture {
+public:
+    /// Starts the host; `config` is the text of the operators' row, or empty for none yet.
+    explicit host_fixture(const std::string& config);
+
+    /// Registers a target with 4 slots for service "svc".
+    void add_target(const std::string& id, const std::string& address);
+
+    /// Waits until the host knows as many targets.
+    void await_targets(std::size_t count);
+
+    reply send(const std::string& path, const http::header_list& headers = {},
+               const std::string& method = "GET", const std::string& body = "");
+
+    /// Starts a request without waiting for its answer.
+    void begin(const std::string& path, const http::header_list& headers,
+               std::optional<reply>& into);
+
+    reply get(const std::string& address, const std::string& path);
+
+    bool run_until(const std::function<bool()>& holds);
+
+    http::loop loop;
+    memory_store store;
+    host_settings settings;
+    std::unique_ptr<host_app> app;
+
+private:
+    http::client m_client;
+    std::vector<std::unique_ptr<http::client_call>> m_calls;
+};
+
+/// Operators' row with routes /safe/, /once/ and /open/ for service "svc" and key "key".
+extern const std::string plain_config;
+
+} // namespace snipeshore::apps::tests
--- /dev/null
+++ b/src/apps/host/tests/host_test.cpp
@@ -0,0 +1,171 @@
+#include "apps/host/tests/host_fixture.h"
+
+#include "http/exchange.h"
+
+#include <doctest/doctest.h>
+
+using namespace snipeshore;
+using namespace apps::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+const http::header_list with_key{{"x-key", "key"}, {"x-attempt-id", "id-1"}};
+
+std::string header(const reply& from, std::string_view name)
+{
+    return std::string(http::find_header(from.headers, name).value_or(""));
+}
+
+} // namespace
+
+TEST_CASE("a host without a configuration refuses and says that nothing ran")
+{
+    host_fixture host("");
+    const reply got = host.send("/safe/x", with_key);
+    CHECK(got.status == 503);
+    CHECK(got.body.find("\"not_run\":true") != std::string::npos);
+    CHECK_FALSE(header(got, "retry-after").empty());
+    CHECK(host.get(host.settings.ready_address, "/v1/ready").status == 503);
+}
+
+TEST_CASE("a request goes to a target and its answer comes back")
+{
+    host_fixture host(plain_config);
+    test_target target(host.loop, answer_well);
+    host.add_target("t1", target.address());
+    host.await_targets(1);
+    SUBCASE("whole and sealed, without the key, for the account of the key")
+    {
+        const reply got = host.send("/safe/x?q=1", with_key);
+        CHECK(got.status == 200);
+        CHECK(got.body == "whole answer");
+        CHECK(header(got, "x-response-seal") == "sealed");
+        CHECK(header(got, "seen-x-tenant") == "coop");
+        CHECK(header(got, "seen-x-key").empty());
+        CHECK(header(got, "seen-x-target-instance") == "t1");
+        CHECK(std::stoi(header(got, "seen-x-deadline-ms")) <= 2000);
+    }
+    SUBCASE("the ready and look-up addresses name the host")
+    {
+        CHECK(host.get(host.settings.ready_address, "/v1/ready").status == 200);
+        const reply got =
+            host.get(host.settings.lookup_address, "/v1/resolve?name=a&region=north&zone=z1");
+        CHECK(got.body.find(host.settings.entry_address) != std::string::npos);
+    }
+    SUBCASE("unknown routes and keys are told apart")
+    {
+        CHECK(host.send("/none/x", with_key).status == 404);
+        CHECK(host.send("/safe/x", {{"x-key", "other"}}).status == 401);
+        CHECK(host.send("/safe/x").status == 401);
+        CHECK(host.send("/open/x").status == 200);
+    }
+    SUBCASE("a withdrawn key stops working, a newer configuration never reverts")
+    {
+        std::string newer = plain_config;
+        newer.replace(newer.find("00000005"), 8, "0000000a");
+        newer.replace(newer.find("[\"key\"]"), 7, "[\"k2\"]");
+        host.store.set("op", "config", newer);
+        REQUIRE(host.run_until([&] { return host.app->config_version() == 10; }));
+        host.store.set("op", "config", plain_config);
+        CHECK(host.send("/safe/x", with_key).status == 401);
+        CHECK(host.send("/safe/x", {{"x-key", "k2"}, {"x-attempt-id", "i"}}).status == 200);
+        CHECK(host.app->config_version() == 10);
+    }
+    SUBCASE("a drained failure domain gets nothing until it is taken back")
+    {
+        host.store.set("op", "evacuate/z1", "{}");
+        REQUIRE(host.run_until([&] { return host.send("/safe/x", with_key).status == 503; }));
+        const int before = target.requests;
+        CHECK(host.send("/safe/x", with_key).status == 503);
+        CHECK(target.requests == before);
+        host.store.set("op", "evacuate/z1", std::nullopt);
+        CHECK(host.run_until([&] { return host.send("/safe/x", with_key).status == 200; }));
+    }
+}
+
+TEST_CASE("nothing that must run once runs twice")
+{
+    host_fixture host(plain_config);
+    int runs = 0;
+    const auto run_and_fail = [&](const std::shared_ptr<http::exchange>& request) {
+        ++runs;
+        http::response_head head;
+        head.content_length = 100;
+        head.headers.push_back({"x-attempt-id", "another request"});
+        request->start_answer(head);
+    };
+    const auto reject = [](const std::shared_ptr<http::exchange>& request) {
+        http::response_head head;
+        head.status = 503;
+        head.headers.push_back({"x-not-executed", "1"});
+        request->answer(head, "");
+    };
+    SUBCASE("an answer of another request leaves the outcome unknown, and no other target is tried")
+    {
+        test_target first(host.loop, run_and_fail);
+        test_target second(host.loop, run_and_fail);
+        host.add_target("t1", first.address());
+        host.add_target("t2", second.address());
+        host.await_targets(2);
+        const reply got = host.send("/once/x", with_key, "POST", "order");
+        CHECK(got.status == 502);
+        CHECK(got.body.find("\"not_run\":false") != std::string::npos);
+        CHECK(runs == 1);
+    }
+    SUBCASE("a target that did not run it does not keep another from running it")
+    {
+        test_target first(host.loop, reject);
+        test_target second(host.loop, reject);
+        host.add_target("t1", first.address());
+        host.add_target("t2", second.address());
+        host.await_targets(2);
+        const reply got = host.send("/once/x", with_key, "POST", "order");
+        CHECK(got.status == 503);
+        CHECK(got.body.find("\"not_run\":true") != std::string::npos);
+        CHECK(first.requests + second.requests == 2);
+    }
+    SUBCASE("an idempotent request goes on to the other target")
+    {
+        test_target first(host.loop, run_and_fail);
+        test_target second(host.loop, answer_well);
+        host.add_target("t1", first.address());
+        host.add_target("t2", second.address());
+        host.await_targets(2);
+        for (int i = 0; i < 20; ++i) {
+            CHECK(host.send("/safe/x", with_key).status == 200);
+        }
+    }
+}
+
+TEST_CASE("a planned stop finishes what was read and leaves the look-ups first")
+{
+    host_fixture host(plain_config);
+    std::shared_ptr<http::exchange> held;
+    test_target target(host.loop,
+                       [&](const std::shared_ptr<http::exchange>& request) { held = request; });
+    host.add_target("t1", target.address());
+    host.await_targets(1);
+    std::optional<reply> got;
+    host.begin("/safe/x", with_key, got);
+    REQUIRE(host.run_until([&] { return held != nullptr; }));
+    host.app->stop();
+    CHECK(host.get(host.settings.ready_address, "/v1/ready").status == 503);
+    CHECK(host.get(host.settings.lookup_address, "/v1/resolve?zone=z1").status == 503);
+    host.loop.schedule(base::boot_clock::now() + 300ms, [&] { answer_well(held); });
+    CHECK(host.run_until([&] { return got.has_value(); }));
+    CHECK(got->status == 200);
+    CHECK(got->body == "whole answer");
+}
+
+TEST_CASE("a host goes on without the store")
+{
+    host_fixture host(plain_config);
+    test_target target(host.loop, answer_well);
+    host.add_target("t1", target.address());
+    host.await_targets(1);
+    host.store.is_down = true;
+    for (int i = 0; i < 10; ++i) {
+        CHECK(host.send("/safe/x", with_key).status == 200);
+    }
+}
--- /dev/null
+++ b/src/apps/host/tests/memory_store.cpp
@@ -0,0 +1,132 @@
+#include "apps/host/tests/memory_store.h"
+
+#include "base/time.h"
+#include "http/loop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipeshore::apps::tests {
+
+struct memory_store::waiting_call {
+    std::string table;
+    std::uint64_t after = 0;
+    page_callback done;
+};
+
+namespace {
+
+class held_call final : public rows::store_call {
+public:
+    explicit held_call(std::shared_ptr<void> state) : m_state(std::move(state)) {}
+
+private:
+    std::shared_ptr<void> m_state;
+};
+
+} // namespace
+
+memory_store::memory_store(http::loop& loop) : m_loop(loop) {}
+
+void memory_store::set(const std::string& table, const std::string& key,
+                       const std::optional<std::string>& value)
+{
+    m_tables[table][key] = {key, value.value_or(""), ++m_version, !value.has_value()};
+    answer_waiting();
+}
+
+std::vector<rows::row> memory_store::changes_after(const std::string& table,
+                                                   std::uint64_t after) const
+{
+    std::vector<rows::row> changes;
+    const auto found = m_tables.find(table);
+    if (found == m_tables.end()) {
+        return changes;
+    }
+    for (const auto& [key, row] : found->second) {
+        if (row.version > after && (after > 0 || !row.removed)) {
+            changes.push_back(row);
+        }
+    }
+    std::sort(changes.begin(), changes.end(),
+              [](const auto& left, const auto& right) { return left.version < right.version; });
+    return changes;
+}
+
+std::unique_ptr<rows::store_call> memory_store::answer_later(base::result<rows::page> answer,
+                                                             page_callback done)
+{
+    ++calls;
+    if (is_down) {
+        answer = base::error{base::error_kind::store_unavailable, "down"};
+    }
+    auto state = std::make_shared<std::pair<base::result<rows::page>, page_callback>>(
+        std::move(answer), std::move(done));
+    m_loop.schedule(base::boot_clock::now(), [weak = std::weak_ptr(state)] {
+        if (const auto held = weak.lock()) {
+            held->second(held->first);
+        }
+    });
+    return std::make_unique<held_call>(state);
+}
+
+std::unique_ptr<rows::store_call>
+memory_store::read(const std::string& table, const std::string& /*from*/, page_callback done)
+{
+    return answer_later(rows::page{changes_after(table, 0), false, m_version}, std::move(done));
+}
+
+std::unique_ptr<rows::store_call> memory_store::read_changes(const std::string& table,
+                                                             std::uint64_t after,
+                                                             std::chrono::milliseconds wait,
+                                                             page_callback done)
+{
+    const std::vector<rows::row> changes = changes_after(table, after);
+    if (!changes.empty() || wait.count() == 0 || is_down) {
+        return answer_later(rows::page{changes, false, m_version}, std::move(done));
+    }
+    ++calls;
+    auto waiting = std::make_shared<waiting_call>(waiting_call{table, after, std::move(done)});
+    m_waiting.push_back(waiting);
+    return std::make_unique<held_call>(waiting);
+}
+
+std::unique_ptr<rows::store_call> memory_store::write(const std::string& table,
+                                                      const std::string& key,
+                                                      const std::optional<std::string>& value,
+                                                      status_callback done)
+{
+    ++calls;
+    if (!is_down) {
+        set(table, key, value);
+    }
+    const base::status status =
+        is_down ? base::status(base::error{base::error_kind::store_unavailable, "down"})
+                : base::status();
+    m_loop.schedule(base::boot_clock::now(), [done = std::move(done), status] { done(status); });
+    return std::make_unique<held_call>(nullptr);
+}
+
+void memory_store::answer_waiting()
+{
+    const auto waiting = std::exchange(m_waiting, {});
+    for (const auto& weak : waiting) {
+        const auto call = weak.lock();
+        if (call == nullptr) {
+            continue;
+        }
+        const std::vector<rows::row> changes = changes_after(call->table, call->after);
+        if (changes.empty()) {
+            m_waiting.push_back(call);
+            continue;
+        }
+        m_loop.schedule(base::boot_clock::now(),
+                        [weak, page = rows::page{changes, false, m_version}] {
+                            if (const auto held = weak.lock()) {
+                                held->done(page);
+                            }
+                        });
+    }
+}
+
+} // namespace snipeshore::apps::tests
--- /dev/null
+++ b/src/apps/host/tests/memory_store.h
@@ -0,0 +1,53 @@
+/// @file The store's tables in memory, for tests.
+#pragma once
+
+#include "rows/row_store.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipeshore::http {
+class loop;
+}
+
+namespace snipeshore::apps::tests {
+
+class memory_store final : public rows::row_store {
+public:
+    explicit memory_store(http::loop& loop);
+
+    /// Changes a row as operators and targets do; without a value it is removed.
+    void set(const std::string& table, const std::string& key,
+             const std::optional<std::string>& value);
+
+    std::unique_ptr<rows::store_call> read(const std::string& table, const std::string& from,
+                                           page_callback done) override;
+    std::unique_ptr<rows::store_call> read_changes(const std::string& table, std::uint64_t after,
+                                                   std::chrono::milliseconds wait,
+                                                   page_callback done) override;
+    std::unique_ptr<rows::store_call> write(const std::string& table, const std::string& key,
+                                            const std::optional<std::string>& value,
+                                            status_callback done) override;
+
+    bool is_down = false;
+    int calls = 0;
+
+private:
+    struct waiting_call;
+
+    std::vector<rows::row> changes_after(const std::string& table, std::uint64_t after) const;
+    std::unique_ptr<rows::store_call> answer_later(base::result<rows::page> answer,
+                                                   page_callback done);
+    void answer_waiting();
+
+    http::loop& m_loop;
+    std::map<std::string, std::map<std::string, rows::row>> m_tables;
+    std::uint64_t m_version = 1;
+    std::vector<std::weak_ptr<waiting_call>> m_waiting;
+};
+
+} // namespace snipeshore::apps::tests
--- /dev/null
+++ b/src/apps/host/tests/request_parts_test.cpp
@@ -0,0 +1,60 @@
+#include "apps/host/peer_calls.h"
+#include "apps/host/request_parts.h"
+
+#include <doctest/doctest.h>
+
+using namespace snipeshore;
+using namespace std::chrono_literals;
+
+TEST_CASE("what a request says about itself")
+{
+    apps::wire_names names;
+    SUBCASE("the object's cookie is found among others, so that affinity holds")
+    {
+        const http::header_list headers{{"cookie", "a=1; snipeshore-object=17;b=2"}};
+        CHECK(apps::find_cookie(headers, "snipeshore-object") == "17");
+        CHECK(apps::find_cookie(headers, "object").empty());
+        CHECK(apps::find_cookie({{"cookie", ";;="}}, "x").empty());
+        CHECK(apps::object_hash(headers, names, "svc", 5) ==
+              apps::object_hash({{"cookie", "snipeshore-object=17"}}, names, "svc", 6));
+        CHECK(apps::object_hash({}, names, "svc", 5) == 5);
+    }
+    SUBCASE("a nonsensical time limit counts as none")
+    {
+        CHECK(apps::read_time_left({{"t", "1200"}}, "t") == 1200ms);
+        CHECK_FALSE(apps::read_time_left({{"t", "soon"}}, "t").has_value());
+        CHECK_FALSE(apps::read_time_left({{"t", "-5"}}, "t").has_value());
+        CHECK_FALSE(apps::read_time_left({}, "t").has_value());
+    }
+    SUBCASE("neither the key nor forged headers of the system reach a target")
+    {
+        const auto headers = apps::make_forwarded_headers({{names.key, "secret"},
+                                                           {names.account, "forged"},
+                                                           {names.target, "forged"},
+                                                           {names.time_left, "9"},
+                                                           {"te", "trailers"},
+                                                           {"x-own", "kept"},
+                                                           {names.request_id, "id"}},
+                                                          names);
+        REQUIRE(headers.size() == 2);
+        CHECK(headers[0].name == "x-own");
+        CHECK(headers[1].name == names.request_id);
+    }
+}
+
+TEST_CASE("calls between hosts")
+{
+    const std::string path = apps::rows_path("op", 12, 4s);
+    REQUIRE(path.starts_with(apps::rows_prefix));
+    const auto query = apps::parse_rows_query(path.substr(apps::rows_prefix.size()));
+    CHECK(query.table == "op");
+    CHECK(query.after == 12);
+    CHECK(query.wait == 4s);
+    SUBCASE("a malformed query is refused, a long wait is cut")
+    {
+        CHECK(apps::parse_rows_query("").table.empty());
+        CHECK(apps::parse_rows_query("op").table.empty());
+        CHECK(apps::parse_rows_query("op,x,1").table.empty());
+        CHECK(apps::parse_rows_query("op,1,999999999").wait == 10s);
+    }
+}
--- /dev/null
+++ b/src/apps/host/tests/target_pool_test.cpp
@@ -0,0 +1,174 @@
+#include "apps/host/target_pool.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+#include <string>
+
+using namespace snipeshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::time_point start = base::time_point{} + 1h;
+const base::failure_domain_id domain("n1");
+const std::map<base::failure_domain_id, base::region_id> regions{
+    {domain, base::region_id("north")}, {base::failure_domain_id("s1"), base::region_id("south")}};
+
+apps::target_entry make_entry(const std::string& id, const std::string& in = "n1")
+{
+    apps::target_entry entry;
+    entry.id = base::target_id(id);
+    entry.service = base::service_id("svc");
+    entry.failure_domain = base::failure_domain_id(in);
+    entry.address = id + ":80";
+    entry.slots = 4;
+    entry.started_ms = 1;
+    return entry;
+}
+
+void set(apps::target_pool& pool, const std::vector<apps::target_entry>& entries,
+         base::time_point now = start)
+{
+    apps::set_targets(
+        pool, entries, [](const base::failure_domain_id&) { return false; }, regions, domain, now);
+}
+
+std::optional<affinity::placement> choose(apps::target_pool& pool, base::time_point now,
+                                          std::uint64_t object = 1, bool owns = true)
+{
+    return apps::choose_target(pool, object, {}, [](const base::region_id&) { return true; },
+                               regions, {now, [owns](const base::target_id&) {
+                                             return owns;
+                                         }});
+}
+
+} // namespace
+
+TEST_CASE("targets are used as long as they can be")
+{
+    apps::target_pool pool;
+    pool.cold_rate = 2;
+    pool.cold_time = 3s;
+    set(pool, {make_entry("a"), make_entry("b")});
+    SUBCASE("a target that leaves gets nothing new")
+    {
+        auto leaving = make_entry("a");
+        leaving.is_leaving = true;
+        set(pool, {leaving, make_entry("b")});
+        for (std::uint64_t object = 0; object < 100; ++object) {
+            CHECK(pool.targets[choose(pool, start, object)->target].entry.id.value() == "b");
+        }
+    }
+    SUBCASE("a target of a drained failure domain gets nothing, not even as the last one")
+    {
+        apps::set_targets(
+            pool, {make_entry("a")}, [](const base::failure_domain_id&) { return true; }, regions,
+            domain, start);
+        CHECK_FALSE(choose(pool, start).has_value());
+    }
+    SUBCASE("two failures in a row eject a target for a while, more failures for longer")
+    {
+        apps::pooled_target& target = pool.targets[0];
+        CHECK_FALSE(apps::on_failure(target, true, start));
+        CHECK(apps::on_failure(target, true, start));
+        const base::duration first = target.ejected_until - start;
+        CHECK(apps::on_failure(target, true, start));
+        CHECK(target.ejected_until - start > first);
+        for (std::uint64_t object = 0; object < 100; ++object) {
+            CHECK(choose(pool, start, object)->target == 1);
+        }
+        apps::on_success(target);
+        CHECK_FALSE(apps::on_failure(target, true, start + 1min));
+    }
+    SUBCASE("a target that fails every third request is ejected, one with a rare failure is not")
+    {
+        apps::pooled_target& grey = pool.targets[0];
+        apps::pooled_target& sound = pool.targets[1];
+        bool is_grey_ejected = false;
+        for (int i = 0; i < 60; ++i) {
+            if (i % 2 == 0) {
+                is_grey_ejected = apps::on_failure(grey, false, start) || is_grey_ejected;
+            } else {
+                apps::on_success(grey);
+            }
+            if (i % 20 == 0) {
+                CHECK_FALSE(apps::on_failure(sound, false, start));
+            } else {
+                apps::on_success(sound);
+            }
+        }
+        CHECK(is_grey_ejected);
+    }
+    SUBCASE("a full object's target passes requests on, and all full ones refuse")
+    {
+        const std::uint32_t first = choose(pool, start)->target;
+        for (int i = 0; i < 14; ++i) {
+            apps::on_sent(pool, pool.targets[first], start);
+        }
+        CHECK(choose(pool, start)->target == 1 - first);
+        for (int i = 0; i < 14; ++i) {
+            apps::on_sent(pool, pool.targets[1 - first], start);
+        }
+        CHECK_FALSE(choose(pool, start).has_value());
+    }
+    SUBCASE("requests of other hosts count, but not for long")
+    {
+        const std::uint32_t first = choose(pool, start)->target;
+        CHECK(apps::take_load(pool.targets[first], "4,10,4", start));
+        CHECK(choose(pool, start)->target == 1 - first);
+        CHECK(choose(pool, start + 5s)->target == first);
+        CHECK_FALSE(apps::take_load(pool.targets[first], "many", start));
+        CHECK_FALSE(apps::take_load(pool.targets[first], "", start));
+    }
+}
+
+TEST_CASE("a cold target is spared")
+{
+    apps::target_pool pool;
+    pool.cold_rate = 2;
+    pool.cold_time = 3s;
+    auto cold = make_entry("a");
+    cold.cold_for = 3s;
+    set(pool, {cold});
+    SUBCASE("only the host that owns it sends to it, within the rate it bears")
+    {
+        CHECK_FALSE(choose(pool, start + 1s, 1, false).has_value());
+        int sent = 0;
+        for (int step = 0; step < 100; ++step) {
+            const base::time_point now = start + 1s + step * 10ms;
+            if (choose(pool, now).has_value()) {
+                apps::on_sent(pool, pool.targets[0], now);
+                apps::on_ended(pool, pool.targets[0], std::nullopt, now);
+                ++sent;
+            }
+        }
+        CHECK(sent >= 2);
+        CHECK(sent <= 4);
+    }
+    SUBCASE("when it is warm all hosts send again")
+    {
+        CHECK(choose(pool, start + 4s, 1, false).has_value());
+    }
+    SUBCASE("a target that took no connection is cold when it is back")
+    {
+        apps::target_pool other;
+        other.cold_rate = 2;
+        other.cold_time = 3s;
+        set(other, {make_entry("a")});
+        apps::on_failure(other.targets[0], true, start);
+        apps::on_failure(other.targets[0], true, start);
+        apps::on_unreachable(other, other.targets[0]);
+        CHECK_FALSE(choose(other, other.targets[0].ejected_until + 1s, 1, false).has_value());
+    }
+    SUBCASE("an incarnation under an old id knows nothing of its past")
+    {
+        apps::on_failure(pool.targets[0], true, start);
+        apps::on_failure(pool.targets[0], true, start);
+        auto again = make_entry("a");
+        again.started_ms = 2;
+        set(pool, {again}, start);
+        CHECK(pool.targets[0].ejected_until < start);
+        CHECK(pool.targets[0].cold_until < start);
+    }
+}
--- /dev/null
+++ b/src/apps/host/tests/target_registry_test.cpp
@@ -0,0 +1,89 @@
+#include "apps/host/target_registry.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace snipeshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Rows of this test are "started sequence address cold leaving".
+base::result<apps::target_entry> parse(const std::string& key, std::string_view text)
+{
+    apps::target_entry entry;
+    entry.id = base::target_id(key);
+    int cold_ms = 0;
+    int leaving = 0;
+    char address[32]{};
+    const std::string copy(text);
+    if (std::sscanf(copy.c_str(), "%ld %lu %31s %d %d", &entry.started_ms, &entry.sequence, address,
+                    &cold_ms, &leaving) != 5) {
+        return base::error{base::error_kind::document_invalid, "no entry"};
+    }
+    entry.address = address;
+    entry.cold_for = std::chrono::milliseconds(cold_ms);
+    entry.is_leaving = leaving != 0;
+    return entry;
+}
+
+apps::row_formats make_formats()
+{
+    apps::row_formats formats;
+    formats.parse_target = parse;
+    return formats;
+}
+
+const base::time_point start = base::time_point{} + 1h;
+
+} // namespace
+
+TEST_CASE("the registry believes the newest word of each target")
+{
+    const apps::row_formats formats = make_formats();
+    apps::target_registry registry;
+    const apps::registry_view calm{start, start - 1min, 2s};
+    const base::target_id id("t");
+    REQUIRE(apps::take_rows(registry, formats, {{"t", "5 1 a:1 0 0", 1, false}}, calm));
+    SUBCASE("a report that only counts on is no change")
+    {
+        CHECK_FALSE(apps::take_rows(registry, formats, {{"t", "5 2 a:1 0 0", 2, false}}, calm));
+        CHECK(apps::is_mere_report(formats, {"t", "5 1 a:1 0 0"}, {"t", "5 2 a:1 0 0"}));
+        CHECK_FALSE(apps::is_mere_report(formats, {"t", "5 1 a:1 0 0"}, {"t", "5 2 a:1 0 1"}));
+        CHECK_FALSE(apps::is_mere_report(formats, {"t", "5 1 a:1 0 0"}, {"t", "5 2 a:1 9 0"}));
+    }
+    SUBCASE("a late report of an earlier incarnation is not taken")
+    {
+        CHECK_FALSE(apps::take_rows(registry, formats, {{"t", "4 9 b:1 0 0", 2, false}}, calm));
+        CHECK(registry.targets.at(id).address == "a:1");
+    }
+    SUBCASE("an unreadable row names no target and harms no other")
+    {
+        CHECK_FALSE(apps::take_rows(registry, formats, {{"u", "garbage", 2, false}}, calm));
+        CHECK(registry.targets.size() == 1);
+    }
+    SUBCASE("a removed row ends the target at once while the store is well")
+    {
+        CHECK(apps::take_rows(registry, formats, {{"t", "", 2, true}}, calm));
+        CHECK(registry.targets.empty());
+    }
+    SUBCASE("a row that lapsed while the store was away may come back")
+    {
+        const apps::registry_view regained{start, start - 100ms, 2s};
+        CHECK_FALSE(apps::take_rows(registry, formats, {{"t", "", 2, true}}, regained));
+        CHECK(registry.targets.contains(id));
+        SUBCASE("it is back")
+        {
+            apps::take_rows(registry, formats, {{"t", "5 3 a:1 0 0", 3, false}}, regained);
+            CHECK_FALSE(apps::drop_vanished(registry, start + 10s));
+            CHECK(registry.targets.contains(id));
+        }
+        SUBCASE("it stays away")
+        {
+            CHECK_FALSE(apps::drop_vanished(registry, start + 1s));
+            CHECK(apps::drop_vanished(registry, start + 2s));
+            CHECK(registry.targets.empty());
+        }
+    }
+}
--- a/src/apps/host/types/host_settings.h
+++ b/src/apps/host/types/host_settings.h
@@ -16,11 +16,11 @@
     base::host_id host;
     base::failure_domain_id failure_domain;
     std::map<base::failure_domain_id, base::region_id> regions;
-    std::string entry_address;   ///< For callers' requests.
-    std::string ready_address;   ///< For readiness checks.
-    std::string lookup_address;  ///< For callers' look-ups.
-    std::string control_address; ///< For the other hosts.
-    std::string metrics_address; ///< Empty: no metrics are served.
+    std::string entry_address;      ///< For callers' requests.
+    std::string ready_address;      ///< For readiness checks.
+    std::string lookup_address;     ///< For callers' look-ups.
+    std::string control_address;    ///< For the other hosts.
+    std::string metrics_address;    ///< Empty: no metrics are served.
     std::vector<std::string> seeds; ///< Control addresses of other hosts; may be stale.
     std::size_t memory_limit_bytes = 0;
     wire_names names;
@@ -30,8 +30,8 @@
     std::chrono::milliseconds leave_delay{3500};
     std::chrono::milliseconds stop_deadline{5500}; ///< Longest time of a planned stop.
 
-    double retry_ratio = 0.1;       ///< Retries of the fleet for each request of a service.
-    double retry_extra = 10;        ///< Further retries of the fleet in `retry_window`.
+    double retry_ratio = 0.1; ///< Retries of the fleet for each request of a service.
+    double retry_extra = 10;  ///< Further retries of the fleet in `retry_window`.
     std::chrono::milliseconds retry_window{10000};
     limits::allowed_overrun quota_overrun;
     /// A target's entry that vanished during an outage of the store counts this long after it.
--- a/src/apps/host/types/wire_names.h
+++ b/src/apps/host/types/wire_names.h
@@ -10,11 +10,11 @@
     std::string request_id = "snipeshore-request-id"; ///< Echoed by targets.
     std::string time_left = "snipeshore-deadline-ms"; ///< Milliseconds left.
     std::string key = "snipeshore-key";
-    std::string account = "snipeshore-account";       ///< To targets only.
-    std::string target = "snipeshore-target";         ///< Target that the request is meant for.
-    std::string object_cookie = "snipeshore-object";  ///< Cookie that names the object.
-    std::string load = "snipeshore-load";             ///< Of targets: "running,waiting,slots".
-    std::string not_run = "snipeshore-not-run";       ///< Of targets that reject a request.
+    std::string account = "snipeshore-account";      ///< To targets only.
+    std::string target = "snipeshore-target";        ///< Target that the request is meant for.
+    std::string object_cookie = "snipeshore-object"; ///< Cookie that names the object.
+    std::string load = "snipeshore-load";            ///< Of targets: "running,waiting,slots".
+    std::string not_run = "snipeshore-not-run";      ///< Of targets that reject a request.
     /// Of targets, on every success; empty: a success needs no such header.
     std::string seal;
     std::string ready_path = "/-/ready";
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -65,8 +65,7 @@
     return of_host.was_heard && now - of_host.heard < silent_after * far_interval_s(table);
 }
 
-std::optional<member> reader_of(const member_table& table, const member& self,
-                                base::time_point now)
+std::optional<member> reader_of(const member_table& table, const member& self, base::time_point now)
 {
     std::optional<member> best;
     std::uint64_t best_weight = self.state == member_state::leaving
@@ -74,8 +73,8 @@
                                     : base::rendezvous_weight(reader_item, self.id.value());
     for (const auto& [id, known] : table.members) {
         const bool may_read = known.info.failure_domain == table.own_domain &&
-                              known.info.state != member_state::leaving &&
-                              known.info.reads_store && is_fresh(known, now);
+                              known.info.state != member_state::leaving && known.info.reads_store &&
+                              is_fresh(known, now);
         const std::uint64_t weight = base::rendezvous_weight(reader_item, id.value());
         if (may_read && weight > best_weight) {
             best = known.info;
@@ -95,8 +94,8 @@
     return static_cast<std::size_t>(before) < count;
 }
 
-std::vector<member> first_peers(const member_table& table, std::string_view item,
-                                std::size_t count, base::time_point now)
+std::vector<member> first_peers(const member_table& table, std::string_view item, std::size_t count,
+                                base::time_point now)
 {
     std::vector<std::pair<std::uint64_t, const known_member*>> ranked;
     for (const auto& [id, known] : table.members) {
@@ -123,10 +122,11 @@
     return table.members.size() + 1;
 }
 
-std::vector<std::string> entry_addresses(
-    const member_table& table, const member& self, const base::failure_domain_id& caller_domain,
-    const std::function<base::region_id(const base::failure_domain_id&)>& region_of,
-    base::time_point now)
+std::vector<std::string>
+entry_addresses(const member_table& table, const member& self,
+                const base::failure_domain_id& caller_domain,
+                const std::function<base::region_id(const base::failure_domain_id&)>& region_of,
+                base::time_point now)
 {
     std::vector<std::string> same_domain;
     std::vector<std::string> same_region;
@@ -159,7 +159,8 @@
 {
     const std::uint64_t own = base::rendezvous_weight(target, table.self.value());
     return std::none_of(table.members.begin(), table.members.end(), [&](const auto& entry) {
-        return is_live(table, entry.second, now) && entry.second.info.state == member_state::ready &&
+        return is_live(table, entry.second, now) &&
+               entry.second.info.state == member_state::ready &&
                base::rendezvous_weight(target, entry.first.value()) > own;
     });
 }
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -46,8 +46,8 @@
 
 /// The first `count` possible hosts for `item` that are believed alive, those of the own failure
 /// domain first; without the own host.
-std::vector<member> first_peers(const member_table& table, std::string_view item,
-                                std::size_t count, base::time_point now);
+std::vector<member> first_peers(const member_table& table, std::string_view item, std::size_t count,
+                                base::time_point now);
 
 /// Number of hosts that may admit requests, the own one included. Silent hosts count: they may
 /// only be cut off.
@@ -55,10 +55,11 @@
 
 /// Addresses for callers of a failure domain: ready hosts of the domain, else of its region, else
 /// all. `self` is added if it is ready.
-std::vector<std::string> entry_addresses(
-    const member_table& table, const member& self, const base::failure_domain_id& caller_domain,
-    const std::function<base::region_id(const base::failure_domain_id&)>& region_of,
-    base::time_point now);
+std::vector<std::string>
+entry_addresses(const member_table& table, const member& self,
+                const base::failure_domain_id& caller_domain,
+                const std::function<base::region_id(const base::failure_domain_id&)>& region_of,
+                base::time_point now);
 
 /// Whether the own host is the one of the live hosts that may send to a target which only one host
 /// may use, such as a cold one.
--- a/src/fleet/tests/exchange_text_test.cpp
+++ b/src/fleet/tests/exchange_text_test.cpp
@@ -7,8 +7,8 @@
 TEST_CASE("messages between hosts survive their text form")
 {
     fleet::exchange_message message;
-    message.from = {base::host_id("h1"),   base::failure_domain_id("d1"), "1.2.3.4:80",
-                    "1.2.3.4:90",          base::incarnation(7),          fleet::member_state::ready};
+    message.from = {base::host_id("h1"), base::failure_domain_id("d1"), "1.2.3.4:80",
+                    "1.2.3.4:90",        base::incarnation(7),          fleet::member_state::ready};
     message.versions = {{"op", 12}};
     message.wanted[base::account_id("coop")] = 2.5;
     message.given[base::account_id("coop")] = 1.999;
@@ -32,8 +32,7 @@
     }
     SUBCASE("rows keep version and removal")
     {
-        const rows::copy_update update{
-            10, true, {{"k", "v", 9, false}, {"gone", "", 10, true}}};
+        const rows::copy_update update{10, true, {{"k", "v", 9, false}, {"gone", "", 10, true}}};
         const auto read_back = fleet::parse_update(fleet::to_text(update));
         REQUIRE(base::is_ok(read_back));
         CHECK(base::value_of(read_back).is_full);
--- a/src/fleet/tests/members_test.cpp
+++ b/src/fleet/tests/members_test.cpp
@@ -10,7 +10,8 @@
 fleet::member make_member(const std::string& name, const std::string& domain,
                           fleet::member_state state = fleet::member_state::ready)
 {
-    return {base::host_id(name), base::failure_domain_id(domain), name + ":80", name + ":90",
+    return {base::host_id(name),  base::failure_domain_id(domain),
+            name + ":80",         name + ":90",
             base::incarnation(1), state};
 }
 
--- a/src/http/internal/call_state.h
+++ b/src/http/internal/call_state.h
@@ -95,8 +95,8 @@
     h2o_socket_cb m_write_done = nullptr;  ///< h2o's callback behind `on_request_written`.
     h2o_socket_cb m_head_reader = nullptr; ///< h2o's reader behind `on_head_bytes`.
     h2o_socket_cb m_unframed_reader = nullptr;
-    h2o_socket_cb m_reader = nullptr;      ///< h2o's reader, while reading is paused.
-    bool m_is_in_h2o = false; ///< A callback of h2o runs; it closes the connection itself.
+    h2o_socket_cb m_reader = nullptr; ///< h2o's reader, while reading is paused.
+    bool m_is_in_h2o = false;         ///< A callback of h2o runs; it closes the connection itself.
     bool m_is_paused = false;
     bool m_is_sent = false;
     timer_id m_deadline_timer = 0;
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -353,7 +353,7 @@
         // Without a length and without chunks the end of the connection ends the response.
         reset_on_close(connection_of(*m_request)->descriptor);
     }
-    if (is_http1() && !m_length) {
+    if (is_http1() && m_request->version >= http_1_1 && !m_length) {
         // h2o marks a broken chunked response by bytes that are no chunk; a client should only see
         // the connection end before the last chunk.
         shutdown(connection_of(*m_request)->descriptor, SHUT_RDWR);
--- a/src/limits/fleet_share.cpp
+++ b/src/limits/fleet_share.cpp
@@ -116,10 +116,9 @@
     if (share.own.rate <= 0) {
         return longest_wait;
     }
-    return std::min<base::duration>(
-        std::chrono::duration_cast<base::duration>(
-            std::chrono::duration<double>(missing / share.own.rate)),
-        longest_wait);
+    return std::min<base::duration>(std::chrono::duration_cast<base::duration>(
+                                        std::chrono::duration<double>(missing / share.own.rate)),
+                                    longest_wait);
 }
 
 double wanted_tokens(fleet_share& share, base::time_point now, base::time_point until)
--- a/src/limits/fleet_share.h
+++ b/src/limits/fleet_share.h
@@ -9,8 +9,8 @@
 namespace snipeshore::limits {
 
 /// The limit that the hosts divide among them. It uses most of the allowed overrun, since a limit
-/// in many parts wrongly refuses some requests; the rest is for what is in flight when a limit or the
-/// number of hosts changes.
+/// in many parts wrongly refuses some requests; the rest is for what is in flight when a limit or
+/// the number of hosts changes.
 fleet_limit with_overrun(const fleet_limit& limit, const allowed_overrun& overrun);
 
 /// Number of hosts that hold parts of the limit: all, or as many as get a whole token each. The
@@ -33,8 +33,8 @@
 /// Tokens that the host will probably lack until `until`; 0 if it has enough.
 double wanted_tokens(fleet_share& share, base::time_point now, base::time_point until);
 
-/// Takes up to `wanted` tokens out of the share for another host, keeping what the own requests will
-/// probably need until `until`. A gift that is lost on its way is lost for all, never doubled.
+/// Takes up to `wanted` tokens out of the share for another host, keeping what the own requests
+/// will probably need until `until`. A gift that is lost on its way is lost for all, never doubled.
 double give(fleet_share& share, double wanted, base::time_point now, base::time_point until);
 
 /// Takes a gift. What exceeds the own part of the burst may be used for `gift_life` only.
--- a/src/retries/types/next_step.h
+++ b/src/retries/types/next_step.h
@@ -18,12 +18,12 @@
 
 struct request_progress {
     bool idempotent = false;
-    unsigned max_attempts = 1;    ///< Targets that the request may be sent to.
-    unsigned sent = 0;            ///< Targets that it was sent to.
-    unsigned unsent = 0;          ///< Attempts that sent nothing.
-    bool may_have_run = false;    ///< After any attempt so far, the last one included.
-    base::duration left{0};       ///< Until the request's deadline.
-    base::duration expected{0};   ///< Typical time of one attempt.
+    unsigned max_attempts = 1;  ///< Targets that the request may be sent to.
+    unsigned sent = 0;          ///< Targets that it was sent to.
+    unsigned unsent = 0;        ///< Attempts that sent nothing.
+    bool may_have_run = false;  ///< After any attempt so far, the last one included.
+    base::duration left{0};     ///< Until the request's deadline.
+    base::duration expected{0}; ///< Typical time of one attempt.
 };
 
 /// Attempts without a connection after which the request is refused: each may take the connect
--- a/src/routing/tests/route_table_test.cpp
+++ b/src/routing/tests/route_table_test.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-routing::route make_route(const std::string& prefix, std::vector<routing::weighted_service> services)
+routing::route make_route(const std::string& prefix,
+                          std::vector<routing::weighted_service> services)
 {
     routing::route made;
     made.prefix = prefix;
@@ -67,7 +68,8 @@
 TEST_CASE("a split keeps its weights")
 {
     const routing::route route = make_route(
-        "/a/", {{base::service_id("x"), 90}, {base::service_id("none"), 0}, {base::service_id("y"), 10}});
+        "/a/",
+        {{base::service_id("x"), 90}, {base::service_id("none"), 0}, {base::service_id("y"), 10}});
     int to_y = 0;
     constexpr int total = 1000;
     for (int i = 0; i < total; ++i) {
--- a/src/rows/table_follower.cpp
+++ b/src/rows/table_follower.cpp
@@ -63,7 +63,8 @@
     }
     page& part = base::value_of(answer);
     // Changes between two pages are read again as changes after the first page's version.
-    m_partial_version = m_partial.empty() ? part.version : std::min(m_partial_version, part.version);
+    m_partial_version =
+        m_partial.empty() ? part.version : std::min(m_partial_version, part.version);
     std::move(part.rows.begin(), part.rows.end(), std::back_inserter(m_partial));
     if (part.has_more && !m_partial.empty()) {
         read_all(m_partial.back().key); // That row comes again; merging takes it once.
@@ -89,9 +90,9 @@
 
 void table_follower::read_changes()
 {
-    m_call = m_store.read_changes(
-        m_settings.table, m_copy.version, m_settings.wait,
-        [this](base::result<page> answer) { on_changes(std::move(answer)); });
+    m_call =
+        m_store.read_changes(m_settings.table, m_copy.version, m_settings.wait,
+                             [this](base::result<page> answer) { on_changes(std::move(answer)); });
 }
 
 void table_follower::on_changes(base::result<page> answer)
--- a/src/rows/table_follower.h
+++ b/src/rows/table_follower.h
@@ -60,7 +60,8 @@
     /// Whether the last call succeeded.
     bool is_in_touch() const;
 
-    /// Whether the own calls will soon show what a peer knows already, so that it need not be asked.
+    /// Whether the own calls will soon show what a peer knows already, so that it need not be
+    /// asked.
     bool is_expected_current(base::time_point now) const;
 
     /// When calls succeeded again after the last failure; start if there was none.
--- a/src/rows/tests/table_follower_test.cpp
+++ b/src/rows/tests/table_follower_test.cpp
@@ -50,8 +50,9 @@
             m_loop.stop();
             return nullptr;
         }
-        m_loop.schedule(base::boot_clock::now(),
-                        [done = std::move(done), next = std::move(answers.front())] { done(next); });
+        m_loop.schedule(
+            base::boot_clock::now(),
+            [done = std::move(done), next = std::move(answers.front())] { done(next); });
         answers.pop_front();
         return nullptr;
     }
@@ -68,11 +69,12 @@
     std::vector<std::string> seen;
     rows::follow_settings settings;
     settings.first_retry = 1ms;
-    rows::table_follower follower(loop, store, settings, [&](const std::vector<rows::row>& changes) {
-        for (const rows::row& change : changes) {
-            seen.push_back((change.removed ? "-" : "+") + change.key);
-        }
-    });
+    rows::table_follower follower(loop, store, settings,
+                                  [&](const std::vector<rows::row>& changes) {
+                                      for (const rows::row& change : changes) {
+                                          seen.push_back((change.removed ? "-" : "+") + change.key);
+                                      }
+                                  });
     SUBCASE("it reads all pages and then the changes after the first page")
     {
         store.answers = {rows::page{{{"a", "1", 3, false}}, true, 5},
@@ -80,8 +82,7 @@
                          rows::page{{{"b", "1", 6, false}, {"a", "", 7, true}}, false, 7}};
         follower.start();
         loop.run();
-        CHECK(store.calls ==
-              std::vector<std::string>{"read ", "read a", "changes 5", "changes 7"});
+        CHECK(store.calls == std::vector<std::string>{"read ", "read a", "changes 5", "changes 7"});
         CHECK(seen == std::vector<std::string>{"+a", "+b", "-a"});
     }
     SUBCASE("a lost history is read anew, and rows that vanished meanwhile are removed")
@@ -108,8 +109,8 @@
     SUBCASE("an answer older than what is known is not taken")
     {
         store.answers = {rows::page{{{"a", "1", 3, false}}, false, 5},
-                         base::error{base::error_kind::stale, "gone"},
-                         rows::page{{}, false, 2}, rows::page{{{"a", "1", 3, false}}, false, 6}};
+                         base::error{base::error_kind::stale, "gone"}, rows::page{{}, false, 2},
+                         rows::page{{{"a", "1", 3, false}}, false, 6}};
         follower.start();
         loop.run();
         CHECK(seen == std::vector<std::string>{"+a"});
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -2,12 +2,17 @@
 
 #include "base/time.h"
 
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <cctype>
 #include <chrono>
+#include <climits>
+#include <mutex>
 #include <unordered_map>
 
 namespace snipeshore::telemetry {
@@ -52,6 +57,42 @@
     return out;
 }
 
+/// Writes lines to a descriptor and never waits: a line that does not fit into a full pipe is
+/// dropped and counted.
+class dropping_sink final : public spdlog::sinks::base_sink<std::mutex> {
+public:
+    explicit dropping_sink(int descriptor) : m_descriptor(descriptor) {}
+
+protected:
+    void sink_it_(const spdlog::details::log_msg& message) override
+    {
+        spdlog::memory_buf_t formatted;
+        formatter_->format(message, formatted);
+        std::string line(formatted.data(), formatted.size());
+        if (m_dropped > 0) {
+            line.insert(line.size() - 1, " dropped_before=" + std::to_string(m_dropped));
+        }
+        // A pipe that is writable takes this much at once.
+        if (line.size() > PIPE_BUF) {
+            line.resize(PIPE_BUF - 1);
+            line += '\n';
+        }
+        pollfd ready{m_descriptor, POLLOUT, 0};
+        const bool is_writable = poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+        if (is_writable && write(m_descriptor, line.data(), line.size()) > 0) {
+            m_dropped = 0;
+        } else {
+            ++m_dropped;
+        }
+    }
+
+    void flush_() override {}
+
+private:
+    int m_descriptor;
+    std::uint64_t m_dropped = 0;
+};
+
 struct rate_window {
     base::time_point ends;
     std::uint64_t written = 0;
@@ -124,11 +165,11 @@
 
 void init_event_log(std::string_view process)
 {
-    auto logger = spdlog::stderr_logger_mt("events");
+    auto logger =
+        std::make_shared<spdlog::logger>("events", std::make_shared<dropping_sink>(STDERR_FILENO));
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l process=" + quote_if_needed(process) +
                             " %v",
                         spdlog::pattern_time_type::utc);
-    logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
 }
 
--- a/src/telemetry/event_log.h
+++ b/src/telemetry/event_log.h
@@ -25,7 +25,9 @@
     std::string value;
 };
 
-/// Prepares the log of this process. `process` becomes a pair of every line.
+/// Prepares the log of this process on the standard error. `process` becomes a pair of every line.
+/// A reader that does not keep up costs lines, never time: the next line then carries
+/// `dropped_before=N`.
 void init_event_log(std::string_view process);
 
 /// Logs an event with a stable name. Per name at most `max_events_per_second` lines are written;
--- a/src/telemetry/tests/telemetry_test.cpp
+++ b/src/telemetry/tests/telemetry_test.cpp
@@ -4,6 +4,10 @@
 #include <doctest/doctest.h>
 #include <prometheus/counter.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
 #include <string>
 
 using namespace snipeshore::telemetry;
@@ -40,3 +44,35 @@
     CHECK(text.find("account=\"1999\"") == std::string::npos);
     CHECK(text.find("requests_total{account=\"0\"} 1") != std::string::npos);
 }
+
+// Guards against a log whose reader has stopped and that then stops the process with it.
+TEST_CASE("a full pipe costs lines and no time")
+{
+    std::array<int, 2> ends{};
+    REQUIRE(pipe(ends.data()) == 0);
+    const int standard_error = dup(STDERR_FILENO);
+    dup2(ends[1], STDERR_FILENO);
+    init_event_log("test");
+    const std::string long_value(1000, 'x');
+    // Each name has a limit of its own; together they exceed what a pipe takes.
+    for (int name = 0; name < 20; ++name) {
+        for (std::uint64_t line = 0; line < max_events_per_second; ++line) {
+            log_event(severity::info, "event_" + std::to_string(name), {{"value", long_value}});
+        }
+    }
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    std::string text;
+    std::array<char, 65536> piece{};
+    for (auto size = read(ends[0], piece.data(), piece.size()); size > 0;
+         size = read(ends[0], piece.data(), piece.size())) {
+        text.append(piece.data(), static_cast<std::size_t>(size));
+    }
+    CHECK(text.size() < 1'000'000);
+    log_event(severity::info, "after", {});
+    const auto size = read(ends[0], piece.data(), piece.size());
+    dup2(standard_error, STDERR_FILENO);
+    REQUIRE(size > 0);
+    const std::string last(piece.data(), static_cast<std::size_t>(size));
+    CHECK(last.find("event=after") != std::string::npos);
+    CHECK(last.find("dropped_before=") != std::string::npos);
+}
