Soak real host processes under random faults

Change: tests/soak runs real snipeshore-host processes against a stand-in of the store and targets that cut, lose, mix, reject, delay and swallow answers; hosts are killed, stopped, paused and reloaded, the store is busy, silent or loses answers; keys, configurations and targets change. Checked while it runs: at most once, true refusals, whole answers, quota, keys, drains, ends within the grace time.

--- /dev/null
+++ b/tests/soak/soak_target.cpp
@@ -0,0 +1,113 @@
+#include "tests/soak/soak_target.h"
+
+#include "http/exchange.h"
+#include "http/loop.h"
+
+#include <stdexcept>
+
+namespace snipeshore::soak {
+
+namespace {
+
+constexpr std::size_t body_bytes = 3000;
+constexpr std::chrono::milliseconds work_time{5};
+constexpr std::chrono::milliseconds slow_time{400};
+
+std::string header_of(const http::exchange& request, std::string_view name)
+{
+    return std::string(http::find_header(request.head().headers, name).value_or(""));
+}
+
+} // namespace
+
+std::string good_body(const std::string& request_id)
+{
+    std::string body;
+    while (body.size() < body_bytes) {
+        body += request_id + "/";
+    }
+    return body;
+}
+
+soak_target::soak_target(http::loop& loop, std::string id, promises& seen, std::uint64_t seed)
+    : m_loop(loop), m_id(std::move(id)), m_seen(seen), m_random(seed),
+      m_server(loop, [this](const std::shared_ptr<http::exchange>& request) { handle(request); })
+{
+    http::server_settings settings;
+    settings.address = "127.0.0.1:0";
+    if (!base::is_ok(m_server.listen(settings))) {
+        throw std::runtime_error("a target cannot listen");
+    }
+}
+
+std::string soak_target::row(std::uint64_t sequence) const
+{
+    return R"({"service":"svc","zone":"z1","slots":8,"born":1,"state":")" +
+           std::string(is_leaving ? "draining" : "ready") + R"(","sequence":)" +
+           std::to_string(sequence) + R"(,"address":")" + m_server.bound_address() + "\"}";
+}
+
+const std::string& soak_target::id() const
+{
+    return m_id;
+}
+
+void soak_target::handle(const std::shared_ptr<http::exchange>& request)
+{
+    const std::string meant_for = header_of(*request, "x-target-instance");
+    if (!meant_for.empty() && meant_for != m_id) {
+        http::response_head head;
+        head.status = 421;
+        request->answer(head, "");
+        return;
+    }
+    if (!header_of(*request, "x-key").empty()) {
+        m_seen.on_wrong("key: passed on to " + m_id);
+    }
+    if (base::boot_clock::now() > last_allowed) {
+        m_seen.on_wrong("drain: " + m_id + " got a request after it left");
+    }
+    const bool is_faulty = m_random() % 3 == 0;
+    if (is_faulty && fault == target_fault::rejects) {
+        http::response_head head;
+        head.status = 503;
+        head.headers.push_back({"x-not-executed", "1"});
+        request->answer(head, "");
+        return;
+    }
+    run(request);
+}
+
+void soak_target::run(const std::shared_ptr<http::exchange>& request)
+{
+    const std::string id = header_of(*request, "x-attempt-id");
+    m_seen.on_run(id, request->head().path.starts_with("/once/"),
+                  header_of(*request, "x-tenant") == "small", base::boot_clock::now());
+    const bool is_faulty = m_random() % 3 == 0;
+    const target_fault now = is_faulty ? fault : target_fault::none;
+    if (now == target_fault::silent) {
+        m_silent.insert(request);
+        return;
+    }
+    if (now == target_fault::loses_answers) {
+        request->abort();
+        return;
+    }
+    const auto delay = now == target_fault::slow ? slow_time : work_time;
+    m_loop.schedule(base::boot_clock::now() + delay, [request, id, now] {
+        http::response_head head;
+        head.headers.push_back({"x-response-seal", "sealed"});
+        head.headers.push_back({"x-attempt-id", now == target_fault::mixes ? "another" : id});
+        const std::string body = good_body(id);
+        if (now == target_fault::cuts) {
+            head.content_length = body.size();
+            request->start_answer(head);
+            request->write(body.substr(0, body.size() / 2));
+            request->abort();
+            return;
+        }
+        request->answer(head, body);
+    });
+}
+
+} // namespace snipeshore::soak
--- /dev/null
+++ b/tests/soak/store_service.cpp
@@ -0,0 +1,144 @@
+#include "tests/soak/store_service.h"
+
+#include "http/exchange.h"
+
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+#include <map>
+#include <stdexcept>
+
+namespace snipeshore::soak {
+
+namespace {
+
+using nlohmann::json;
+
+/// Enough for the calls of all hosts; older ones have been answered.
+constexpr std::size_t kept_calls = 2000;
+
+std::map<std::string, std::string> query_of(const std::string& path)
+{
+    std::map<std::string, std::string> fields;
+    std::string_view rest = std::string_view(path).substr(std::min(path.find('?'), path.size()));
+    while (!rest.empty()) {
+        rest.remove_prefix(1);
+        const std::size_t end = std::min(rest.find('&'), rest.size());
+        const std::string_view pair = rest.substr(0, end);
+        const std::size_t equals = std::min(pair.find('='), pair.size());
+        fields[std::string(pair.substr(0, equals))] =
+            std::string(pair.substr(std::min(equals + 1, pair.size())));
+        rest.remove_prefix(end);
+    }
+    return fields;
+}
+
+std::string encode(const std::string& bytes)
+{
+    std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+    sodium_bin2base64(text.data(), text.size(),
+                      reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+                      sodium_base64_VARIANT_ORIGINAL);
+    text.resize(text.size() - 1);
+    return text;
+}
+
+std::string decode(const std::string& text)
+{
+    std::string bytes(text.size(), '\0');
+    std::size_t size = 0;
+    sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(),
+                      text.size(), nullptr, &size, nullptr, sodium_base64_VARIANT_ORIGINAL);
+    bytes.resize(size);
+    return bytes;
+}
+
+void answer(const std::shared_ptr<http::exchange>& request, int status, const std::string& body)
+{
+    http::response_head head;
+    head.status = status;
+    request->answer(head, body);
+}
+
+std::string page_text(const rows::page& page)
+{
+    json made{{"rows", json::array()}, {"hasMore", false}, {"ver", page.version}};
+    for (const rows::row& row : page.rows) {
+        json one{{"key", row.key}, {"ver", row.version}};
+        if (row.removed) {
+            one["removed"] = true;
+        } else {
+            one["value"] = encode(row.value);
+        }
+        made["rows"].push_back(one);
+    }
+    return made.dump();
+}
+
+} // namespace
+
+store_service::store_service(http::loop& loop)
+    : rows(loop),
+      m_server(loop, [this](const std::shared_ptr<http::exchange>& request) { handle(request); })
+{
+    http::server_settings settings;
+    settings.address = "127.0.0.1:0";
+    if (!base::is_ok(m_server.listen(settings))) {
+        throw std::runtime_error("the store cannot listen");
+    }
+}
+
+std::string store_service::address() const
+{
+    return m_server.bound_address();
+}
+
+void store_service::handle(const std::shared_ptr<http::exchange>& request)
+{
+    if (fault == store_fault::busy) {
+        answer(request, 503, "");
+        return;
+    }
+    if (fault == store_fault::silent) {
+        m_unanswered.push_back(request);
+        return;
+    }
+    const std::string& path = request->head().path;
+    if (path.starts_with("/v1/rows-tx")) {
+        handle_write(request);
+        return;
+    }
+    auto fields = query_of(path);
+    const auto done = [request](const base::result<rows::page>& page) {
+        answer(request, base::is_ok(page) ? 200 : 503,
+               base::is_ok(page) ? page_text(base::value_of(page)) : "");
+    };
+    if (m_calls.size() > kept_calls) {
+        m_calls.erase(m_calls.begin(), m_calls.begin() + kept_calls / 2);
+    }
+    if (path.starts_with("/v1/rows-get")) {
+        m_calls.push_back(rows.read(fields["table"], "", done));
+        return;
+    }
+    m_calls.push_back(rows.read_changes(fields["table"], std::stoull(fields["after"]),
+                                        std::chrono::milliseconds(std::stoul(fields["waitMs"])),
+                                        done));
+}
+
+void store_service::handle_write(const std::shared_ptr<http::exchange>& request)
+{
+    const json body = json::parse(request->body());
+    for (const json& put : body.at("puts")) {
+        rows.set(put.at("table"), put.at("key"), decode(put.at("value")));
+    }
+    for (const json& removal : body.at("remove")) {
+        rows.set(removal.at("table"), removal.at("key"), std::nullopt);
+    }
+    if (fault == store_fault::loses_answers) {
+        m_unanswered.push_back(request);
+        return;
+    }
+    answer(request, 200, "{}");
+}
+
+} // namespace snipeshore::soak
