--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -31,13 +31,13 @@
 constexpr std::chrono::milliseconds operator_wait{4000};
 
 /// Targets report all the time: one call collects the changes of this time. A target that leaves
-/// has to be known within two seconds.
-constexpr std::chrono::milliseconds target_pause{1000};
+/// has to be known within two seconds, also when the reader of the failure domain has just ended.
+constexpr std::chrono::milliseconds target_pause{700};
 
 constexpr std::chrono::milliseconds host_wait{8000};
 
 /// Between calls to a store that fails: each costs, and it may be back at any moment.
-constexpr std::chrono::milliseconds first_retry{200};
+constexpr std::chrono::milliseconds first_retry{100};
 constexpr std::chrono::milliseconds longest_retry{1000};
 
 /// A listed host that was silent for this long is not counted any more: longer than any host stays
--- a/src/apps/host/relay_store.cpp
+++ b/src/apps/host/relay_store.cpp
@@ -13,15 +13,19 @@
 
 namespace {
 
-/// A change waits for the reader's own poll at most; the call is renewed after this time.
-constexpr std::chrono::milliseconds relay_wait{4000};
+/// The reader answers at once when there is a change, and else after this time: a reader that went
+/// silent has to be noticed well before a target that leaves must get nothing more.
+constexpr std::chrono::milliseconds relay_wait{500};
 
 /// Added to the wait; hosts of a failure domain are less than a millisecond apart.
-constexpr std::chrono::milliseconds relay_timeout{800};
+constexpr std::chrono::milliseconds relay_timeout{300};
 
 /// A reader that failed may be busy or cut off from the store itself.
 constexpr std::chrono::milliseconds avoid_reader_for{3000};
 
+/// Part of the wait at the store that a relayed call waits.
+constexpr int slow_table_part = 2;
+
 class relayed_call final : public rows::store_call {
 public:
     explicit relayed_call(std::unique_ptr<http::client_call> call) : m_call(std::move(call)) {}
@@ -54,9 +58,11 @@
     if (!reader.has_value() || now < m_store_until) {
         return m_store.read_changes(table, after, wait, std::move(done));
     }
-    const std::string path = rows_path(table, after, relay_wait);
+    // Tables that change rarely are also compared with every message between hosts.
+    const std::chrono::milliseconds pushed_wait = std::max(relay_wait, wait / slow_table_part);
+    const std::string path = rows_path(table, after, pushed_wait);
     return std::make_unique<relayed_call>(m_context.client.fetch(
-        make_peer_request(reader->control_address, "GET", path, relay_wait + relay_timeout),
+        make_peer_request(reader->control_address, "GET", path, pushed_wait + relay_timeout),
         max_update_bytes,
         [this, reader = reader->id.value(), done = std::move(done)](
             const base::result<std::pair<http::response_head, std::string>>& reply, bool /*sent*/) {
@@ -78,7 +84,7 @@
                 done(base::error{base::error_kind::stale, "reader has not the history"});
                 return;
             }
-            done(rows::page{news.rows, false, news.version});
+            done(rows::page{news.rows, false, news.version, true});
             return;
         }
         failure.detail = base::error_of(update).detail;
--- a/src/apps/host/tests/host_fixture.cpp
+++ b/src/apps/host/tests/host_fixture.cpp
@@ -29,7 +29,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
+    REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
     getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
     close(descriptor);
     return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
--- a/src/rows/table_follower.cpp
+++ b/src/rows/table_follower.cpp
@@ -116,7 +116,7 @@
     if (!changes.empty()) {
         m_on_change(changes);
     }
-    schedule_next(m_settings.pause);
+    schedule_next(part.is_pushed ? std::chrono::milliseconds{0} : m_settings.pause);
 }
 
 void table_follower::on_failure(const base::error& failure)
--- a/src/rows/tests/table_follower_test.cpp
+++ b/src/rows/tests/table_follower_test.cpp
@@ -115,4 +115,17 @@
         loop.run();
         CHECK(seen == std::vector<std::string>{"+a"});
     }
+    SUBCASE(
+        "a source that pushes changes is asked again at once, or its pause would add to its own")
+    {
+        rows::follow_settings paused = settings;
+        paused.pause = 1h;
+        rows::table_follower other(loop, store, paused, [](const std::vector<rows::row>&) {});
+        store.answers = {rows::page{{}, false, 5}};
+        other.start();
+        loop.schedule(base::boot_clock::now() + 1ms, [&] { other.restart(); });
+        store.answers.push_back(rows::page{{}, false, 6, true});
+        loop.run();
+        CHECK(store.calls.back() == "changes 6");
+    }
 }
--- a/src/rows/types/row.h
+++ b/src/rows/types/row.h
@@ -20,6 +20,8 @@
     std::vector<row> rows;
     bool has_more = false;
     std::uint64_t version = 0; ///< Newest version in the store when it answered.
+    /// The source passes changes on when they come: it is asked again without a pause.
+    bool is_pushed = false;
 };
 
 } // namespace snipeshore::rows
--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -75,11 +75,11 @@
             CHECK_MESSAGE(page.find(row) != std::string::npos, row);
         }
     }
-    SUBCASE("every metric in the alert rules and in docs/operations.md is exported")
+    SUBCASE("every metric in the alert rules and in docs/OPERATIONS.md is exported")
     {
         const std::string sources = sources_of_metrics();
         const std::string pages =
-            read_source("deploy/prometheus/alerts.yml") + read_source("docs/operations.md");
+            read_source("deploy/prometheus/alerts.yml") + read_source("docs/OPERATIONS.md");
         const auto names = matches(pages, "snipeshore_[a-z_]+", 0);
         CHECK(names.size() > 5);
         for (std::string name : names) {
@@ -88,10 +88,10 @@
             CHECK_MESSAGE(sources.find("\"" + name + "\"") != std::string::npos, name);
         }
     }
-    SUBCASE("every flag in docs/operations.md and the units exists")
+    SUBCASE("every flag in docs/OPERATIONS.md and the units exists")
     {
         const std::set<std::string> flags = defined_flags();
-        const std::string page = read_source("docs/operations.md");
+        const std::string page = read_source("docs/OPERATIONS.md");
         const auto named = matches(page, "--([a-z][a-z_]+)", 1);
         CHECK(named.size() > 5);
         for (const std::string& name : named) {
