--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -80,7 +80,10 @@
          run_undrain},
         {"status", "status", "shows the versions in force on each program",
          "Reads the state dump of each admin address.", run_status},
-        {"dump", "dump", "prints the state dumps of the programs as JSON", "", run_dump}};
+        {"dump", "dump", "prints the state dumps of the programs as JSON", "", run_dump},
+        {"explain", "explain ID FILE...", "prints what the logs tell about a request",
+         "Lines of the request and of the targets it was sent to, in the order of time.",
+         run_explain}};
     return commands;
 }
 
--- a/src/apps/ctl/commands.h
+++ b/src/apps/ctl/commands.h
@@ -35,5 +35,6 @@
 exit_code run_undrain(const command_context& context);
 exit_code run_status(const command_context& context);
 exit_code run_dump(const command_context& context);
+exit_code run_explain(const command_context& context);
 
 } // namespace snipeshore::apps
