Name the document store for what it is

Cause: src/platform was the product's own narrow interface to rows and objects, and the adapter's folder has the same name. Change: package store with document_store and http_store; no behaviour changes.

--- a/src/apps/agent/agent_app.cpp
+++ b/src/apps/agent/agent_app.cpp
@@ -19,9 +19,9 @@
 // Lets the replies to local processes, which carry the record as leaving, reach the sockets.
 constexpr std::chrono::milliseconds finish_delay{100};
 
-platform::store_settings store_settings_of(const agent_app_settings& settings)
+store::store_settings store_settings_of(const agent_app_settings& settings)
 {
-    platform::store_settings store;
+    store::store_settings store;
     store.address = settings.platform_address;
     store.client_id = settings.core.self.host.value();
     return store;
--- a/src/apps/agent/agent_app.h
+++ b/src/apps/agent/agent_app.h
@@ -5,7 +5,7 @@
 #include "apps/agent/node_calls.h"
 #include "apps/common/admin_server.h"
 #include "inner/node.h"
-#include "platform/http_store.h"
+#include "store/http_store.h"
 #include "telemetry/metrics.h"
 
 #include <chrono>
@@ -45,7 +45,7 @@
     telemetry::metrics m_metrics;
     inner::node m_node;
     node_calls m_calls;
-    platform::http_store m_store;
+    store::http_store m_store;
     agent_core m_core;
     admin_server m_admin;
     bool m_is_stopping = false;
--- a/src/apps/agent/agent_core.cpp
+++ b/src/apps/agent/agent_core.cpp
@@ -39,7 +39,7 @@
 
 } // namespace
 
-agent_core::agent_core(agent_settings settings, platform::store& store, peer_calls& peers,
+agent_core::agent_core(agent_settings settings, store::document_store& store, peer_calls& peers,
                        agent_callbacks callbacks)
     : m_settings(std::move(settings)), m_peers(peers), m_callbacks(std::move(callbacks)),
       m_poller(store, m_documents, {},
--- a/src/apps/agent/agent_core.h
+++ b/src/apps/agent/agent_core.h
@@ -20,8 +20,8 @@
 #include <string>
 #include <vector>
 
-namespace snipeshore::platform {
-class store;
+namespace snipeshore::store {
+class document_store;
 }
 
 namespace snipeshore::apps {
@@ -53,7 +53,7 @@
 /// on one thread.
 class agent_core {
 public:
-    agent_core(agent_settings settings, platform::store& store, peer_calls& peers,
+    agent_core(agent_settings settings, store::document_store& store, peer_calls& peers,
                agent_callbacks callbacks);
     ~agent_core();
     agent_core(const agent_core&) = delete;
--- a/src/apps/agent/store_poller.cpp
+++ b/src/apps/agent/store_poller.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-store_poller::store_poller(platform::store& store, document_set& documents,
+store_poller::store_poller(store::document_store& store, document_set& documents,
                            poller_settings settings, poller_callbacks callbacks)
     : m_store(store), m_documents(documents), m_settings(settings),
       m_callbacks(std::move(callbacks))
@@ -72,7 +72,7 @@
         return;
     }
     m_store.read_row(documents::row_key(name),
-                     guarded([this, name, now](const base::result<platform::row>& row) {
+                     guarded([this, name, now](const base::result<store::row>& row) {
                          if (base::is_ok(row) || answered(base::error_of(row))) {
                              m_callbacks.on_contact(now);
                          }
@@ -80,7 +80,7 @@
                      }));
 }
 
-void store_poller::on_row(const std::string& name, const base::result<platform::row>& row)
+void store_poller::on_row(const std::string& name, const base::result<store::row>& row)
 {
     const documents::replica& held = m_documents.get(name);
     const bool missing = base::is_ok(row) ? base::value_of(row).version == 0
@@ -201,7 +201,7 @@
         return;
     }
     m_store.list_hosts(
-        guarded([this, now](const base::result<std::vector<platform::listed_host>>& hosts) {
+        guarded([this, now](const base::result<std::vector<store::listed_host>>& hosts) {
             m_listing = false;
             if (base::is_ok(hosts)) {
                 m_callbacks.on_contact(now);
@@ -210,10 +210,10 @@
         }));
 }
 
-void store_poller::on_list(const base::result<std::vector<platform::listed_host>>& hosts)
+void store_poller::on_list(const base::result<std::vector<store::listed_host>>& hosts)
 {
     m_seeds.clear();
-    for (const platform::listed_host& host : base::value_of(hosts)) {
+    for (const store::listed_host& host : base::value_of(hosts)) {
         m_seeds.push_back({base::host_id(host.host_id),
                            base::failure_domain_id(host.failure_domain), host.agent_address});
     }
--- a/src/apps/agent/store_poller.h
+++ b/src/apps/agent/store_poller.h
@@ -4,7 +4,7 @@
 #include "base/time.h"
 #include "documents/types/publication.h"
 #include "membership/peers.h"
-#include "platform/store.h"
+#include "store/document_store.h"
 
 #include <functional>
 #include <map>
@@ -32,7 +32,7 @@
 /// At most one read per document and one of the list are pending. Belongs to the owner's thread.
 class store_poller {
 public:
-    store_poller(platform::store& store, document_set& documents, poller_settings settings,
+    store_poller(store::document_store& store, document_set& documents, poller_settings settings,
                  poller_callbacks callbacks);
     ~store_poller();
     store_poller(const store_poller&) = delete;
@@ -61,18 +61,18 @@
     struct fetch;
 
     void read_row(const std::string& name, base::time_point now);
-    void on_row(const std::string& name, const base::result<platform::row>& row);
+    void on_row(const std::string& name, const base::result<store::row>& row);
     void start_fetch(const std::string& name, documents::publication record);
     void fetch_patch(const std::shared_ptr<fetch>& job);
     void fetch_text(const std::shared_ptr<fetch>& job);
     void finish(const std::string& name, bool installed);
     void set_state(const std::string& name, documents::store_state state);
     void read_list(base::time_point now);
-    void on_list(const base::result<std::vector<platform::listed_host>>& hosts);
+    void on_list(const base::result<std::vector<store::listed_host>>& hosts);
     template <typename Callback>
     auto guarded(Callback callback);
 
-    platform::store& m_store;
+    store::document_store& m_store;
     document_set& m_documents;
     poller_settings m_settings;
     poller_callbacks m_callbacks;
--- a/src/apps/agent/tests/fake_store.h
+++ b/src/apps/agent/tests/fake_store.h
@@ -3,7 +3,7 @@
 
 #include "documents/publishing.h"
 #include "documents/text.h"
-#include "platform/store.h"
+#include "store/document_store.h"
 
 #include <deque>
 #include <functional>
@@ -14,7 +14,7 @@
 namespace snipeshore::apps {
 
 /// Answers at once, or later when `hold` is set.
-class fake_store final : public platform::store {
+class fake_store final : public store::document_store {
 public:
     void read_row(const std::string& key, row_callback done) override
     {
@@ -25,7 +25,7 @@
                 return;
             }
             const auto found = rows.find(key);
-            done(found == rows.end() ? platform::row{key, "", 0} : found->second);
+            done(found == rows.end() ? store::row{key, "", 0} : found->second);
         });
     }
 
@@ -101,9 +101,9 @@
     bool hold = false;
     std::size_t row_reads = 0;
     std::deque<std::string> read_objects;
-    std::map<std::string, platform::row> rows;
+    std::map<std::string, store::row> rows;
     std::map<std::string, std::string> objects;
-    std::vector<platform::listed_host> hosts;
+    std::vector<store::listed_host> hosts;
 
 private:
     static base::error unavailable()
--- a/src/apps/ctl/document_access.cpp
+++ b/src/apps/ctl/document_access.cpp
@@ -21,7 +21,7 @@
     if (context.options.platform.empty()) {
         return nullptr;
     }
-    platform::store_settings settings;
+    store::store_settings settings;
     settings.address = context.options.platform;
     settings.client_id = context.options.client_id;
     settings.deadline = context.options.call_deadline;
--- a/src/apps/ctl/fleet_commands.cpp
+++ b/src/apps/ctl/fleet_commands.cpp
@@ -86,7 +86,7 @@
     if (!context.arguments.empty()) {
         return usage_error(context, "no arguments expected");
     }
-    platform::store_settings settings;
+    store::store_settings settings;
     settings.address = context.options.platform;
     settings.client_id = context.options.client_id;
     settings.deadline = context.options.call_deadline;
--- a/src/apps/ctl/publication.cpp
+++ b/src/apps/ctl/publication.cpp
@@ -27,7 +27,7 @@
     return row.record ? row.record->version.value() : 0;
 }
 
-base::result<documents::published_row> read_state(const platform::row& row)
+base::result<documents::published_row> read_state(const store::row& row)
 {
     documents::published_row state;
     if (row.version == 0) {
--- a/src/apps/ctl/publication.h
+++ b/src/apps/ctl/publication.h
@@ -3,7 +3,7 @@
 
 #include "apps/ctl/types/publication.h"
 #include "base/result.h"
-#include "platform/types/row.h"
+#include "store/types/row.h"
 
 #include <string>
 #include <string_view>
@@ -15,7 +15,7 @@
 std::uint64_t version_of(const documents::published_row& row);
 
 /// The row as it was read from the store. A malformed value is `document_invalid`.
-base::result<documents::published_row> read_state(const platform::row& row);
+base::result<documents::published_row> read_state(const store::row& row);
 
 /// Decides what to write, or that the publication ends without a write. `base_text` is the text in
 /// force, empty if it cannot be read. `taken_version` is the highest version whose object name
--- a/src/apps/ctl/store_session.cpp
+++ b/src/apps/ctl/store_session.cpp
@@ -19,12 +19,12 @@
 
 struct store_session::impl {
     http::loop loop;
-    std::optional<platform::http_store> store;
+    std::optional<store::http_store> store;
     std::optional<http::client> client;
     std::unique_ptr<http::client_call> page_call;
     std::thread thread;
 
-    explicit impl(platform::store_settings settings)
+    explicit impl(store::store_settings settings)
     {
         store.emplace(loop, std::move(settings));
         client.emplace(loop, http::client_settings{});
@@ -51,23 +51,23 @@
     }
 };
 
-store_session::store_session(platform::store_settings settings)
+store_session::store_session(store::store_settings settings)
     : m_impl(std::make_unique<impl>(std::move(settings)))
 {}
 
 store_session::~store_session() = default;
 
-base::result<platform::row> store_session::read_row(const std::string& key)
+base::result<store::row> store_session::read_row(const std::string& key)
 {
-    return m_impl->wait_for<base::result<platform::row>>(
+    return m_impl->wait_for<base::result<store::row>>(
         [&](auto done) { m_impl->store->read_row(key, std::move(done)); });
 }
 
-base::result<platform::row> store_session::write_row(const std::string& key,
-                                                     std::uint64_t expected_version,
-                                                     const std::string& value)
+base::result<store::row> store_session::write_row(const std::string& key,
+                                                  std::uint64_t expected_version,
+                                                  const std::string& value)
 {
-    return m_impl->wait_for<base::result<platform::row>>([&](auto done) {
+    return m_impl->wait_for<base::result<store::row>>([&](auto done) {
         m_impl->store->write_row(key, expected_version, value, std::move(done));
     });
 }
--- a/src/apps/ctl/store_session.h
+++ b/src/apps/ctl/store_session.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/result.h"
-#include "platform/http_store.h"
+#include "store/http_store.h"
 
 #include <chrono>
 #include <cstdint>
@@ -14,16 +14,16 @@
 /// Owns a loop on a thread of its own. For one caller at a time.
 class store_session {
 public:
-    explicit store_session(platform::store_settings settings);
+    explicit store_session(store::store_settings settings);
     ~store_session();
     store_session(const store_session&) = delete;
     store_session& operator=(const store_session&) = delete;
     store_session(store_session&&) = delete;
     store_session& operator=(store_session&&) = delete;
 
-    base::result<platform::row> read_row(const std::string& key);
-    base::result<platform::row> write_row(const std::string& key, std::uint64_t expected_version,
-                                          const std::string& value);
+    base::result<store::row> read_row(const std::string& key);
+    base::result<store::row> write_row(const std::string& key, std::uint64_t expected_version,
+                                       const std::string& value);
     base::result<std::string> read_object(const std::string& name);
     base::status write_object(const std::string& name, const std::string& content);
 
--- a/src/apps/ctl/tests/platform_thread.h
+++ b/src/apps/ctl/tests/platform_thread.h
@@ -40,9 +40,9 @@
         return m_address;
     }
 
-    platform::store_settings store_settings() const
+    store::store_settings store_settings() const
     {
-        platform::store_settings settings;
+        store::store_settings settings;
         settings.address = m_address;
         settings.client_id = "test";
         settings.deadline = std::chrono::seconds(20);
--- a/src/platform/store.h
+++ b/src/store/document_store.h
@@ -2,25 +2,25 @@
 #pragma once
 
 #include "base/result.h"
-#include "platform/types/row.h"
+#include "store/types/row.h"
 
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
-namespace snipeshore::platform {
+namespace snipeshore::store {
 
 /// Asynchronous; callbacks come on the owner's thread. Errors: `store_unavailable` (had no effect),
 /// `store_unknown` (a write may have taken effect), `version_conflict`, `not_found`.
-class store {
+class document_store {
 public:
-    store() = default;
-    virtual ~store() = default;
-    store(const store&) = delete;
-    store& operator=(const store&) = delete;
-    store(store&&) = delete;
-    store& operator=(store&&) = delete;
+    document_store() = default;
+    virtual ~document_store() = default;
+    document_store(const document_store&) = delete;
+    document_store& operator=(const document_store&) = delete;
+    document_store(document_store&&) = delete;
+    document_store& operator=(document_store&&) = delete;
 
     using row_callback = std::function<void(base::result<row>)>;
     using text_callback = std::function<void(base::result<std::string>)>;
@@ -43,4 +43,4 @@
     virtual void list_hosts(hosts_callback done) = 0;
 };
 
-} // namespace snipeshore::platform
+} // namespace snipeshore::store
--- a/src/platform/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -1,13 +1,13 @@
-#include "platform/http_store.h"
+#include "store/http_store.h"
 
 #include "http/client.h"
 #include "http/loop.h"
-#include "platform/internal/replies.h"
+#include "store/internal/replies.h"
 
 #include <unordered_map>
 #include <utility>
 
-namespace snipeshore::platform {
+namespace snipeshore::store {
 
 using internal::call_kind;
 
@@ -183,4 +183,4 @@
     return m_impl->calls.size();
 }
 
-} // namespace snipeshore::platform
+} // namespace snipeshore::store
--- a/src/platform/http_store.h
+++ b/src/store/http_store.h
@@ -1,7 +1,7 @@
 /// @file The platform's store over HTTP.
 #pragma once
 
-#include "platform/store.h"
+#include "store/document_store.h"
 
 #include <chrono>
 #include <cstddef>
@@ -12,7 +12,7 @@
 class loop;
 } // namespace snipeshore::http
 
-namespace snipeshore::platform {
+namespace snipeshore::store {
 
 struct store_settings {
     std::string address;   ///< "ip:port"
@@ -26,7 +26,7 @@
 ///
 /// A call that was not sent ends with `store_unavailable`. A write that was sent and got no valid
 /// reply, or a reply that leaves open whether it took effect, ends with `store_unknown`.
-class http_store final : public store {
+class http_store final : public document_store {
 public:
     http_store(http::loop& owner, store_settings settings);
     ~http_store() override;
@@ -50,4 +50,4 @@
     std::shared_ptr<impl> m_impl;
 };
 
-} // namespace snipeshore::platform
+} // namespace snipeshore::store
--- a/src/platform/internal/replies.h
+++ b/src/store/internal/replies.h
@@ -2,12 +2,12 @@
 #pragma once
 
 #include "base/result.h"
-#include "platform/types/row.h"
+#include "store/types/row.h"
 
 #include <string>
 #include <vector>
 
-namespace snipeshore::platform::internal {
+namespace snipeshore::store::internal {
 
 enum class call_kind { read, write };
 
@@ -26,4 +26,4 @@
 /// Whether a key or name can stand in a request path as it is.
 bool is_store_name(const std::string& name);
 
-} // namespace snipeshore::platform::internal
+} // namespace snipeshore::store::internal
--- a/src/platform/replies.cpp
+++ b/src/store/replies.cpp
@@ -1,11 +1,11 @@
-#include "platform/internal/replies.h"
+#include "store/internal/replies.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cctype>
 
-namespace snipeshore::platform::internal {
+namespace snipeshore::store::internal {
 
 namespace {
 
@@ -96,4 +96,4 @@
     });
 }
 
-} // namespace snipeshore::platform::internal
+} // namespace snipeshore::store::internal
--- a/src/platform/tests/http_store_test.cpp
+++ b/src/store/tests/http_store_test.cpp
@@ -1,7 +1,7 @@
-#include "platform/http_store.h"
+#include "store/http_store.h"
 
 #include "http/loop.h"
-#include "platform/internal/replies.h"
+#include "store/internal/replies.h"
 #include "tests/standins/platform/platform_server.h"
 
 #include <doctest/doctest.h>
@@ -10,7 +10,7 @@
 #include <optional>
 
 using namespace snipeshore;
-using namespace snipeshore::platform;
+using namespace snipeshore::store;
 
 namespace {
 
@@ -265,7 +265,7 @@
 // Guards against a status or body that claims more than is known.
 TEST_CASE("replies that leave the outcome open")
 {
-    using namespace snipeshore::platform::internal;
+    using namespace snipeshore::store::internal;
     CHECK(error_of_status(call_kind::write, 500).kind == base::error_kind::store_unknown);
     CHECK(error_of_status(call_kind::write, 503).kind == base::error_kind::store_unknown);
     CHECK(error_of_status(call_kind::read, 503).kind == base::error_kind::store_unavailable);
--- a/src/platform/types/row.h
+++ b/src/store/types/row.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string>
 
-namespace snipeshore::platform {
+namespace snipeshore::store {
 
 /// Row of the transactional table. Version 0 means that there is no such row.
 struct row {
@@ -21,4 +21,4 @@
     bool leaving = false;
 };
 
-} // namespace snipeshore::platform
+} // namespace snipeshore::store
