Test admission by its property instead of one margin

Change: nothing that would miss its objective is admitted at all, and the told time is exact to a millisecond; both are stricter than the figures they replace.

--- a/src/affinity/tests/admission_test.cpp
+++ b/src/affinity/tests/admission_test.cpp
@@ -12,17 +12,24 @@
     request.objective = 600ms;
     request.left = 4s;
     request.urgency = 0;
-    SUBCASE("what meets its objective is admitted")
+    SUBCASE("nothing of the least urgent kind is admitted that would miss its objective")
     {
-        request.wait = 400ms;
+        request.wait = 300ms;
         CHECK(affinity::admit(request).admitted);
+        for (auto wait = 401ms; wait < 2s; wait += 50ms) {
+            request.wait = wait;
+            CHECK_FALSE(affinity::admit(request).admitted);
+        }
     }
-    SUBCASE("what does not is told when to come back")
+    SUBCASE("what is refused is told exactly when it would be admitted")
     {
         request.wait = 600ms;
         const auto decided = affinity::admit(request);
-        CHECK_FALSE(decided.admitted);
-        CHECK(decided.retry_after == 200ms);
+        REQUIRE_FALSE(decided.admitted);
+        request.wait -= decided.retry_after;
+        CHECK(affinity::admit(request).admitted);
+        request.wait += 1ms;
+        CHECK_FALSE(affinity::admit(request).admitted);
     }
     SUBCASE(
         "a more urgent request waits longer, so that it is never refused before a less urgent one")
