Find requests that crash their targets, over the fleet

Cause: a request that crashes each target which runs it was sent on as often as its caller repeated it; docs/platform.md listed it as open. Change: a broken connection to a target that then takes none counts as a crash; reports travel with the hosts' messages; after three crashes without an answer the request is refused for 30 s. Targets that end together count as one event, so a common request is not condemned.

--- /dev/null
+++ b/src/apps/host/crash_watch.cpp
@@ -0,0 +1,110 @@
+#include "apps/host/crash_watch.h"
+
+#include "retries/quarantine.h"
+
+#include <algorithm>
+#include <array>
+
+namespace snipeshore::apps {
+
+namespace {
+
+/// Requests that were in flight at several targets when these ended together are no culprits: only
+/// a request that was sent after its last crash was known counts again.
+bool was_sent_after_crash(const crash_watch& watch, const broken_request& request)
+{
+    const auto suspect = watch.known.suspects.find(request.fingerprint);
+    return suspect == watch.known.suspects.end() || suspect->second.last_crash < request.sent;
+}
+
+/// Targets that end together are one event, which several hosts report within their messages'
+/// interval.
+constexpr std::chrono::seconds same_event{6};
+
+bool is_same_event(const crash_watch& watch, std::uint64_t fingerprint, base::time_point now)
+{
+    const auto suspect = watch.known.suspects.find(fingerprint);
+    return suspect != watch.known.suspects.end() && now - suspect->second.last_crash < same_event;
+}
+
+} // namespace
+
+crash_watch make_crash_watch()
+{
+    crash_watch watch;
+    // A common request may meet two crashes by chance; three in a row without an answer are none.
+    watch.known.settings.crashes = 3;
+    // Refused requests give no answer that could clear them, so they are tried again.
+    watch.known.settings.quarantine_for = std::chrono::seconds(30);
+    watch.known.settings.suspect_for = std::chrono::seconds(60);
+    return watch;
+}
+
+void on_broken(crash_watch& watch, const broken_request& request)
+{
+    std::erase_if(watch.broken, [&](const broken_request& old) {
+        return request.broke - old.broke > crash_evidence_time;
+    });
+    watch.broken.push_back(request);
+}
+
+bool on_target_ended(crash_watch& watch, const base::host_id& self, const base::target_id& target,
+                     base::time_point now)
+{
+    fleet::crash_report report{++watch.last_report, target, {}};
+    for (const broken_request& request : watch.broken) {
+        const bool is_recent = now - request.broke <= crash_evidence_time;
+        if (request.target == target && is_recent && was_sent_after_crash(watch, request)) {
+            report.fingerprints.push_back(request.fingerprint);
+        }
+    }
+    std::erase_if(watch.broken,
+                  [&](const broken_request& request) { return request.target == target; });
+    if (report.fingerprints.empty()) {
+        return false;
+    }
+    retries::record_crash(watch.known,
+                          {self.value(), report.crash, target.value(), report.fingerprints}, now);
+    watch.reports.push_back({std::move(report), now});
+    return true;
+}
+
+void on_answered(crash_watch& watch, std::uint64_t fingerprint)
+{
+    if (!watch.known.suspects.empty()) {
+        retries::record_success(watch.known, std::array{fingerprint});
+    }
+}
+
+void take_reports(crash_watch& watch, const base::host_id& reporter,
+                  const std::vector<fleet::crash_report>& reports, base::time_point now)
+{
+    for (const fleet::crash_report& report : reports) {
+        std::vector<std::uint64_t> counted = report.fingerprints;
+        std::erase_if(counted, [&](std::uint64_t fingerprint) {
+            return is_same_event(watch, fingerprint, now);
+        });
+        retries::record_crash(
+            watch.known, {reporter.value(), report.crash, report.target.value(), counted}, now);
+    }
+}
+
+std::vector<fleet::crash_report> recent_reports(crash_watch& watch, base::time_point now)
+{
+    std::erase_if(watch.reports, [now](const own_crash_report& own) {
+        return now - own.made > crash_report_time;
+    });
+    std::vector<fleet::crash_report> reports;
+    for (const own_crash_report& own : watch.reports) {
+        reports.push_back(own.report);
+    }
+    return reports;
+}
+
+bool is_quarantined(const crash_watch& watch, std::uint64_t fingerprint, base::time_point now)
+{
+    return !watch.known.suspects.empty() &&
+           retries::suspicion_of(watch.known, fingerprint, now) == retries::suspicion::quarantined;
+}
+
+} // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/host/crash_watch.h
@@ -0,0 +1,62 @@
+/// @file Finds requests that crash their targets, so that they are not sent to further ones.
+#pragma once
+
+#include "base/time.h"
+#include "base/types/ids.h"
+#include "fleet/types/exchange.h"
+#include "retries/types/quarantine.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace snipeshore::apps {
+
+/// A target that ends within this time after a connection broke is taken to have ended by that.
+inline constexpr std::chrono::milliseconds crash_evidence_time{3000};
+
+/// Reports are repeated in the messages to other hosts for this time.
+inline constexpr std::chrono::milliseconds crash_report_time{5000};
+
+/// A request whose connection broke before any response.
+struct broken_request {
+    base::target_id target;
+    std::uint64_t fingerprint = 0;
+    base::time_point sent;
+    base::time_point broke;
+};
+
+struct own_crash_report {
+    fleet::crash_report report;
+    base::time_point made;
+};
+
+/// State of one host. Fingerprints are those of `retries::fingerprint`.
+struct crash_watch {
+    retries::crash_register known;
+    std::vector<broken_request> broken;
+    std::vector<own_crash_report> reports;
+    std::uint64_t last_report = 0;
+};
+
+crash_watch make_crash_watch();
+
+void on_broken(crash_watch& watch, const broken_request& request);
+
+/// The target took no connection, or started anew. True if requests are suspected by that.
+bool on_target_ended(crash_watch& watch, const base::host_id& self, const base::target_id& target,
+                     base::time_point now);
+
+void on_answered(crash_watch& watch, std::uint64_t fingerprint);
+
+/// Takes reports of another host.
+void take_reports(crash_watch& watch, const base::host_id& reporter,
+                  const std::vector<fleet::crash_report>& reports, base::time_point now);
+
+/// Reports that other hosts should learn.
+std::vector<fleet::crash_report> recent_reports(crash_watch& watch, base::time_point now);
+
+bool is_quarantined(const crash_watch& watch, std::uint64_t fingerprint, base::time_point now);
+
+} // namespace snipeshore::apps
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -10,6 +10,7 @@
 #include "http/loop.h"
 #include "limits/fleet_share.h"
 #include "retries/next_step.h"
+#include "retries/quarantine.h"
 #include "retries/retry_budget.h"
 #include "routing/route_table.h"
 #include "telemetry/event_log.h"
@@ -176,6 +177,14 @@
 
 void forward_task::begin()
 {
+    const http::request_head& head = m_exchange->head();
+    m_fingerprint =
+        retries::fingerprint(m_account == nullptr ? "" : m_account->id.value(), m_service.value(),
+                             head.method, head.path, m_exchange->body());
+    if (is_quarantined(m_context.crashes, m_fingerprint, m_arrived)) {
+        refuse({error_kind::overloaded, "requests like this one crashed their targets"});
+        return;
+    }
     retries::record_request(pool_of(m_context, m_service).budget, m_arrived);
     send_to_target();
 }
@@ -465,6 +474,7 @@
         }
     }
     close_attempt(m_status < first_failure_status);
+    on_answered(m_context.crashes, m_fingerprint);
     m_stream->finish([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->record_end(self->m_status, "answered");
@@ -473,6 +483,20 @@
     });
 }
 
+void forward_task::watch_crash(attempt_end end)
+{
+    const base::time_point now = base::boot_clock::now();
+    if (end == attempt_end::broken) {
+        on_broken(m_context.crashes, {m_target, m_fingerprint, m_sent_at, now});
+        return;
+    }
+    if (end == attempt_end::not_sent &&
+        on_target_ended(m_context.crashes, m_context.settings.host, m_target, now)) {
+        telemetry::log_event(severity::warning, "target_crashed",
+                             {{"target", m_target.value()}, {"service", m_service.value()}});
+    }
+}
+
 void forward_task::close_attempt(bool is_good)
 {
     target_pool& pool = pool_of(m_context, m_service);
@@ -514,6 +538,7 @@
     const std::string detail(cause);
     const base::time_point now = base::boot_clock::now();
     cancel_timer();
+    watch_crash(end);
     blame_target(end, detail);
     const base::target_id target = m_target;
     close_attempt(false);
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -77,6 +77,8 @@
     /// The attempt failed: goes to another target or answers the caller.
     void fail_attempt(retries::attempt_end end, std::string_view cause);
     void blame_target(retries::attempt_end end, std::string_view cause);
+    /// Notes what may be a crash of the target, or that it has ended.
+    void watch_crash(retries::attempt_end end);
     void close_attempt(bool is_good);
     void pass_on(const http::response_head& head);
     void refuse(const base::error& cause);
@@ -93,6 +95,7 @@
     base::service_id m_service;
     std::string m_id;
     std::uint64_t m_object = 0;
+    std::uint64_t m_fingerprint = 0; ///< Of all repeats of this request.
     base::time_point m_arrived;
     base::time_point m_deadline;        ///< Of the first byte of the response.
     base::time_point m_caller_deadline; ///< Of the whole response.
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -1,6 +1,7 @@
 /// @file What the request tasks of one host share. All of it belongs to the loop's thread.
 #pragma once
 
+#include "apps/host/crash_watch.h"
 #include "apps/host/target_pool.h"
 #include "apps/host/types/host_settings.h"
 #include "base/types/ids.h"
@@ -37,6 +38,7 @@
     std::unordered_map<base::account_id, limits::fleet_share> shares;
     std::unordered_map<base::account_id, limits::fleet_limit> limits; ///< Of all hosts together.
     fleet::member_table members;
+    crash_watch crashes = make_crash_watch();
     bool is_leaving = false;
     std::mt19937_64 random;
     /// Keeps the running tasks alive.
--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -297,10 +297,11 @@
     for (const auto& [table, follower] : m_tables) {
         message.versions[table] = follower->copy().version;
     }
+    const base::time_point now = base::boot_clock::now();
+    message.crashes = recent_reports(m_context.crashes, now);
     if (!wants) {
         return message;
     }
-    const base::time_point now = base::boot_clock::now();
     const std::size_t peers = std::max<std::size_t>(
         m_context.members.members.size() / fleet::far_interval_s(m_context.members), 1);
     for (auto& [account, share] : m_context.shares) {
@@ -333,6 +334,7 @@
              {"state", static_cast<int>(message.from.state)},
              {"hosts", static_cast<std::uint64_t>(m_context.members.members.size() + 1)}});
     }
+    take_reports(m_context.crashes, message.from.id, message.crashes, now);
     compare_versions(message);
 }
 
--- a/src/fleet/exchange_text.cpp
+++ b/src/fleet/exchange_text.cpp
@@ -55,6 +55,26 @@
     return amounts;
 }
 
+json crashes_json(const std::vector<crash_report>& crashes)
+{
+    json made = json::array();
+    for (const crash_report& one : crashes) {
+        made.push_back(json::array({one.crash, one.target.value(), one.fingerprints}));
+    }
+    return made;
+}
+
+std::vector<crash_report> read_crashes(const json& from)
+{
+    std::vector<crash_report> crashes;
+    for (const json& one : from) {
+        crashes.push_back({one.at(0).get<std::uint64_t>(),
+                           base::target_id(one.at(1).get<std::string>()),
+                           one.at(2).get<std::vector<std::uint64_t>>()});
+    }
+    return crashes;
+}
+
 /// Runs a reader over parsed text and turns what the library throws into an error.
 template <typename Reader>
 auto read_text(std::string_view text, const Reader& read)
@@ -78,6 +98,9 @@
     if (!message.given.empty()) {
         made["g"] = amounts_json(message.given);
     }
+    if (!message.crashes.empty()) {
+        made["c"] = crashes_json(message.crashes);
+    }
     return made.dump();
 }
 
@@ -89,6 +112,7 @@
         message.versions = from.at("v").get<std::map<std::string, std::uint64_t>>();
         message.wanted = read_amounts(from.value("w", json::object()));
         message.given = read_amounts(from.value("g", json::object()));
+        message.crashes = read_crashes(from.value("c", json::array()));
         return message;
     });
 }
--- a/src/fleet/tests/exchange_text_test.cpp
+++ b/src/fleet/tests/exchange_text_test.cpp
@@ -11,6 +11,7 @@
                     "1.2.3.4:90",        base::incarnation(7),          fleet::member_state::ready};
     message.versions = {{"op", 12}};
     message.wanted[base::account_id("coop")] = 2.5;
+    message.crashes.push_back({3, base::target_id("t1"), {~0ULL, 7}});
     message.given[base::account_id("coop")] = 1.999;
     const auto read = fleet::parse_exchange(fleet::to_text(message));
     REQUIRE(base::is_ok(read));
@@ -19,6 +20,9 @@
     CHECK(copy.from.state == fleet::member_state::ready);
     CHECK(copy.versions.at("op") == 12);
     CHECK(copy.wanted.at(base::account_id("coop")) == doctest::Approx(2.5));
+    REQUIRE(copy.crashes.size() == 1);
+    CHECK(copy.crashes[0].target.value() == "t1");
+    CHECK(copy.crashes[0].fingerprints == std::vector<std::uint64_t>{~0ULL, 7});
     SUBCASE("a gift is rounded down, so that no share grows on its way")
     {
         CHECK(copy.given.at(base::account_id("coop")) <= 1.999);
--- a/src/retries/quarantine.cpp
+++ b/src/retries/quarantine.cpp
@@ -30,9 +30,9 @@
     return true;
 }
 
-bool is_quarantined(const suspect& entry)
+bool is_quarantined(const quarantine_settings& settings, const suspect& entry)
 {
-    return entry.crashes >= crashes_to_quarantine;
+    return entry.crashes >= settings.crashes;
 }
 
 /// Makes room for up to `count` new suspects by dropping those that expire first. Quarantined ones
@@ -50,7 +50,7 @@
     std::vector<rank> ranks;
     ranks.reserve(crashes.suspects.size());
     for (const auto& [fingerprint, entry] : crashes.suspects) {
-        ranks.emplace_back(is_quarantined(entry), entry.ends, fingerprint);
+        ranks.emplace_back(is_quarantined(crashes.settings, entry), entry.ends, fingerprint);
     }
     std::sort(ranks.begin(), ranks.end());
     for (const auto& [quarantined, ends, fingerprint] : ranks) {
@@ -82,8 +82,8 @@
     ++entry.crashes;
     entry.last_target = target;
     entry.last_crash = now;
-    entry.ends = now + (is_quarantined(entry) ? crashes.settings.quarantine_for
-                                              : crashes.settings.suspect_for);
+    entry.ends = now + (is_quarantined(crashes.settings, entry) ? crashes.settings.quarantine_for
+                                                                : crashes.settings.suspect_for);
 }
 
 } // namespace
@@ -137,7 +137,8 @@
     if (found == crashes.suspects.end() || found->second.ends <= now) {
         return suspicion::none;
     }
-    return is_quarantined(found->second) ? suspicion::quarantined : suspicion::suspect;
+    return is_quarantined(crashes.settings, found->second) ? suspicion::quarantined
+                                                           : suspicion::suspect;
 }
 
 bool may_run_beside(const crash_register& crashes, std::uint64_t fingerprint,
--- a/src/retries/quarantine.h
+++ b/src/retries/quarantine.h
@@ -10,9 +10,6 @@
 
 namespace snipeshore::retries {
 
-/// Crashes without a success between that lead to quarantine.
-inline constexpr unsigned crashes_to_quarantine = 2;
-
 /// Identifies repeats of a request. `body` may be the first part of a long body, the same part for
 /// each repeat.
 std::uint64_t fingerprint(std::string_view account, std::string_view service,
--- a/src/retries/types/quarantine.h
+++ b/src/retries/types/quarantine.h
@@ -15,6 +15,7 @@
 namespace snipeshore::retries {
 
 struct quarantine_settings {
+    unsigned crashes = 2; ///< Without a success between, that lead to quarantine.
     std::chrono::milliseconds suspect_for{std::chrono::minutes(10)};
     std::chrono::milliseconds quarantine_for{std::chrono::minutes(10)};
     /// Reports of several entries about one target within this time are about one crash.
