--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -4,8 +4,6 @@
 #include "apps/common/answer_stream.h"
 #include "apps/host/host_context.h"
 #include "apps/host/request_parts.h"
-#include "base/error_answer.h"
-#include "base/hash.h"
 #include "http/exchange.h"
 #include "http/loop.h"
 #include "limits/fleet_share.h"
@@ -13,15 +11,9 @@
 #include "retries/quarantine.h"
 #include "retries/retry_budget.h"
 #include "routing/route_table.h"
-#include "telemetry/event_log.h"
-#include "telemetry/metrics.h"
-
-#include <prometheus/counter.h>
-#include <prometheus/histogram.h>
 
 #include <algorithm>
 #include <chrono>
-#include <cstdio>
 #include <utility>
 
 namespace snipeshore::apps {
@@ -29,18 +21,9 @@
 using base::error;
 using base::error_kind;
 using retries::attempt_end;
-using telemetry::severity;
 
 namespace {
 
-/// Callers come back after a refusal; earlier the targets are still full.
-constexpr std::chrono::milliseconds least_retry_after{100};
-
-constexpr int status_misdirected = 421;
-constexpr int first_failure_status = 500;
-constexpr int first_success_status = 200;
-constexpr int first_redirect_status = 300;
-
 /// Limit of a request whose caller and route set none.
 constexpr std::chrono::seconds longest_request{60};
 
@@ -52,24 +35,6 @@
 constexpr double patience = 3.0;
 constexpr double patient_part = 0.45;
 
-double milliseconds_of(base::duration time)
-{
-    return std::chrono::duration<double, std::milli>(time).count();
-}
-
-/// A full target rejects work rightly; one that says it has free slots is faulty.
-bool rejects_without_load(const pooled_target& target)
-{
-    return target.reported < target.entry.slots;
-}
-
-std::string seconds_text(base::duration time)
-{
-    char text[32];
-    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(time).count());
-    return text;
-}
-
 } // namespace
 
 void forward_task::start(host_context& context, std::shared_ptr<http::exchange> exchange)
@@ -358,302 +323,9 @@
     return callbacks;
 }
 
-bool forward_task::is_own_response(const http::response_head& head) const
-{
-    const wire_names& names = m_context.settings.names;
-    const auto id = http::find_header(head.headers, names.request_id);
-    if (id.has_value() && *id != m_id) {
-        return false;
-    }
-    const bool is_success =
-        head.status >= first_success_status && head.status < first_redirect_status;
-    if (!is_success || names.seal.empty()) {
-        return true;
-    }
-    return id.has_value() && http::find_header(head.headers, names.seal).has_value();
-}
-
 bool forward_task::is_idempotent() const
 {
     return m_route->repeats == routing::repeat::idempotent;
 }
 
-void forward_task::on_head(const http::response_head& head)
-{
-    cancel_timer();
-    const wire_names& names = m_context.settings.names;
-    const base::time_point now = base::boot_clock::now();
-    pooled_target* target = current_target();
-    if (target != nullptr) {
-        target->answered_at = now;
-    }
-    if (!is_own_response(head)) {
-        m_may_have_run = true;
-        ++m_sent;
-        fail_attempt(attempt_end::broken, "response is not to this request");
-        return;
-    }
-    if (const auto load = http::find_header(head.headers, names.load);
-        load.has_value() && target != nullptr) {
-        take_load(*target, *load, now);
-    }
-    const bool says_not_run = http::find_header(head.headers, names.not_run).has_value();
-    if (says_not_run || head.status == status_misdirected) {
-        ++m_sent;
-        if (target != nullptr && head.status == status_misdirected) {
-            target->is_gone = true;
-        } else if (target != nullptr && !rejects_without_load(*target)) {
-            on_rejected(*target, now);
-        }
-        fail_attempt(attempt_end::rejected,
-                     "target rejected the request with " + std::to_string(head.status));
-        return;
-    }
-    m_may_have_run = true;
-    ++m_sent;
-    if (head.status >= first_failure_status && plan_next(attempt_end::failed_answer).retry) {
-        fail_attempt(attempt_end::failed_answer,
-                     "target failed with " + std::to_string(head.status));
-        return;
-    }
-    pass_on(head);
-}
-
-void forward_task::pass_on(const http::response_head& head)
-{
-    m_status = head.status;
-    m_is_passing_on = true;
-    m_stream = std::make_shared<answer_stream>(m_exchange);
-    m_stream->start(head);
-}
-
-void forward_task::on_body(std::string_view piece)
-{
-    if (m_is_passing_on && m_stream != nullptr && m_call != nullptr) {
-        m_stream->write(piece, *m_call);
-    }
-}
-
-void forward_task::on_end(const http::call_end& end)
-{
-    if (base::is_ok(end.outcome)) {
-        on_complete();
-        return;
-    }
-    const error& cause = base::error_of(end.outcome);
-    if (m_is_passing_on) {
-        blame_target(attempt_end::broken, cause.detail);
-        close_attempt(false);
-        m_stream->abort();
-        record_end(m_status, "answer_cut");
-        leave();
-        return;
-    }
-    if (!end.request_sent) {
-        ++m_unsent;
-        fail_attempt(attempt_end::not_sent, cause.detail);
-        return;
-    }
-    ++m_sent;
-    m_may_have_run = true;
-    const bool is_late = cause.kind == error_kind::deadline_exceeded;
-    fail_attempt(is_late ? attempt_end::timed_out : attempt_end::broken, cause.detail);
-}
-
-void forward_task::on_complete()
-{
-    if (m_stream == nullptr) {
-        return;
-    }
-    m_stream->forget_call();
-    if (pooled_target* target = current_target(); target != nullptr) {
-        if (m_status >= first_failure_status) {
-            on_failure(*target, false, base::boot_clock::now());
-        } else {
-            on_success(*target);
-        }
-    }
-    close_attempt(m_status < first_failure_status);
-    on_answered(m_context.crashes, m_fingerprint);
-    m_stream->finish([weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-            self->record_end(self->m_status, "answered");
-            self->leave();
-        }
-    });
-}
-
-void forward_task::watch_crash(attempt_end end)
-{
-    const base::time_point now = base::boot_clock::now();
-    if (end == attempt_end::broken) {
-        on_broken(m_context.crashes, {m_target, m_fingerprint, m_sent_at, now});
-        return;
-    }
-    if (end == attempt_end::not_sent &&
-        on_target_ended(m_context.crashes, m_context.settings.host, m_target, now)) {
-        telemetry::log_event(severity::warning, "target_crashed",
-                             {{"target", m_target.value()}, {"service", m_service.value()}});
-    }
-}
-
-void forward_task::close_attempt(bool is_good)
-{
-    target_pool& pool = pool_of(m_context, m_service);
-    const base::time_point now = base::boot_clock::now();
-    if (pooled_target* target = current_target(); target != nullptr) {
-        on_ended(pool, *target, is_good ? std::optional(now - m_sent_at) : std::nullopt, now);
-    }
-    m_target = {};
-}
-
-void forward_task::blame_target(attempt_end end, std::string_view cause)
-{
-    pooled_target* target = current_target();
-    if (target == nullptr || (end == attempt_end::rejected && !rejects_without_load(*target))) {
-        return;
-    }
-    const base::time_point now = base::boot_clock::now();
-    const bool is_hard =
-        end == attempt_end::not_sent || end == attempt_end::timed_out || end == attempt_end::broken;
-    if (on_failure(*target, is_hard, now)) {
-        if (end == attempt_end::not_sent) {
-            on_unreachable(m_context.pools.at(m_service), *target);
-        }
-        telemetry::log_event(
-            severity::warning, "target_ejected",
-            {{"target", target->entry.id.value()},
-             {"service", m_service.value()},
-             {"cause", cause},
-             {"for_ms", milliseconds_of(target->ejected_until - now)},
-             {"failures_in_row", static_cast<std::uint64_t>(target->failures_in_row)}});
-        m_context.metrics
-            .counter("snipeshore_target_ejections_total", "Targets left out after failures.")
-            .Increment();
-    }
-}
-
-void forward_task::fail_attempt(attempt_end end, std::string_view cause)
-{
-    const std::string detail(cause);
-    const base::time_point now = base::boot_clock::now();
-    cancel_timer();
-    watch_crash(end);
-    blame_target(end, detail);
-    const base::target_id target = m_target;
-    close_attempt(false);
-    const auto call = std::move(m_call);
-    retries::next_step step = plan_next(end);
-    retries::retry_budget& budget = pool_of(m_context, m_service).budget;
-    const bool has_budget = !step.retry || !step.needs_budget || retries::try_spend(budget, now);
-    step.retry = step.retry && has_budget;
-    telemetry::log_event(severity::info, "attempt_failed",
-                         {{"request_id", m_id},
-                          {"target", target.value()},
-                          {"service", m_service.value()},
-                          {"cause", detail},
-                          {"took_ms", milliseconds_of(now - m_sent_at)},
-                          {"may_have_run", m_may_have_run},
-                          {"retry", step.retry},
-                          {"budget", has_budget}});
-    if (step.retry) {
-        send_to_target();
-        return;
-    }
-    refuse({step.answer, detail});
-}
-
-retries::request_progress forward_task::make_progress() const
-{
-    retries::request_progress progress;
-    progress.idempotent = is_idempotent();
-    progress.max_attempts = m_route->max_attempts;
-    progress.sent = m_sent;
-    progress.unsent = m_unsent;
-    progress.may_have_run = m_may_have_run;
-    progress.left = m_deadline - base::boot_clock::now();
-    progress.expected = m_context.pools.at(m_service).service_time;
-    return progress;
-}
-
-retries::next_step forward_task::plan_next(attempt_end end) const
-{
-    return retries::decide_next(end, make_progress());
-}
-
-void forward_task::on_caller_gone()
-{
-    if (m_has_left) {
-        return;
-    }
-    m_call.reset();
-    if (!m_target.value().empty()) {
-        close_attempt(false);
-    }
-    record_end(0, "caller_gone");
-    leave();
-}
-
-void forward_task::refuse(const error& cause)
-{
-    const base::error_answer& answer = base::answer_for(cause.kind);
-    http::response_head head;
-    head.status = answer.http_status;
-    head.headers.push_back({"content-type", "application/json"});
-    if (answer.retry == base::retry_advice::after_delay ||
-        answer.retry == base::retry_advice::other_host) {
-        head.headers.push_back({"retry-after", seconds_text(std::max<base::duration>(
-                                                   m_retry_after, least_retry_after))});
-    }
-    telemetry::log_event(severity::info, "refused",
-                         {{"request_id", m_id},
-                          {"kind", answer.name},
-                          {"cause", cause.detail},
-                          {"route", m_route == nullptr ? "" : m_route->name},
-                          {"account", m_account == nullptr ? "" : m_account->id.value()},
-                          {"config", m_routes == nullptr ? 0 : m_routes->version},
-                          {"sent", static_cast<std::uint64_t>(m_sent)},
-                          {"after_ms", milliseconds_of(base::boot_clock::now() - m_arrived)}});
-    const bool not_run = answer.not_run && !m_may_have_run;
-    m_exchange->answer(std::move(head), base::error_body(cause, m_id, not_run));
-    record_end(answer.http_status, answer.name);
-    leave();
-}
-
-void forward_task::record_end(int status, std::string_view outcome)
-{
-    const base::duration took = base::boot_clock::now() - m_arrived;
-    const std::string route = m_route == nullptr ? "none" : m_route->name;
-    m_context.metrics
-        .counter("snipeshore_requests_total", "Requests by route and outcome.",
-                 {{"route", route}, {"outcome", std::string(outcome)}})
-        .Increment();
-    m_context.metrics
-        .latency("snipeshore_request_seconds", "Time from a request's arrival to its end.")
-        .Observe(std::chrono::duration<double>(took).count());
-    telemetry::log_event(severity::info, "request_done",
-                         {{"request_id", m_id},
-                          {"route", route},
-                          {"account", m_account == nullptr ? "" : m_account->id.value()},
-                          {"service", m_service.value()},
-                          {"status", status},
-                          {"outcome", outcome},
-                          {"rank", static_cast<std::uint64_t>(m_rank)},
-                          {"sent", static_cast<std::uint64_t>(m_sent)},
-                          {"took_ms", milliseconds_of(took)}});
-}
-
-void forward_task::leave()
-{
-    cancel_timer();
-    m_has_left = true;
-    m_context.tasks.erase(shared_from_this());
-}
-
-pooled_target* forward_task::current_target() const
-{
-    return m_target.value().empty() ? nullptr
-                                    : find_target(m_context.pools.at(m_service), m_target);
-}
-
 } // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/host/host_report.cpp
@@ -0,0 +1,66 @@
+#include "apps/host/forward_task.h"
+#include "apps/host/host_app.h"
+#include "fleet/members.h"
+#include "http/server.h"
+
+#include <nlohmann/json.hpp>
+#include <prometheus/gauge.h>
+
+#include <algorithm>
+#include <chrono>
+
+// What a host tells about itself: state dump and metrics.
+namespace snipeshore::apps {
+
+nlohmann::json host_app::dump() const
+{
+    nlohmann::json all;
+    all["host"] = m_settings.host.value();
+    all["incarnation"] = m_self.incarnation.value();
+    all["state"] = static_cast<int>(m_self.state);
+    all["config_version"] = config_version();
+    all["requests"] = m_context.tasks.size();
+    for (const auto& [id, known] : m_context.members.members) {
+        all["hosts"][id.value()] = {
+            {"state", static_cast<int>(known.info.state)},
+            {"live", fleet::is_live(m_context.members, known, base::boot_clock::now())}};
+    }
+    for (const auto& [service, pool] : m_context.pools) {
+        nlohmann::json& targets = all["services"][service.value()]["targets"];
+        for (const pooled_target& target : pool.targets) {
+            targets[target.entry.id.value()] = {
+                {"address", target.entry.address},
+                {"running", target.running},
+                {"leaving", target.entry.is_leaving},
+                {"service_ms",
+                 std::chrono::duration<double, std::milli>(target.service_time).count()}};
+        }
+    }
+    return all;
+}
+
+void host_app::refresh_metrics()
+{
+    const auto set = [this](const std::string& name, const std::string& help, double value) {
+        m_metrics.gauge(name, help).Set(value);
+    };
+    const base::time_point now = base::boot_clock::now();
+    set("snipeshore_requests_running", "Requests in progress.",
+        static_cast<double>(m_context.tasks.size()));
+    set("snipeshore_caller_connections", "Open connections of callers.",
+        static_cast<double>(m_entry->open_connections()));
+    set("snipeshore_config_version", "Version of the configuration in force.",
+        static_cast<double>(config_version()));
+    set("snipeshore_targets_known", "Targets that are registered.",
+        static_cast<double>(m_registry.targets.size()));
+    set("snipeshore_hosts_live", "Hosts that were heard lately, without the own one.",
+        static_cast<double>(
+            std::count_if(m_context.members.members.begin(), m_context.members.members.end(),
+                          [this, now](const auto& entry) {
+                              return fleet::is_live(m_context.members, entry.second, now);
+                          })));
+    set("snipeshore_store_in_touch", "Whether the last call to the operators' table succeeded.",
+        m_operator_rows.is_in_touch() ? 1 : 0);
+}
+
+} // namespace snipeshore::apps
