Check settings on the command line; metrics of ranks, attempts, tokens and loop delay

Cause: on-call engineers could not see from metrics whether objects keep to their targets, why retries were denied or what a host may still admit for an account.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -239,6 +239,13 @@
     retries::retry_budget& budget = pool_of(m_context, m_service).budget;
     const bool has_budget = !step.retry || !step.needs_budget || retries::try_spend(budget, now);
     step.retry = step.retry && has_budget;
+    m_context.metrics
+        .counter("snipeshore_attempt_failures_total", "Attempts without a usable response.",
+                 {{"service", m_service.value()},
+                  {"retry", step.retry   ? "yes"
+                            : has_budget ? "no"
+                                         : "no_budget"}})
+        .Increment();
     telemetry::log_event(severity::info, "attempt_failed",
                          {{"request_id", m_id},
                           {"target", target.value()},
@@ -320,6 +327,13 @@
         .counter("snipeshore_requests_total", "Requests by route and outcome.",
                  {{"route", route}, {"outcome", std::string(outcome)}})
         .Increment();
+    if (m_sent > 0) {
+        m_context.metrics
+            .counter("snipeshore_target_rank_total",
+                     "Requests by the rank of their last target; 0 is the object's own.",
+                     {{"rank", std::to_string(m_rank)}})
+            .Increment();
+    }
     m_context.metrics
         .latency("snipeshore_request_seconds", "Time from a request's arrival to its end.")
         .Observe(std::chrono::duration<double>(took).count());
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -11,7 +11,7 @@
 #include "telemetry/event_log.h"
 
 #include <nlohmann/json.hpp>
-#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <sodium.h>
 
 #include <algorithm>
@@ -421,6 +421,11 @@
 {
     const base::time_point now = base::boot_clock::now();
     const base::duration late = now - m_housekeeping_due;
+    if (m_housekeeping_due != base::time_point{}) {
+        m_metrics
+            .latency("snipeshore_loop_delay_seconds", "Time by which a timer of the loop was late.")
+            .Observe(std::chrono::duration<double>(late).count());
+    }
     if (m_housekeeping_due != base::time_point{} && late > housekeeping_interval) {
         telemetry::log_event(
             severity::warning, "loop_delayed",
--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -59,6 +59,19 @@
                           [this, now](const auto& entry) {
                               return fleet::is_live(m_context.members, entry.second, now);
                           })));
+    set("snipeshore_suspects", "Fingerprints suspected of crashing targets.",
+        static_cast<double>(m_context.crashes.known.suspects.size()));
+    for (const auto& [account, share] : m_context.shares) {
+        m_metrics
+            .gauge("snipeshore_account_demand", "Requests per second that ask for a token here.",
+                   {{"account", account.value()}})
+            .Set(share.demand);
+        m_metrics
+            .gauge("snipeshore_account_tokens",
+                   "Requests of the account that this host may admit now.",
+                   {{"account", account.value()}})
+            .Set(share.tokens + share.gifts);
+    }
     set("snipeshore_store_in_touch", "Whether the last call to the operators' table succeeded.",
         m_operator_rows.is_in_touch() ? 1 : 0);
 }
--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -43,7 +43,8 @@
     std::string all;
     for (const char* path : {"src/apps/entry/dump.cpp", "src/apps/entry/entry_app.cpp",
                              "src/apps/entry/request_task.cpp", "src/apps/lookup/lookup_app.cpp",
-                             "src/apps/agent/agent_app.cpp"}) {
+                             "src/apps/agent/agent_app.cpp", "src/apps/host/forward_outcome.cpp",
+                             "src/apps/host/host_app.cpp", "src/apps/host/host_report.cpp"}) {
         all += read_source(path);
     }
     return all;
@@ -52,9 +53,9 @@
 std::set<std::string> defined_flags()
 {
     std::set<std::string> flags;
-    for (const char* path :
-         {"src/apps/common/process_flags.cpp", "src/apps/entry/main.cpp",
-          "src/apps/lookup/main.cpp", "src/apps/agent/main.cpp", "src/apps/ctl/main.cpp"}) {
+    for (const char* path : {"src/apps/common/process_flags.cpp", "src/apps/entry/main.cpp",
+                             "src/apps/lookup/main.cpp", "src/apps/agent/main.cpp",
+                             "src/apps/ctl/main.cpp", "platform/main.cpp"}) {
         const auto found = matches(read_source(path), "DEFINE_\\w+\\(\\s*(\\w+)", 1);
         flags.insert(found.begin(), found.end());
     }
