Follow the idle times that targets announce and the configuration sets

Cause: connections to targets were kept 8 s and callers' 16 s whatever the deployment says; an unsafe request on a connection that its target closes has an unknown outcome.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -48,10 +48,13 @@
 /// that it is ready.
 constexpr std::chrono::milliseconds longest_start{2500};
 
-/// Requests on idle connections of callers are awaited for this long; the configuration's own limit
-/// comes later than the listener.
+/// Requests on idle connections of callers are awaited for this long until the configuration is
+/// known.
 constexpr std::chrono::milliseconds caller_idle_timeout{16000};
 
+/// Added to the configuration's limit, so that a caller that keeps to it never meets a close.
+constexpr std::chrono::milliseconds idle_slack{1000};
+
 constexpr std::size_t max_body_bytes = 64U << 20U;
 
 /// A connection attempt across regions takes 30 ms; a lost packet costs more than another target.
@@ -306,6 +309,9 @@
          {"before", known},
          {"row", change.version},
          {"accounts", static_cast<std::uint64_t>(m_context.routes->accounts.size())}});
+    if (m_context.routes->limits.idle_timeout.count() > 0) {
+        m_entry->set_request_timeout(m_context.routes->limits.idle_timeout + idle_slack);
+    }
     update_targets();
     update_shares();
     check_ready();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -6,6 +6,7 @@
 #include "http/internal/loop_impl.h"
 #include "http/internal/socket_address.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -17,6 +18,9 @@
 /// instead.
 constexpr std::uint64_t h2o_timeout_never_ms = 10ULL * 365 * 24 * 3600 * 1000;
 
+/// Part of the time that a peer announces for idle connections: its close and a request may cross.
+constexpr double usable_idle_part = 0.7;
+
 /// Cancels the call when it is destroyed.
 class call_handle final : public client_call {
 public:
@@ -207,6 +211,18 @@
     return m_peers.emplace(address, std::move(made)).first->second.get();
 }
 
+void client::impl::limit_idle_time(const std::string& address, std::chrono::seconds announced)
+{
+    const auto found = m_peers.find(address);
+    if (found == m_peers.end()) {
+        return;
+    }
+    const auto usable = static_cast<std::uint64_t>(
+        std::chrono::duration<double, std::milli>(announced).count() * usable_idle_part);
+    std::uint64_t& limit = found->second->pool.timeout;
+    limit = std::min(limit, usable);
+}
+
 void client::impl::remove_unused_peers()
 {
     std::erase_if(m_peers, [](const auto& entry) {
--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -78,6 +78,20 @@
     return value;
 }
 
+/// The timeout of a keep-alive header, as in "timeout=5, max=100".
+std::optional<std::chrono::seconds> announced_idle_time(const header_list& headers)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::string_view text = find_header(headers, "keep-alive").value_or("");
+    const std::size_t at = text.find(name);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view rest = text.substr(at + name.size());
+    const auto seconds = parse_length(rest.substr(0, rest.find_first_not_of("0123456789")));
+    return seconds ? std::optional(std::chrono::seconds(*seconds)) : std::nullopt;
+}
+
 /// Whether h2o understands the headers that describe the length of the body.
 bool has_plain_framing(const parsed_headers& headers, std::size_t count)
 {
@@ -342,6 +356,9 @@
                        "response has no usable length"));
         return false;
     }
+    if (const auto idle = announced_idle_time(all)) {
+        m_owner->limit_idle_time(address(), *idle);
+    }
     std::erase_if(all, [](const header& one) { return is_framing_header(one.name); });
     m_head.headers = std::move(all);
     m_phase = phase::reading_body;
--- a/src/http/internal/client_impl.h
+++ b/src/http/internal/client_impl.h
@@ -4,6 +4,7 @@
 #include "http/client.h"
 #include "http/internal/h2o.h"
 
+#include <chrono>
 #include <deque>
 #include <memory>
 #include <string>
@@ -37,6 +38,9 @@
     /// Gives the call's place up and lets a queued call follow.
     void release(call_state& call);
 
+    /// The peer says how long it keeps idle connections; they are dropped here before.
+    void limit_idle_time(const std::string& address, std::chrono::seconds announced);
+
     /// Cancels all calls; the owner has gone.
     void shut_down();
 
--- a/src/http/internal/server_impl.h
+++ b/src/http/internal/server_impl.h
@@ -27,6 +27,7 @@
 
     base::status listen(const server_settings& wanted);
     void drain(std::function<void()> on_idle);
+    void set_request_timeout(std::chrono::milliseconds timeout);
 
     /// Ends every request and connection; the owner has gone.
     void shut_down();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -159,6 +159,13 @@
     m_is_configured = true;
 }
 
+void server::impl::set_request_timeout(std::chrono::milliseconds timeout)
+{
+    if (m_is_configured) {
+        m_context.http1.req_timeout.timeout = static_cast<std::uint64_t>(timeout.count());
+    }
+}
+
 void server::impl::set_accepting(bool accepting)
 {
     if (m_listener == nullptr || accepting == (h2o_socket_is_reading(m_listener) != 0)) {
@@ -349,6 +356,11 @@
     return m_impl->listen(settings);
 }
 
+void server::set_request_timeout(std::chrono::milliseconds timeout)
+{
+    m_impl->set_request_timeout(timeout);
+}
+
 std::string server::bound_address() const
 {
     return m_impl->bound_address;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -43,6 +43,9 @@
 
     base::status listen(const server_settings& settings);
 
+    /// Changes `server_settings::request_timeout` of open and new connections.
+    void set_request_timeout(std::chrono::milliseconds timeout);
+
     /// Address that is bound, "ip:port".
     std::string bound_address() const;
 
--- a/src/http/tests/unframed_test.cpp
+++ b/src/http/tests/unframed_test.cpp
@@ -59,6 +59,26 @@
     }
 }
 
+// A request that meets a connection which its target has just closed has an unknown outcome.
+TEST_CASE("an idle connection is dropped before the time that its peer announces")
+{
+    loop on;
+    client_settings patient;
+    patient.idle_timeout = std::chrono::hours(1);
+    client calling(on, patient);
+    raw_server peer([](int descriptor) {
+        read_until(descriptor, "\r\n\r\n");
+        write_all(descriptor, "HTTP/1.1 200 OK\r\nkeep-alive: timeout=1, max=9\r\n"
+                              "content-length: 1\r\n\r\nx");
+        read_all(descriptor);
+    });
+    call_record seen;
+    const auto call = record(calling, get(peer.address(), "/"), seen);
+    REQUIRE(run_until(on, [&] { return seen.end.has_value(); }));
+    CHECK(base::is_ok(seen.end->outcome));
+    CHECK(run_until(on, [&] { return peer.closed() == 1; }));
+}
+
 // h2o marks a broken chunked response by bytes that are no chunk; callers took them for garbage.
 TEST_CASE("a chunked answer that is broken off ends with the connection and nothing else")
 {
