--- a/src/apps/host/tests/host_fixture.cpp
+++ b/src/apps/host/tests/host_fixture.cpp
@@ -103,60 +103,46 @@
 void host_fixture::begin(const std::string& path, const http::header_list& headers,
                          std::optional<reply>& into)
 {
-    http::client_request request;
-    request.address = settings.entry_address;
-    request.head = {"GET", path, "a.example", headers};
-    request.deadline = base::boot_clock::now() + std::chrono::seconds(30);
-    m_calls.push_back(m_client.fetch(
-        std::move(request), 1U << 20U,
-        [&into](const base::result<std::pair<http::response_head, std::string>>& got, bool) {
-            into = reply{};
-            if (base::is_ok(got)) {
-                const auto& [head, body] = base::value_of(got);
-                into = reply{head.status, head.headers, body};
-            }
-        }));
+    m_calls.push_back(start(settings.entry_address, {"GET", path, "a.example", headers}, "", into));
 }
 
 reply host_fixture::send(const std::string& path, const http::header_list& headers,
                          const std::string& method, const std::string& body)
 {
-    http::client_request request;
-    request.address = settings.entry_address;
-    request.head = {method, path, "a.example", headers};
-    request.body = body;
-    request.deadline = base::boot_clock::now() + std::chrono::seconds(30);
     std::optional<reply> got;
-    const auto call = m_client.fetch(
-        std::move(request), 1U << 20U,
-        [&got](const base::result<std::pair<http::response_head, std::string>>& answer, bool) {
-            got = reply{};
-            if (base::is_ok(answer)) {
-                const auto& [head, text] = base::value_of(answer);
-                got = reply{head.status, head.headers, text};
-            }
-        });
+    const auto call =
+        start(settings.entry_address, {method, path, "a.example", headers}, body, got);
     REQUIRE(run_until([&] { return got.has_value(); }));
     return *got;
 }
 
 reply host_fixture::get(const std::string& address, const std::string& path)
+{
+    std::optional<reply> got;
+    const auto call = start(address, {"GET", path, address, {}}, "", got);
+    REQUIRE(run_until([&] { return got.has_value(); }));
+    return *got;
+}
+
+std::unique_ptr<http::client_call> host_fixture::start(const std::string& address,
+                                                       http::request_head head,
+                                                       const std::string& body,
+                                                       std::optional<reply>& into)
 {
     http::client_request request;
     request.address = address;
-    request.head = {"GET", path, address, {}};
+    request.head = std::move(head);
+    request.body = body;
     request.deadline = base::boot_clock::now() + std::chrono::seconds(30);
-    std::optional<reply> got;
-    const auto call = m_client.fetch(
+    return m_client.fetch(
         std::move(request), 1U << 20U,
-        [&got](const base::result<std::pair<http::response_head, std::string>>& answer, bool) {
-            got = reply{};
-            if (base::is_ok(answer)) {
-                got = reply{base::value_of(answer).first.status, {}, base::value_of(answer).second};
+        [&into](const base::result<std::pair<http::response_head, std::string>>& got, bool) {
+            into = reply{};
+            if (base::is_ok(got)) {
+                const auto& [answer, text] = base::value_of(got);
+                into = reply{answer.status, answer.headers, text};
             }
         });
-    REQUIRE(run_until([&] { return got.has_value(); }));
-    return *got;
 }
 
 } // namespace snipeshore::apps::tests
--- a/src/apps/host/tests/host_fixture.h
+++ b/src/apps/host/tests/host_fixture.h
@@ -73,6 +73,9 @@
     std::unique_ptr<host_app> app;
 
 private:
+    std::unique_ptr<http::client_call> start(const std::string& address, http::request_head head,
+                                             const std::string& body, std::optional<reply>& into);
+
     http::client m_client;
     std::vector<std::unique_ptr<http::client_call>> m_calls;
 };
--- a/tests/soak/naive_host.cpp
+++ b/tests/soak/naive_host.cpp
@@ -25,7 +25,7 @@
 
 class naive_host {
 public:
-    naive_host(http::loop& loop, platform_adapter::file_settings settings)
+    naive_host(http::loop& loop, const platform_adapter::file_settings& settings)
         : m_loop(loop), m_store(loop, settings.store_address), m_client(loop, {}),
           m_entry(loop, [this](const std::shared_ptr<http::exchange>& request) {
               send(request, attempts);
