--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -71,7 +71,7 @@
     }
 
     void every(std::chrono::milliseconds interval, std::chrono::milliseconds delay,
-               std::function<void()> work)
+               const std::function<void()>& work)
     {
         m_loop.schedule(base::boot_clock::now() + delay, [this, interval, work] {
             work();
