Place objects of each route on their own; log target, object and prediction of a request

Runs were warm or cold by route and object together, and not by the object alone, so objects that took both routes along filled targets unevenly (busiest/mean 2.24). Change: the hash of an object includes its route; routes without affinity spread their requests. request_done says target, object, predicted wait and finish, so that this can be read from logs.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -322,6 +322,8 @@
 void forward_task::record_end(int status, std::string_view outcome)
 {
     const base::duration took = base::boot_clock::now() - m_arrived;
+    const base::duration sent_after =
+        m_tried.empty() ? base::duration{0} : m_sent_at - m_arrived;
     const std::string route = m_route == nullptr ? "none" : m_route->name;
     m_context.metrics
         .counter("snipeshore_requests_total", "Requests by route and outcome.",
@@ -344,8 +346,13 @@
                           {"service", m_service.value()},
                           {"status", status},
                           {"outcome", outcome},
+                          {"object", m_object},
+                          {"target", m_tried.empty() ? "" : m_tried.back().value()},
                           {"rank", static_cast<std::uint64_t>(m_rank)},
+                          {"predicted_wait_ms", milliseconds_of(m_predicted_wait)},
+                          {"predicted_ms", milliseconds_of(m_predicted)},
                           {"sent", static_cast<std::uint64_t>(m_sent)},
+                          {"sent_after_ms", milliseconds_of(sent_after)},
                           {"took_ms", milliseconds_of(took)}});
 }
 
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -60,6 +60,10 @@
             self->on_caller_gone();
         }
     });
+    if (m_context.is_closing) {
+        refuse({error_kind::stopping, "this host is about to end"});
+        return;
+    }
     if (m_routes == nullptr) {
         refuse({error_kind::not_ready, "this host has no configuration yet"});
         return;
@@ -95,7 +99,7 @@
     }
     const std::uint64_t random = m_context.random();
     m_service = routing::pick_service(*m_route, random);
-    m_object = object_hash(head.headers, names, m_service.value(), random);
+    m_object = object_hash(head.headers, names, *m_route, random);
     m_deadline = m_arrived + longest_request;
     if (const auto left = read_time_left(head.headers, names.time_left)) {
         m_deadline = m_arrived + *left;
@@ -215,6 +219,8 @@
     pooled_target& target = pool.targets[placement.target];
     m_target = target.entry.id;
     m_rank = placement.rank;
+    m_predicted_wait = placement.wait;
+    m_predicted = placement.finish;
     m_sent_at = now;
     m_tried.push_back(m_target);
     on_sent(pool, target, now);
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -106,6 +106,8 @@
     base::target_id m_target;
     base::time_point m_sent_at{};
     std::uint32_t m_rank = 0;
+    base::duration m_predicted_wait{0};
+    base::duration m_predicted{0}; ///< Wait and service time.
     std::uint64_t m_timer = 0; ///< Of the attempt until its response begins.
 
     std::vector<base::target_id> m_tried;
--- a/src/apps/host/request_parts.cpp
+++ b/src/apps/host/request_parts.cpp
@@ -69,10 +69,11 @@
 }
 
 std::uint64_t object_hash(const http::header_list& headers, const wire_names& names,
-                          std::string_view scope, std::uint64_t fallback)
+                          const routing::route& route, std::uint64_t fallback)
 {
-    const std::string_view object = find_cookie(headers, names.object_cookie);
-    return object.empty() ? fallback : base::stable_hash(object, base::stable_hash(scope));
+    const std::string_view object =
+        route.has_affinity ? find_cookie(headers, names.object_cookie) : std::string_view();
+    return object.empty() ? fallback : base::stable_hash(object, base::stable_hash(route.name));
 }
 
 http::header_list make_forwarded_headers(const http::header_list& from, const wire_names& names)
--- a/src/apps/host/request_parts.h
+++ b/src/apps/host/request_parts.h
@@ -3,6 +3,7 @@
 
 #include "apps/host/types/wire_names.h"
 #include "http/types/message.h"
+#include "routing/types/route_table.h"
 
 #include <chrono>
 #include <cstdint>
@@ -19,10 +20,11 @@
 std::optional<std::chrono::milliseconds> read_time_left(const http::header_list& headers,
                                                         std::string_view name);
 
-/// Hash by which requests for one object meet the same targets: of the cookie, or of `fallback` for
-/// a request that names no object.
+/// Hash by which requests of a route for one object meet the same targets: what a target knows of an
+/// object helps on that route only. `fallback` for routes without affinity and requests that name no
+/// object.
 std::uint64_t object_hash(const http::header_list& headers, const wire_names& names,
-                          std::string_view scope, std::uint64_t fallback);
+                          const routing::route& route, std::uint64_t fallback);
 
 /// Headers that go to the target: without the key and what only the system may set.
 http::header_list make_forwarded_headers(const http::header_list& from, const wire_names& names);
--- a/src/apps/host/tests/request_parts_test.cpp
+++ b/src/apps/host/tests/request_parts_test.cpp
@@ -15,9 +15,27 @@
         CHECK(apps::find_cookie(headers, "snipeshore-object") == "17");
         CHECK(apps::find_cookie(headers, "object").empty());
         CHECK(apps::find_cookie({{"cookie", ";;="}}, "x").empty());
-        CHECK(apps::object_hash(headers, names, "svc", 5) ==
-              apps::object_hash({{"cookie", "snipeshore-object=17"}}, names, "svc", 6));
-        CHECK(apps::object_hash({}, names, "svc", 5) == 5);
+        routing::route route;
+        route.name = "status";
+        route.has_affinity = true;
+        CHECK(apps::object_hash(headers, names, route, 5) ==
+              apps::object_hash({{"cookie", "snipeshore-object=17"}}, names, route, 6));
+        CHECK(apps::object_hash({}, names, route, 5) == 5);
+    }
+    // Guards against uneven targets: what a target knows of an object helps on one route only, and
+    // objects that take all their routes along make the busiest targets busier.
+    SUBCASE("an object has targets of its own on each route, and none without affinity")
+    {
+        const http::header_list headers{{"cookie", "snipeshore-object=17"}};
+        routing::route status;
+        status.name = "status";
+        status.has_affinity = true;
+        routing::route order = status;
+        order.name = "order";
+        CHECK(apps::object_hash(headers, names, status, 5) !=
+              apps::object_hash(headers, names, order, 5));
+        order.has_affinity = false;
+        CHECK(apps::object_hash(headers, names, order, 5) == 5);
     }
     SUBCASE("a nonsensical time limit counts as none")
     {
