Go on at the store within the call when a reader fails

A host whose reader had failed took that for an outage of the store; entries that vanish just after one count for two more seconds, so a target that had left got a request 2177 ms after it. Ruled out: the peer's late rows (23.37 s, in time). Change: a relayed call that fails is repeated at the store; the follower only sees the store's answer.

--- a/src/apps/host/relay_store.cpp
+++ b/src/apps/host/relay_store.cpp
@@ -26,14 +26,40 @@
 /// Part of the wait at the store that a relayed call waits.
 constexpr int slow_table_part = 2;
 
+/// A call to the reader that goes on at the store when the reader fails.
 class relayed_call final : public rows::store_call {
 public:
-    explicit relayed_call(std::unique_ptr<http::client_call> call) : m_call(std::move(call)) {}
+    void set_peer_call(std::unique_ptr<http::client_call> call) { m_peer_call = std::move(call); }
+    void set_store_call(std::unique_ptr<rows::store_call> call) { m_store_call = std::move(call); }
 
 private:
-    std::unique_ptr<http::client_call> m_call;
+    std::unique_ptr<http::client_call> m_peer_call;
+    std::unique_ptr<rows::store_call> m_store_call;
 };
 
+/// Page of a reader's answer; errors: `stale` and `store_unavailable`.
+base::result<rows::page>
+read_answer(const base::result<std::pair<http::response_head, std::string>>& reply)
+{
+    if (!base::is_ok(reply)) {
+        return base::error{base::error_kind::store_unavailable, base::error_of(reply).detail};
+    }
+    const auto& [head, body] = base::value_of(reply);
+    if (head.status != peer_status_ok) {
+        return base::error{base::error_kind::store_unavailable,
+                           "the reader answers " + std::to_string(head.status)};
+    }
+    const auto update = fleet::parse_update(body);
+    if (!base::is_ok(update)) {
+        return base::error{base::error_kind::store_unavailable, base::error_of(update).detail};
+    }
+    if (base::value_of(update).is_full) {
+        // The reader does not know all changes: the whole table is read again.
+        return base::error{base::error_kind::stale, "the reader has not the history"};
+    }
+    return rows::page{base::value_of(update).rows, false, base::value_of(update).version, true};
+}
+
 } // namespace
 
 relay_store::relay_store(host_context& context, const fleet::member& self, rows::row_store& store)
@@ -61,40 +87,30 @@
     // Tables that change rarely are also compared with every message between hosts.
     const std::chrono::milliseconds pushed_wait = std::max(relay_wait, wait / slow_table_part);
     const std::string path = rows_path(table, after, pushed_wait);
-    return std::make_unique<relayed_call>(m_context.client.fetch(
+    auto call = std::make_unique<relayed_call>();
+    call->set_peer_call(m_context.client.fetch(
         make_peer_request(reader->control_address, "GET", path, pushed_wait + relay_timeout),
         max_update_bytes,
-        [this, reader = reader->id.value(), done = std::move(done)](
+        [this, call = call.get(), reader = reader->id.value(), table, after, wait,
+         done = std::move(done)](
             const base::result<std::pair<http::response_head, std::string>>& reply, bool /*sent*/) {
-            on_update(reader, reply, done);
+            const base::result<rows::page> answer = read_answer(reply);
+            if (base::is_ok(answer) || base::error_of(answer).kind == base::error_kind::stale) {
+                done(answer);
+                return;
+            }
+            avoid_reader(reader, base::error_of(answer));
+            // The follower learns nothing of it: it would take the store for lost.
+            call->set_store_call(m_store.read_changes(table, after, wait, done));
         }));
+    return call;
 }
 
-void relay_store::on_update(const std::string& reader,
-                            const base::result<std::pair<http::response_head, std::string>>& reply,
-                            const page_callback& done)
+void relay_store::avoid_reader(const std::string& reader, const base::error& cause)
 {
-    base::error failure{base::error_kind::store_unavailable, "reader " + reader + " failed"};
-    if (base::is_ok(reply) && base::value_of(reply).first.status == peer_status_ok) {
-        const auto update = fleet::parse_update(base::value_of(reply).second);
-        if (base::is_ok(update)) {
-            const rows::copy_update& news = base::value_of(update);
-            if (news.is_full) {
-                // The reader does not know all changes: the whole table is read again.
-                done(base::error{base::error_kind::stale, "reader has not the history"});
-                return;
-            }
-            done(rows::page{news.rows, false, news.version, true});
-            return;
-        }
-        failure.detail = base::error_of(update).detail;
-    } else if (!base::is_ok(reply)) {
-        failure.detail = base::error_of(reply).detail;
-    }
     m_store_until = base::boot_clock::now() + avoid_reader_for;
     telemetry::log_event(telemetry::severity::info, "reader_failed",
-                         {{"host", reader}, {"cause", failure.detail}});
-    done(failure);
+                         {{"host", reader}, {"cause", cause.detail}});
 }
 
 std::unique_ptr<rows::store_call> relay_store::write(const std::string& table,
--- a/src/apps/host/relay_store.h
+++ b/src/apps/host/relay_store.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "base/types/error.h"
 #include "fleet/types/member.h"
 #include "http/client.h"
 #include "rows/row_store.h"
@@ -15,8 +16,8 @@
 struct host_context;
 
 /// Belongs to the loop's thread. The first read of a table and all writes go to the store; changes
-/// come from the host that reads for the failure domain, and from the store when that host is the
-/// own one or has failed.
+/// come from the host that reads for the failure domain. When that host is the own one or fails, the
+/// call goes to the store.
 class relay_store final : public rows::row_store {
 public:
     relay_store(host_context& context, const fleet::member& self, rows::row_store& store);
@@ -36,9 +37,7 @@
                                             status_callback done) override;
 
 private:
-    void on_update(const std::string& reader,
-                   const base::result<std::pair<http::response_head, std::string>>& reply,
-                   const page_callback& done);
+    void avoid_reader(const std::string& reader, const base::error& cause);
 
     host_context& m_context;
     const fleet::member& m_self;
--- /dev/null
+++ b/src/apps/host/tests/relay_store_test.cpp
@@ -0,0 +1,48 @@
+#include "apps/host/relay_store.h"
+
+#include "apps/host/host_context.h"
+#include "apps/host/tests/host_fixture.h"
+#include "fleet/members.h"
+#include "telemetry/metrics.h"
+
+#include <doctest/doctest.h>
+
+using namespace snipeshore;
+using namespace apps::tests;
+using namespace std::chrono_literals;
+
+// Guards against targets that get requests too late after they left: a host took its failed reader
+// for an outage of the store, after which vanished targets count for two seconds more.
+TEST_CASE("a call to a reader that fails goes on at the store")
+{
+    http::loop loop;
+    http::client client(loop, {});
+    telemetry::metrics metrics;
+    apps::host_settings settings;
+    apps::host_context context{settings, loop, client, metrics};
+    memory_store store(loop);
+    fleet::member self;
+    self.id = base::host_id("self");
+    self.failure_domain = base::failure_domain_id("z1");
+    fleet::member reader = self;
+    reader.id = base::host_id("other");
+    reader.control_address = free_address();
+    reader.reads_store = true;
+    context.members.self = self.id;
+    context.members.own_domain = self.failure_domain;
+    REQUIRE(fleet::hear(context.members, reader, base::boot_clock::now()));
+    self.state = fleet::member_state::leaving; // The other host reads for the failure domain.
+    apps::relay_store relay(context, self, store);
+    store.set("servers", "t1", "{}");
+
+    std::vector<base::result<rows::page>> answers;
+    const auto call = relay.read_changes("servers", 1, 0ms, [&](base::result<rows::page> answer) {
+        answers.push_back(std::move(answer));
+    });
+    REQUIRE(http::tests::run_until(loop, [&] { return !answers.empty(); }));
+    REQUIRE(answers.size() == 1);
+    REQUIRE(base::is_ok(answers.front()));
+    REQUIRE(base::value_of(answers.front()).rows.size() == 1);
+    CHECK(base::value_of(answers.front()).rows.front().key == "t1");
+    CHECK(store.calls == 1);
+}
