Refuse requests on open connections once a host is about to end

A request came 3.97 s after SIGTERM on an open connection, was sent to a target and cut at the end of the process after 1.76 s. Ruled out: a target's fault; the stop's deadline, which cannot move beyond SIGKILL.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -496,6 +496,7 @@
 
 void host_app::drain()
 {
+    m_context.is_closing = true;
     m_entry->drain([this] { finish_stop(); });
 }
 
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -39,7 +39,8 @@
     std::unordered_map<base::account_id, limits::fleet_limit> limits; ///< Of all hosts together.
     fleet::member_table members;
     crash_watch crashes = make_crash_watch();
-    bool is_leaving = false;
+    bool is_leaving = false; ///< A planned stop has begun.
+    bool is_closing = false; ///< New requests could not end before the process has to.
     std::mt19937_64 random;
     /// Keeps the running tasks alive.
     std::unordered_set<std::shared_ptr<forward_task>> tasks;
--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -18,6 +18,7 @@
     all["host"] = m_settings.host.value();
     all["incarnation"] = m_self.incarnation.value();
     all["state"] = static_cast<int>(m_self.state);
+    all["closing"] = m_context.is_closing;
     all["config_version"] = config_version();
     all["requests"] = m_context.tasks.size();
     for (const auto& [id, known] : m_context.members.members) {
--- a/src/apps/host/tests/host_test.cpp
+++ b/src/apps/host/tests/host_test.cpp
@@ -3,6 +3,7 @@
 #include "http/exchange.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace snipeshore;
 using namespace apps::tests;
@@ -158,6 +159,37 @@
     CHECK(got->body == "whole answer");
 }
 
+// Guards against requests that the end of the process cuts: they came on open connections long after
+// the stop had begun.
+TEST_CASE("a host that is about to end refuses requests on open connections")
+{
+    host_fixture host(plain_config);
+    std::vector<std::shared_ptr<http::exchange>> held;
+    test_target target(host.loop, [&](const std::shared_ptr<http::exchange>& request) {
+        held.push_back(request);
+    });
+    host.add_target("t1", target.address());
+    host.await_targets(1);
+    std::optional<reply> running;
+    std::optional<reply> done;
+    host.begin("/safe/x", with_key, running);
+    host.begin("/safe/y", with_key, done);
+    REQUIRE(host.run_until([&] { return held.size() == 2; }));
+    answer_well(held[1]);
+    REQUIRE(host.run_until([&] { return done.has_value() || running.has_value(); }));
+    host.app->stop();
+    REQUIRE(host.run_until([&] { return host.app->dump()["closing"] == true; }));
+
+    const reply late = host.send("/safe/z", with_key);
+    CHECK(late.status == 503);
+    CHECK(late.body.find("\"not_run\":true") != std::string::npos);
+    CHECK(target.requests == 2);
+    answer_well(held[0]);
+    REQUIRE(host.run_until([&] { return done.has_value() && running.has_value(); }));
+    CHECK(done->status == 200);
+    CHECK(running->status == 200);
+}
+
 TEST_CASE("a host goes on without the store")
 {
     host_fixture host(plain_config);
