Run pipelined requests at once and answer them in order

Callers of rack-status send further requests before the first is answered; h2o reads them one after the other. Change: the server reads on into h2o's buffer while a request runs and hands GET requests that pass a filter to the handler at once; their answers wait for their turn. The host lets idempotent routes pass unless it is stopping.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -181,6 +181,7 @@
         std::make_unique<http::server>(m_loop, [this](std::shared_ptr<http::exchange> request) {
             forward_task::start(m_context, std::move(request));
         });
+    m_entry->allow_early([this](const http::request_head& head) { return may_run_early(head); });
     m_lookup = std::make_unique<http::server>(
         m_loop,
         [this](const std::shared_ptr<http::exchange>& request) { answer_lookup(*request); });
@@ -199,6 +200,16 @@
     return status;
 }
 
+bool host_app::may_run_early(const http::request_head& head) const
+{
+    // A stopping host closes connections, and would lose what runs ahead of its turn.
+    if (m_context.is_leaving || m_context.routes == nullptr) {
+        return false;
+    }
+    const auto route = routing::find_route(*m_context.routes, head.authority, head.path);
+    return base::is_ok(route) && base::value_of(route)->repeats == routing::repeat::idempotent;
+}
+
 void host_app::register_host()
 {
     m_registration =
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -25,6 +25,7 @@
 class exchange;
 class loop;
 class server;
+struct request_head;
 } // namespace snipeshore::http
 
 namespace snipeshore::apps {
@@ -55,6 +56,8 @@
 
 private:
     base::status listen();
+    /// Whether the request may run before those in front of it on its connection are answered.
+    bool may_run_early(const http::request_head& head) const;
     void register_host();
     void check_ready();
     void answer_ready(http::exchange& request) const;
--- a/src/http/internal/caller_watch.cpp
+++ b/src/http/internal/caller_watch.cpp
@@ -13,8 +13,8 @@
 
 } // namespace
 
-caller_watch::caller_watch(h2o_evloop_t* evloop, std::function<void(std::uint64_t)> on_hang_up)
-    : m_epoll(epoll_create1(EPOLL_CLOEXEC)), m_on_hang_up(std::move(on_hang_up))
+caller_watch::caller_watch(h2o_evloop_t* evloop, event_callback on_event)
+    : m_epoll(epoll_create1(EPOLL_CLOEXEC)), m_on_event(std::move(on_event))
 {
     m_socket = h2o_evloop_socket_create(evloop, m_epoll, H2O_SOCKET_FLAG_DONT_READ);
     m_socket->data = this;
@@ -26,10 +26,13 @@
     h2o_socket_close(m_socket);
 }
 
-void caller_watch::add(int descriptor, std::uint64_t id) const
+void caller_watch::add(int descriptor, std::uint64_t id, bool reports_bytes) const
 {
     epoll_event event{};
     event.events = EPOLLRDHUP | EPOLLET;
+    if (reports_bytes) {
+        event.events |= EPOLLIN;
+    }
     event.data.u64 = id;
     epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event);
 }
@@ -46,7 +49,10 @@
     while (count == events_per_call) {
         count = epoll_wait(m_epoll, events.data(), events_per_call, 0);
         for (int i = 0; i < count; ++i) {
-            m_on_hang_up(events.at(static_cast<std::size_t>(i)).data.u64);
+            const epoll_event& event = events.at(static_cast<std::size_t>(i));
+            const bool is_hang_up = (event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+            m_on_event(event.data.u64,
+                       is_hang_up ? caller_event::hung_up : caller_event::sent_more);
         }
     }
 }
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -154,6 +154,16 @@
     return m_request != nullptr && m_request->version < http_2_0;
 }
 
+bool server_exchange::is_bound() const
+{
+    return m_request != nullptr;
+}
+
+server_connection* server_exchange::connection() const
+{
+    return m_request == nullptr ? nullptr : connection_of(*m_request);
+}
+
 void server_exchange::answer(response_head head, std::string body)
 {
     if (m_request == nullptr || m_phase != phase::waiting) {
--- a/src/http/internal/server_exchange.h
+++ b/src/http/internal/server_exchange.h
@@ -34,6 +34,12 @@
 
     bool is_http1() const;
 
+    /// Whether h2o still has the request.
+    bool is_bound() const;
+
+    /// The connection; null when h2o no longer has the request.
+    server_connection* connection() const;
+
     /// The caller hung up: reports it and gives the connection up.
     void caller_hung_up();
 
--- a/src/http/internal/server_impl.h
+++ b/src/http/internal/server_impl.h
@@ -5,14 +5,17 @@
 #include "http/internal/h2o.h"
 #include "http/internal/loop_impl.h"
 #include "http/server.h"
+#include "http/types/message.h"
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <string>
 #include <unordered_map>
 
 namespace snipeshore::http {
 
+class early_exchange;
 class server_exchange;
 struct server_connection;
 
@@ -35,6 +38,9 @@
     bool is_closed() const override;
     bool is_draining() const;
 
+    /// See `server::allow_early`.
+    std::function<bool(const request_head&)> may_run_early;
+
     void connection_closed(std::uint64_t id);
     void exchange_began(const std::shared_ptr<server_exchange>& exchange);
     void exchange_ended(const server_exchange* exchange);
@@ -56,7 +62,17 @@
     void accept_waiting();
     void accept_one(h2o_socket_t* socket);
     void stop_listening();
-    void caller_hung_up(std::uint64_t id);
+    void caller_did(std::uint64_t id, caller_event event);
+    void caller_hung_up(server_connection& connection);
+    bool looks_ahead() const;
+    /// Takes further bytes of the caller as far as h2o's buffer has room.
+    static void read_more(server_connection& connection);
+    /// Starts requests that the caller has sent behind the one that runs.
+    void look_ahead(server_connection& connection);
+    /// The early exchange of a request that h2o reports now; null if there is none.
+    static std::shared_ptr<early_exchange> take_early(server_connection& connection,
+                                                      const request_head& head);
+    void drop_early(server_connection& connection);
     void check_idle();
     int on_request(h2o_req_t* request);
 
@@ -84,6 +100,7 @@
     int descriptor = -1;
     bool has_hung_up = false;
     std::weak_ptr<server_exchange> running; ///< HTTP/1 only: the request that runs.
+    std::deque<std::shared_ptr<early_exchange>> early; ///< Requests behind it, in order.
 };
 
 } // namespace snipeshore::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,8 @@
 #include "http/server.h"
 
 #include "base/time.h"
+#include "http/internal/early_exchange.h"
+#include "http/internal/read_ahead.h"
 #include "http/internal/server_exchange.h"
 #include "http/internal/server_impl.h"
 #include "http/internal/socket_address.h"
@@ -10,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -26,6 +29,19 @@
 /// within this time.
 constexpr std::chrono::milliseconds drain_quiet_time{100};
 
+/// Requests of one connection that run ahead of their turn.
+constexpr std::size_t max_early = 16;
+
+bool is_same(const request_head& left, const request_head& right)
+{
+    return left.method == right.method && left.path == right.path &&
+           left.authority == right.authority &&
+           std::equal(left.headers.begin(), left.headers.end(), right.headers.begin(),
+                      right.headers.end(), [](const header& one, const header& other) {
+                          return one.name == other.name && one.value == other.value;
+                      });
+}
+
 base::status bad_setting(std::string detail)
 {
     return base::error{base::error_kind::bad_setting, std::move(detail)};
@@ -87,8 +103,9 @@
         return opened;
     }
     configure();
-    m_watch = std::make_unique<caller_watch>(owner.internals().evloop,
-                                             [this](std::uint64_t id) { caller_hung_up(id); });
+    m_watch = std::make_unique<caller_watch>(
+        owner.internals().evloop,
+        [this](std::uint64_t id, caller_event event) { caller_did(id, event); });
     set_accepting(true);
     return std::monostate{};
 }
@@ -210,31 +227,112 @@
     socket->on_close.cb = on_connection_closed;
     socket->on_close.data = connection.get();
     enable_keep_alive(connection->descriptor);
-    m_watch->add(connection->descriptor, connection->id);
+    m_watch->add(connection->descriptor, connection->id, looks_ahead());
     connections.emplace(connection->id, std::move(connection));
     h2o_accept(&m_accept, socket);
 }
 
 void server::impl::connection_closed(std::uint64_t id)
 {
-    connections.erase(id);
+    const auto found = connections.find(id);
+    if (found != connections.end()) {
+        drop_early(*found->second);
+        connections.erase(found);
+    }
     if (!m_is_draining && connections.size() < settings.max_connections) {
         set_accepting(true);
     }
 }
 
-void server::impl::caller_hung_up(std::uint64_t id)
+void server::impl::caller_did(std::uint64_t id, caller_event event)
 {
     const auto found = connections.find(id);
     if (found == connections.end()) {
         return;
     }
-    found->second->has_hung_up = true;
-    if (const auto running = found->second->running.lock()) {
+    if (event == caller_event::hung_up) {
+        caller_hung_up(*found->second);
+    } else {
+        look_ahead(*found->second);
+    }
+}
+
+void server::impl::caller_hung_up(server_connection& connection)
+{
+    connection.has_hung_up = true;
+    drop_early(connection);
+    if (const auto running = connection.running.lock()) {
         running->caller_hung_up();
     }
 }
 
+bool server::impl::looks_ahead() const
+{
+    return may_run_early && m_tls == nullptr;
+}
+
+void server::impl::look_ahead(server_connection& connection)
+{
+    const auto running = connection.running.lock();
+    if (!looks_ahead() || m_is_draining || connection.has_hung_up || running == nullptr ||
+        !running->is_bound() || running->head().method != "GET") {
+        return;
+    }
+    read_more(connection);
+    const h2o_buffer_t& input = *connection.socket->input;
+    const std::vector<request_head> heads = read_ahead({input.bytes, input.size});
+    // The first one runs.
+    for (std::size_t i = 1 + connection.early.size();
+         i < heads.size() && connection.early.size() < max_early; ++i) {
+        if (!may_run_early(heads[i])) {
+            return;
+        }
+        const auto early =
+            std::make_shared<early_exchange>(owner, heads[i], running->peer_address());
+        connection.early.push_back(early);
+        handler(early);
+    }
+}
+
+void server::impl::read_more(server_connection& connection)
+{
+    h2o_buffer_t& input = *connection.socket->input;
+    if (input.bytes == nullptr) {
+        return;
+    }
+    // The running request points into the buffer, which must not move.
+    const std::size_t used = static_cast<std::size_t>(input.bytes - input._buf) + input.size;
+    if (used >= input.capacity) {
+        return;
+    }
+    const ssize_t got = recv(connection.descriptor, input.bytes + input.size,
+                             input.capacity - used, MSG_DONTWAIT);
+    if (got > 0) {
+        input.size += static_cast<std::size_t>(got);
+    }
+}
+
+std::shared_ptr<early_exchange> server::impl::take_early(server_connection& connection,
+                                                         const request_head& head)
+{
+    if (connection.early.empty()) {
+        return nullptr;
+    }
+    const auto early = connection.early.front();
+    if (!is_same(early->head(), head)) {
+        return nullptr;
+    }
+    connection.early.pop_front();
+    return early;
+}
+
+void server::impl::drop_early(server_connection& connection)
+{
+    for (const auto& early : std::exchange(connection.early, {})) {
+        early->close();
+    }
+}
+
 int server::impl::on_request_entry(h2o_handler_t* self, h2o_req_t* request)
 {
     return reinterpret_cast<slot*>(self)->owner->on_request(request);
@@ -243,10 +341,24 @@
 int server::impl::on_request(h2o_req_t* request)
 {
     const auto exchange = server_exchange::create(*this, *request);
-    if (handler) {
+    if (!handler) {
+        exchange->abort();
+        return 0;
+    }
+    server_connection* connection = exchange->is_http1() ? exchange->connection() : nullptr;
+    if (connection == nullptr) {
         handler(exchange);
+        return 0;
+    }
+    const std::uint64_t id = connection->id;
+    if (const auto early = take_early(*connection, exchange->head())) {
+        early->attach(exchange);
     } else {
-        exchange->abort();
+        drop_early(*connection);
+        handler(exchange);
+    }
+    if (const auto found = connections.find(id); found != connections.end()) {
+        look_ahead(*found->second);
     }
     return 0;
 }
@@ -319,6 +431,9 @@
     h2o_context_request_shutdown(&m_context);
     std::vector<std::shared_ptr<server_exchange>> running;
     for (const auto& [id, connection] : connections) {
+        for (const auto& early : std::exchange(connection->early, {})) {
+            early->disown();
+        }
         shutdown(connection->descriptor, SHUT_RDWR);
     }
     for (const auto& [key, exchange] : exchanges) {
@@ -356,6 +471,11 @@
     return m_impl->listen(settings);
 }
 
+void server::allow_early(std::function<bool(const request_head&)> filter)
+{
+    m_impl->may_run_early = std::move(filter);
+}
+
 void server::set_request_timeout(std::chrono::milliseconds timeout)
 {
     m_impl->set_request_timeout(timeout);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -14,6 +14,7 @@
 
 class exchange;
 class loop;
+struct request_head;
 
 struct server_settings {
     std::string address;          ///< "ip:port"; port 0 picks a free one.
@@ -43,6 +44,12 @@
 
     base::status listen(const server_settings& settings);
 
+    /// Requests that a caller sends on an HTTP/1.1 connection without awaiting the answers to
+    /// earlier ones reach the handler one after the other. Those that pass `filter` reach it at
+    /// once; their answers wait for their turn. They may be dropped without an answer when the
+    /// connection ends before, so they have to be idempotent. To be set before `listen`.
+    void allow_early(std::function<bool(const request_head&)> filter);
+
     /// Changes `server_settings::request_timeout` of open and new connections.
     void set_request_timeout(std::chrono::milliseconds timeout);
 
