Await short idempotent answers whole; retry those that break off

Ruled out: keeping the connection after a cut answer (its end would not be seen). Change: idempotent answers of up to 32 KiB with a length are passed on when they are whole; one that breaks off comes from another target, or ends as 502. The time limit holds until then.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -30,6 +30,10 @@
 /// Callers come back after a refusal; earlier the targets are still full.
 constexpr std::chrono::milliseconds least_retry_after{100};
 
+/// An idempotent answer up to this size is awaited whole, so that one that breaks off can come from
+/// another target instead: a cut would also end the requests behind it on the caller's connection.
+constexpr std::uint64_t max_collected_bytes = 32U << 10U;
+
 constexpr int status_misdirected = 421;
 constexpr int first_failure_status = 500;
 constexpr int first_success_status = 200;
@@ -72,7 +76,6 @@
 
 void forward_task::on_head(const http::response_head& head)
 {
-    cancel_timer();
     const wire_names& names = m_context.settings.names;
     const base::time_point now = base::boot_clock::now();
     pooled_target* target = current_target();
@@ -108,12 +111,23 @@
                      "target failed with " + std::to_string(head.status));
         return;
     }
+    m_status = head.status;
+    if (may_collect(head)) {
+        m_collected = head;
+        return;
+    }
     pass_on(head);
 }
 
+bool forward_task::may_collect(const http::response_head& head) const
+{
+    return is_idempotent() && m_exchange->head().method == "GET" &&
+           head.content_length.value_or(max_collected_bytes + 1) <= max_collected_bytes;
+}
+
 void forward_task::pass_on(const http::response_head& head)
 {
-    m_status = head.status;
+    cancel_timer();
     m_is_passing_on = true;
     m_stream = std::make_shared<answer_stream>(m_exchange);
     m_stream->start(head);
@@ -121,7 +135,9 @@
 
 void forward_task::on_body(std::string_view piece)
 {
-    if (m_is_passing_on && m_stream != nullptr && m_call != nullptr) {
+    if (m_collected.has_value()) {
+        m_collected_body.append(piece);
+    } else if (m_is_passing_on && m_stream != nullptr && m_call != nullptr) {
         m_stream->write(piece, *m_call);
     }
 }
@@ -146,18 +162,24 @@
         fail_attempt(attempt_end::not_sent, cause.detail);
         return;
     }
-    ++m_sent;
-    m_may_have_run = true;
+    count_sent();
     const bool is_late = cause.kind == error_kind::deadline_exceeded;
     fail_attempt(is_late ? attempt_end::timed_out : attempt_end::broken, cause.detail);
 }
 
+void forward_task::count_sent()
+{
+    m_may_have_run = true;
+    if (!m_collected.has_value()) {
+        ++m_sent; // With a head of a response the attempt is counted already.
+    }
+}
+
 void forward_task::on_complete()
 {
-    if (m_stream == nullptr) {
+    if (m_stream == nullptr && !m_collected.has_value()) {
         return;
     }
-    m_stream->forget_call();
     if (pooled_target* target = current_target(); target != nullptr) {
         if (m_status >= first_failure_status) {
             on_failure(*target, false, base::boot_clock::now());
@@ -167,6 +189,13 @@
     }
     close_attempt(m_status < first_failure_status);
     on_answered(m_context.crashes, m_fingerprint);
+    if (m_collected.has_value()) {
+        m_exchange->answer(std::move(*m_collected), std::move(m_collected_body));
+        record_end(m_status, "answered");
+        leave();
+        return;
+    }
+    m_stream->forget_call();
     m_stream->finish([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->record_end(self->m_status, "answered");
@@ -230,6 +259,8 @@
     const std::string detail(cause);
     const base::time_point now = base::boot_clock::now();
     cancel_timer();
+    m_collected.reset();
+    m_collected_body.clear();
     watch_crash(end);
     blame_target(end, detail);
     const base::target_id target = m_target;
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -268,8 +268,7 @@
         fail_attempt(attempt_end::not_sent, "no connection in time");
         return;
     }
-    ++m_sent;
-    m_may_have_run = true;
+    count_sent();
     fail_attempt(attempt_end::timed_out, "no response in time");
 }
 
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -66,6 +66,10 @@
     void on_body(std::string_view piece);
     void on_end(const http::call_end& end);
     void on_complete();
+    /// Whether the answer is awaited whole before the caller gets any of it.
+    bool may_collect(const http::response_head& head) const;
+    /// The request reached the target of the running attempt.
+    void count_sent();
     void on_caller_gone();
 
     /// Whether the response can be the target's response to this request.
@@ -108,7 +112,9 @@
     std::uint32_t m_rank = 0;
     base::duration m_predicted_wait{0};
     base::duration m_predicted{0}; ///< Wait and service time.
-    std::uint64_t m_timer = 0; ///< Of the attempt until its response begins.
+    std::uint64_t m_timer = 0; ///< Of the attempt until its answer is passed on.
+    std::optional<http::response_head> m_collected; ///< Of an answer that is awaited whole.
+    std::string m_collected_body;
 
     std::vector<base::target_id> m_tried;
     unsigned m_sent = 0;
--- a/src/apps/host/tests/host_test.cpp
+++ b/src/apps/host/tests/host_test.cpp
@@ -139,6 +139,50 @@
     }
 }
 
+// Guards against connections that close under requests behind a cut answer.
+TEST_CASE("a short answer that breaks off comes whole from another target")
+{
+    host_fixture host(plain_config);
+    int cuts = 0;
+    const auto cut = [&](const std::shared_ptr<http::exchange>& request) {
+        ++cuts;
+        http::response_head head;
+        head.headers = {{"x-response-seal", "sealed"}, {"x-attempt-id", "id-1"}};
+        head.content_length = 100;
+        request->start_answer(head);
+        request->write("only a part");
+        request->abort();
+    };
+    test_target first(host.loop, cut);
+    host.add_target("t1", first.address());
+    SUBCASE("if the request is idempotent")
+    {
+        test_target second(host.loop, answer_well);
+        host.add_target("t2", second.address());
+        host.await_targets(2);
+        for (int i = 0; i < 20; ++i) {
+            const reply got = host.send("/safe/x", with_key);
+            CHECK(got.status == 200);
+            CHECK(got.body == "whole answer");
+        }
+        CHECK(cuts > 0);
+    }
+    SUBCASE("and without one the caller gets an answer that promises nothing")
+    {
+        host.await_targets(1);
+        const reply got = host.send("/safe/x", with_key);
+        CHECK(got.status == 502);
+        CHECK(got.body.find("\"not_run\":false") != std::string::npos);
+    }
+    SUBCASE("but what runs once is passed on as it comes, and is seen to be cut")
+    {
+        host.await_targets(1);
+        const reply got = host.send("/once/x", with_key, "POST", "order");
+        CHECK(got.body != "whole answer");
+        CHECK(cuts == 1);
+    }
+}
+
 TEST_CASE("a planned stop finishes what was read and leaves the look-ups first")
 {
     host_fixture host(plain_config);
