Let shares refill from the start of the process

Ruled out: lost gifts; the hosts that are counted (76, right). Change: when the hosts are first known, a share counts what has refilled since the process started, in which time this incarnation has admitted nothing.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -421,6 +421,8 @@
         return;
     }
     const base::time_point now = base::boot_clock::now();
+    const bool is_first = !m_has_parts && m_host_rows.is_loaded();
+    m_has_parts = m_has_parts || is_first;
     // Until the hosts are known, at least one for each failure domain is assumed.
     m_shared_by = std::max(fleet::possible_hosts(m_context.members), m_settings.regions.size());
     for (const routing::account& account : m_context.routes->accounts) {
@@ -430,7 +432,11 @@
         const std::size_t holders = limits::holders_of(limit, m_shared_by);
         const bool is_holder =
             fleet::is_among_first(m_context.members, account.id.value(), holders);
-        limits::set_limit(m_context.shares[account.id], limit, is_holder ? holders : 0, now);
+        limits::fleet_share& share = m_context.shares[account.id];
+        limits::set_limit(share, limit, is_holder ? holders : 0, now);
+        if (is_first) {
+            limits::refill_from(share, m_started);
+        }
     }
 }
 
--- a/src/limits/fleet_share.cpp
+++ b/src/limits/fleet_share.cpp
@@ -85,6 +85,12 @@
     share.tokens = std::min(share.tokens, share.own.burst);
 }
 
+void refill_from(fleet_share& share, base::time_point since)
+{
+    share.tokens = 0;
+    share.refilled = since;
+}
+
 bool take(fleet_share& share, base::time_point now)
 {
     fade_demand(share, now);
--- a/src/limits/fleet_share.h
+++ b/src/limits/fleet_share.h
@@ -22,6 +22,9 @@
 void set_limit(fleet_share& share, const fleet_limit& limit, std::size_t holders,
                base::time_point now);
 
+/// The share refills from `since` on, as this incarnation has admitted nothing since then.
+void refill_from(fleet_share& share, base::time_point since);
+
 /// Takes the tokens of one request. False: the host has no part left; see `time_to_token`.
 bool take(fleet_share& share, base::time_point now);
 
--- a/src/limits/tests/fleet_share_test.cpp
+++ b/src/limits/tests/fleet_share_test.cpp
@@ -26,6 +26,22 @@
         CHECK(limits::time_to_token(share, start) == 200ms);
         CHECK(limits::take(share, start + 250ms));
     }
+    // Guards against refusals within the rate after the whole fleet has restarted.
+    SUBCASE("it may use what has refilled since it started, and no more")
+    {
+        limits::refill_from(share, start - 1s);
+        int taken = 0;
+        while (limits::take(share, start)) {
+            ++taken;
+        }
+        CHECK(taken == 5);
+        limits::refill_from(share, start - 1h);
+        taken = 0;
+        while (limits::take(share, start)) {
+            ++taken;
+        }
+        CHECK(taken == 10);
+    }
     SUBCASE("the burst of the share bounds what is saved")
     {
         int taken = 0;
