--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -353,8 +353,7 @@
 void forward_task::record_end(int status, std::string_view outcome)
 {
     const base::duration took = base::boot_clock::now() - m_arrived;
-    const base::duration sent_after =
-        m_tried.empty() ? base::duration{0} : m_sent_at - m_arrived;
+    const base::duration sent_after = m_tried.empty() ? base::duration{0} : m_sent_at - m_arrived;
     const std::string route = m_route == nullptr ? "none" : m_route->name;
     m_context.metrics
         .counter("snipeshore_requests_total", "Requests by route and outcome.",
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -112,7 +112,7 @@
     std::uint32_t m_rank = 0;
     base::duration m_predicted_wait{0};
     base::duration m_predicted{0}; ///< Wait and service time.
-    std::uint64_t m_timer = 0; ///< Of the attempt until its answer is passed on.
+    std::uint64_t m_timer = 0;     ///< Of the attempt until its answer is passed on.
     std::optional<http::response_head> m_collected; ///< Of an answer that is awaited whole.
     std::string m_collected_body;
 
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -48,15 +48,9 @@
 /// that it is ready.
 constexpr std::chrono::milliseconds longest_start{2500};
 
-/// Requests on idle connections of callers are awaited for this long until the configuration is
-/// known.
-constexpr std::chrono::milliseconds caller_idle_timeout{16000};
-
 /// Added to the configuration's limit, so that a caller that keeps to it never meets a close.
 constexpr std::chrono::milliseconds idle_slack{1000};
 
-constexpr std::size_t max_body_bytes = 64U << 20U;
-
 /// A connection attempt across regions takes 30 ms; a lost packet costs more than another target.
 constexpr std::chrono::milliseconds target_connect_timeout{350};
 
@@ -87,14 +81,6 @@
     return base::incarnation(value >> 16U);
 }
 
-void answer_text(http::exchange& request, int status, std::string text)
-{
-    http::response_head head;
-    head.status = status;
-    head.headers.push_back({"content-type", "application/json"});
-    request.answer(std::move(head), std::move(text));
-}
-
 fleet::member make_member(const host_settings& settings)
 {
     return {settings.host,          settings.failure_domain,
@@ -167,49 +153,6 @@
     return {};
 }
 
-base::status host_app::listen()
-{
-    http::server_settings entry;
-    entry.address = m_settings.entry_address;
-    entry.max_request_bytes = max_body_bytes;
-    entry.request_timeout = caller_idle_timeout;
-    http::server_settings lookup = entry;
-    lookup.address = m_settings.lookup_address;
-    http::server_settings ready = entry;
-    ready.address = m_settings.ready_address;
-    m_entry =
-        std::make_unique<http::server>(m_loop, [this](std::shared_ptr<http::exchange> request) {
-            forward_task::start(m_context, std::move(request));
-        });
-    m_entry->allow_early([this](const http::request_head& head) { return may_run_early(head); });
-    m_lookup = std::make_unique<http::server>(
-        m_loop,
-        [this](const std::shared_ptr<http::exchange>& request) { answer_lookup(*request); });
-    m_ready = std::make_unique<http::server>(
-        m_loop, [this](const std::shared_ptr<http::exchange>& request) { answer_ready(*request); });
-    base::status status = m_entry->listen(entry);
-    if (base::is_ok(status)) {
-        status = m_lookup->listen(lookup);
-    }
-    if (base::is_ok(status)) {
-        status = m_ready->listen(ready);
-    }
-    if (base::is_ok(status) && !m_settings.metrics_address.empty()) {
-        status = m_admin.listen(m_settings.metrics_address);
-    }
-    return status;
-}
-
-bool host_app::may_run_early(const http::request_head& head) const
-{
-    // A stopping host closes connections, and would lose what runs ahead of its turn.
-    if (m_context.is_leaving || m_context.routes == nullptr) {
-        return false;
-    }
-    const auto route = routing::find_route(*m_context.routes, head.authority, head.path);
-    return base::is_ok(route) && base::value_of(route)->repeats == routing::repeat::idempotent;
-}
-
 void host_app::register_host()
 {
     m_registration =
@@ -242,41 +185,6 @@
     m_peers.announce();
 }
 
-void host_app::answer_ready(http::exchange& request) const
-{
-    if (request.head().path != m_settings.names.ready_path) {
-        answer_text(request, 404, "{}");
-        return;
-    }
-    answer_text(request, is_ready() ? 200 : 503, "{}");
-}
-
-base::region_id host_app::region_of(const base::failure_domain_id& domain) const
-{
-    const auto found = m_settings.regions.find(domain);
-    return found == m_settings.regions.end() ? base::region_id() : found->second;
-}
-
-void host_app::answer_lookup(http::exchange& request) const
-{
-    const std::string_view path = request.head().path;
-    const std::size_t question = std::min(path.find('?'), path.size());
-    if (path.substr(0, question) != m_settings.names.lookup_path) {
-        answer_text(request, 404, "{}");
-        return;
-    }
-    const std::string_view query = path.substr(std::min(question + 1, path.size()));
-    const std::vector<std::string> addresses = fleet::entry_addresses(
-        m_context.members, m_self, m_formats.caller_domain(query),
-        [this](const base::failure_domain_id& domain) { return region_of(domain); },
-        base::boot_clock::now());
-    if (addresses.empty()) {
-        answer_text(request, 503, "{}");
-        return;
-    }
-    answer_text(request, 200, m_formats.lookup_answer(addresses, m_settings.lookup_ttl));
-}
-
 void host_app::on_operator_rows(const std::vector<rows::row>& changes)
 {
     bool is_drain_changed = false;
@@ -385,6 +293,7 @@
         }
         fleet::list(m_context.members, base::value_of(listed));
     }
+    update_budgets(m_context);
     update_shares();
     check_ready();
     m_peers.on_rows_changed(m_formats.host_table);
@@ -458,6 +367,7 @@
         update_targets();
     }
     drop_dead_hosts();
+    update_budgets(m_context);
     const std::size_t hosts =
         std::max(fleet::possible_hosts(m_context.members), m_settings.regions.size());
     if (hosts != m_shared_by) {
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -102,7 +102,7 @@
     std::unique_ptr<http::server> m_ready;
     std::unique_ptr<rows::store_call> m_registration;
     std::size_t m_shared_by = 0; ///< Hosts by which accounts' limits are divided.
-    bool m_has_parts = false;    ///< Parts of accounts' limits follow from the hosts that are known.
+    bool m_has_parts = false; ///< Parts of accounts' limits follow from the hosts that are known.
     base::time_point m_started{};
     base::time_point m_stop_deadline{};
     base::time_point m_housekeeping_due{};
--- a/src/apps/host/host_context.cpp
+++ b/src/apps/host/host_context.cpp
@@ -42,10 +42,17 @@
         pool.service = service;
         pool.budget = retries::make_budget(budget_for(context), base::boot_clock::now());
     }
-    pool.budget.settings = budget_for(context);
     return pool;
 }
 
+void update_budgets(host_context& context)
+{
+    const retries::budget_settings settings = budget_for(context);
+    for (auto& [service, pool] : context.pools) {
+        pool.budget.settings = settings;
+    }
+}
+
 pool_view make_view(const host_context& context, base::time_point now)
 {
     return {now, [&context, now](const base::target_id& target) {
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -52,6 +52,9 @@
 /// Pool of the service, made when it is first needed.
 target_pool& pool_of(host_context& context, const base::service_id& service);
 
+/// Divides the retry budget among the hosts that are known now.
+void update_budgets(host_context& context);
+
 /// How the targets' use depends on the fleet at this moment.
 pool_view make_view(const host_context& context, base::time_point now);
 
--- a/src/apps/host/relay_store.cpp
+++ b/src/apps/host/relay_store.cpp
@@ -29,8 +29,14 @@
 /// A call to the reader that goes on at the store when the reader fails.
 class relayed_call final : public rows::store_call {
 public:
-    void set_peer_call(std::unique_ptr<http::client_call> call) { m_peer_call = std::move(call); }
-    void set_store_call(std::unique_ptr<rows::store_call> call) { m_store_call = std::move(call); }
+    void set_peer_call(std::unique_ptr<http::client_call> call)
+    {
+        m_peer_call = std::move(call);
+    }
+    void set_store_call(std::unique_ptr<rows::store_call> call)
+    {
+        m_store_call = std::move(call);
+    }
 
 private:
     std::unique_ptr<http::client_call> m_peer_call;
--- a/src/apps/host/relay_store.h
+++ b/src/apps/host/relay_store.h
@@ -16,8 +16,8 @@
 struct host_context;
 
 /// Belongs to the loop's thread. The first read of a table and all writes go to the store; changes
-/// come from the host that reads for the failure domain. When that host is the own one or fails, the
-/// call goes to the store.
+/// come from the host that reads for the failure domain. When that host is the own one or fails,
+/// the call goes to the store.
 class relay_store final : public rows::row_store {
 public:
     relay_store(host_context& context, const fleet::member& self, rows::row_store& store);
--- a/src/apps/host/request_parts.h
+++ b/src/apps/host/request_parts.h
@@ -20,9 +20,9 @@
 std::optional<std::chrono::milliseconds> read_time_left(const http::header_list& headers,
                                                         std::string_view name);
 
-/// Hash by which requests of a route for one object meet the same targets: what a target knows of an
-/// object helps on that route only. `fallback` for routes without affinity and requests that name no
-/// object.
+/// Hash by which requests of a route for one object meet the same targets: what a target knows of
+/// an object helps on that route only. `fallback` for routes without affinity and requests that
+/// name no object.
 std::uint64_t object_hash(const http::header_list& headers, const wire_names& names,
                           const routing::route& route, std::uint64_t fallback);
 
--- a/src/apps/host/tests/host_test.cpp
+++ b/src/apps/host/tests/host_test.cpp
@@ -203,8 +203,8 @@
     CHECK(got->body == "whole answer");
 }
 
-// Guards against requests that the end of the process cuts: they came on open connections long after
-// the stop had begun.
+// Guards against requests that the end of the process cuts: they came on open connections long
+// after the stop had begun.
 TEST_CASE("a host that is about to end refuses requests on open connections")
 {
     host_fixture host(plain_config);
--- a/src/http/internal/h2o.h
+++ b/src/http/internal/h2o.h
@@ -14,10 +14,9 @@
     size_t value_len;
 };
 
-int phr_parse_request(const char* buffer, size_t length, const char** method,
-                      size_t* method_length, const char** path, size_t* path_length,
-                      int* minor_version, struct phr_header* headers, size_t* header_count,
-                      size_t last_length);
+int phr_parse_request(const char* buffer, size_t length, const char** method, size_t* method_length,
+                      const char** path, size_t* path_length, int* minor_version,
+                      struct phr_header* headers, size_t* header_count, size_t last_length);
 
 int phr_parse_response(const char* buffer, size_t length, int* minor_version, int* status,
                        const char** message, size_t* message_length, struct phr_header* headers,
--- a/src/http/internal/read_ahead.cpp
+++ b/src/http/internal/read_ahead.cpp
@@ -41,9 +41,9 @@
     std::size_t method_size = 0;
     std::size_t path_size = 0;
     int minor_version = 0;
-    const int size = phr_parse_request(bytes.data(), bytes.size(), &method, &method_size, &path,
-                                       &path_size, &minor_version, headers.data(), &header_count,
-                                       0);
+    const int size =
+        phr_parse_request(bytes.data(), bytes.size(), &method, &method_size, &path, &path_size,
+                          &minor_version, headers.data(), &header_count, 0);
     if (size <= 0 || minor_version != minor_version_1 ||
         std::string_view(method, method_size) != "GET") {
         return std::nullopt;
--- a/src/http/internal/server_impl.h
+++ b/src/http/internal/server_impl.h
@@ -99,7 +99,7 @@
     h2o_socket_t* socket = nullptr;
     int descriptor = -1;
     bool has_hung_up = false;
-    std::weak_ptr<server_exchange> running; ///< HTTP/1 only: the request that runs.
+    std::weak_ptr<server_exchange> running;            ///< HTTP/1 only: the request that runs.
     std::deque<std::shared_ptr<early_exchange>> early; ///< Requests behind it, in order.
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -305,8 +305,8 @@
     if (used >= input.capacity) {
         return;
     }
-    const ssize_t got = recv(connection.descriptor, input.bytes + input.size,
-                             input.capacity - used, MSG_DONTWAIT);
+    const ssize_t got =
+        recv(connection.descriptor, input.bytes + input.size, input.capacity - used, MSG_DONTWAIT);
     if (got > 0) {
         input.size += static_cast<std::size_t>(got);
     }
