--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -342,6 +342,9 @@
                           {"route", m_route == nullptr ? "" : m_route->name},
                           {"account", m_account == nullptr ? "" : m_account->id.value()},
                           {"config", m_routes == nullptr ? 0 : m_routes->version},
+                          {"best_target", m_best_target.value()},
+                          {"predicted_wait_ms", milliseconds_of(m_predicted_wait)},
+                          {"predicted_ms", milliseconds_of(m_predicted)},
                           {"sent", static_cast<std::uint64_t>(m_sent)},
                           {"after_ms", milliseconds_of(base::boot_clock::now() - m_arrived)}});
     const bool not_run = answer.not_run && !m_may_have_run;
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -175,6 +175,9 @@
                 "no target can take the request"});
         return;
     }
+    m_best_target = pool_of(m_context, m_service).targets[placement->target].entry.id;
+    m_predicted_wait = placement->wait;
+    m_predicted = placement->finish;
     const base::status checked = check_placement(*placement);
     if (!base::is_ok(checked)) {
         refuse(base::error_of(checked));
@@ -219,8 +222,6 @@
     pooled_target& target = pool.targets[placement.target];
     m_target = target.entry.id;
     m_rank = placement.rank;
-    m_predicted_wait = placement.wait;
-    m_predicted = placement.finish;
     m_sent_at = now;
     m_tried.push_back(m_target);
     on_sent(pool, target, now);
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -110,12 +110,15 @@
     base::target_id m_target;
     base::time_point m_sent_at{};
     std::uint32_t m_rank = 0;
-    base::duration m_predicted_wait{0};
-    base::duration m_predicted{0}; ///< Wait and service time.
-    std::uint64_t m_timer = 0;     ///< Of the attempt until its answer is passed on.
+    std::uint64_t m_timer = 0; ///< Of the attempt until its answer is passed on.
     std::optional<http::response_head> m_collected; ///< Of an answer that is awaited whole.
     std::string m_collected_body;
 
+    // The target that was chosen last, also if the request was refused instead.
+    base::target_id m_best_target;
+    base::duration m_predicted_wait{0};
+    base::duration m_predicted{0}; ///< Wait and service time.
+
     std::vector<base::target_id> m_tried;
     unsigned m_sent = 0;
     unsigned m_unsent = 0;
