Count a crash whose health check broke too

Cause: the health check after a broken connection took a pooled connection that the process, which was ending, had not closed yet.

Change: retries::liveness_after tells running, ended and unknown apart; crash_monitor repeats an unknown check within its deadline. The host program judges with the same function, so a request that waited in the client's queue past its deadline no longer counts as a target that has ended.

--- a/src/apps/entry/crash_monitor.h
+++ b/src/apps/entry/crash_monitor.h
@@ -2,6 +2,7 @@
 /// processes.
 #pragma once
 
+#include "base/result.h"
 #include "base/time.h"
 #include "base/types/ids.h"
 #include "http/client.h"
@@ -15,6 +16,10 @@
 #include <string>
 #include <vector>
 
+namespace snipeshore::http {
+class loop;
+}
+
 namespace snipeshore::inner {
 class node;
 }
@@ -26,8 +31,13 @@
 /// Owns the crash tracker. Must only be used on the thread of the event loop.
 class crash_monitor {
 public:
-    crash_monitor(http::client& client, inner::node& node, const fleet_state& fleet,
-                  const base::host_id& self);
+    crash_monitor(http::loop& loop, http::client& client, inner::node& node,
+                  const fleet_state& fleet, const base::host_id& self);
+    ~crash_monitor();
+    crash_monitor(const crash_monitor&) = delete;
+    crash_monitor& operator=(const crash_monitor&) = delete;
+    crash_monitor(crash_monitor&&) = delete;
+    crash_monitor& operator=(crash_monitor&&) = delete;
 
     retries::suspicion suspicion_of(std::uint64_t fingerprint) const;
 
@@ -43,8 +53,9 @@
     };
 
     /// To be called when a target closed a connection without a response. Checks whether the target
-    /// still accepts connections, because a lost connection alone does not prove a crash. A crash
-    /// is reported to all entry processes. Calls `done` when all of them have replied or the
+    /// still accepts connections, because a lost connection alone does not prove a crash. A check
+    /// that breaks as well is repeated: it may have used a connection that the process that is
+    /// ending had not closed yet. A crash is reported to all entry processes. Calls `done` when all of them have replied or the
     /// deadline has passed, so that the caller receives its response, and may send the request
     /// again to another host, only after that.
     void on_broken_connection(broken_connection broken, std::function<void()> done);
@@ -63,8 +74,11 @@
 private:
     struct health_check;
 
+    void send_health_check(const std::shared_ptr<health_check>& check);
+    void on_health_checked(const std::shared_ptr<health_check>& check, const base::status& outcome);
     void report(const broken_connection& broken, const std::function<void()>& done);
 
+    http::loop& m_loop;
     http::client& m_client;
     inner::node& m_node;
     const fleet_state& m_fleet;
--- a/src/apps/entry/entry_app.cpp
+++ b/src/apps/entry/entry_app.cpp
@@ -40,7 +40,7 @@
       m_shares(loop, m_node, m_settings.identity.host, m_incarnation),
       m_tickets(m_node, m_snapshots.state(), m_settings.identity.host, m_incarnation,
                 tickets::derive_fleet_secret(m_settings.identity.fleet_secret)),
-      m_crashes(m_client, m_node, m_snapshots.state(), m_settings.identity.host),
+      m_crashes(loop, m_client, m_node, m_snapshots.state(), m_settings.identity.host),
       m_services{
           m_settings.identity, loop, m_client, m_metrics, m_snapshots.state(), m_shares, m_tickets,
           m_crashes,           {},   {},       {},        m_settings.max_tasks},
--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -4,6 +4,7 @@
 #include "apps/host/host_context.h"
 #include "base/error_response.h"
 #include "http/exchange.h"
+#include "retries/liveness.h"
 #include "retries/next_step.h"
 #include "retries/retry_budget.h"
 #include "telemetry/event_log.h"
@@ -160,6 +161,9 @@
     }
     if (!end.request_sent) {
         ++m_unsent_attempts;
+        if (retries::liveness_after(end.outcome) == retries::liveness::ended) {
+            record_target_end();
+        }
         fail_attempt(attempt_result::not_sent, cause.detail);
         return;
     }
@@ -205,15 +209,10 @@
     });
 }
 
-void forward_task::record_crash_evidence(attempt_result result)
+void forward_task::record_target_end()
 {
-    const base::time_point now = base::boot_clock::now();
-    if (result == attempt_result::broken) {
-        on_connection_broken(m_context.crashes, {m_target, m_fingerprint, m_sent_at, now});
-        return;
-    }
-    if (result == attempt_result::not_sent &&
-        on_target_ended(m_context.crashes, m_context.settings.host, m_target, now)) {
+    if (on_target_ended(m_context.crashes, m_context.settings.host, m_target,
+                        base::boot_clock::now())) {
         telemetry::log_event(severity::warning, "target_crashed",
                              {{"target", m_target.value()}, {"service", m_service.value()}});
     }
@@ -263,7 +262,9 @@
     cancel_timer();
     m_buffered_head.reset();
     m_buffered_body.clear();
-    record_crash_evidence(result);
+    if (result == attempt_result::broken) {
+        on_connection_broken(m_context.crashes, {m_target, m_fingerprint, m_sent_at, now});
+    }
     record_target_failure(result, detail);
     const base::target_id target = m_target;
     end_attempt(false);
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -82,9 +82,9 @@
     /// Handles a failed attempt: retries on another target or refuses the request.
     void fail_attempt(retries::attempt_result result, std::string_view cause);
     void record_target_failure(retries::attempt_result result, std::string_view cause);
-    /// Records a broken connection as a possible crash of the target, and a failed connection as
-    /// its termination.
-    void record_crash_evidence(retries::attempt_result result);
+    /// Records that the process of the current target has ended, perhaps because of requests whose
+    /// connections broke before.
+    void record_target_end();
     void end_attempt(bool is_success);
     void start_streaming(const http::response_head& head);
     void refuse(const base::error& cause);
