--- a/src/apps/entry/crash_monitor.cpp
+++ b/src/apps/entry/crash_monitor.cpp
@@ -20,8 +20,8 @@
 
 constexpr auto health_check_timeout = 300ms;
 
-/// Pause before a health check without a clear result is repeated. A process needs some milliseconds
-/// until all its sockets are closed.
+/// Pause before a health check without a clear result is repeated. A process needs some
+/// milliseconds until all its sockets are closed.
 constexpr auto health_check_pause = 10ms;
 
 constexpr auto report_timeout = 300ms;
--- a/src/apps/entry/crash_monitor.h
+++ b/src/apps/entry/crash_monitor.h
@@ -55,9 +55,9 @@
     /// To be called when a target closed a connection without a response. Checks whether the target
     /// still accepts connections, because a lost connection alone does not prove a crash. A check
     /// that breaks as well is repeated: it may have used a connection that the process that is
-    /// ending had not closed yet. A crash is reported to all entry processes. Calls `done` when all of them have replied or the
-    /// deadline has passed, so that the caller receives its response, and may send the request
-    /// again to another host, only after that.
+    /// ending had not closed yet. A crash is reported to all entry processes. Calls `done` when all
+    /// of them have replied or the deadline has passed, so that the caller receives its response,
+    /// and may send the request again to another host, only after that.
     void on_broken_connection(broken_connection broken, std::function<void()> done);
 
     void on_success(std::uint64_t fingerprint);
--- a/src/retries/liveness.h
+++ b/src/retries/liveness.h
@@ -10,8 +10,8 @@
 enum class liveness : std::uint8_t {
     running, ///< It answered.
     ended,   ///< Its address accepted no new connection.
-    unknown, ///< A connection that broke may have been opened before the process ended, or closed by
-             ///< a process that goes on running. A target without an answer may only be slow.
+    unknown, ///< A connection that broke may have been opened before the process ended, or closed
+             ///< by a process that goes on running. A target without an answer may only be slow.
 };
 
 /// Judges a call by its outcome.
