--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -168,8 +168,9 @@
             const auto placed = affinity::choose(
                 ranked,
                 [&](std::uint32_t index) {
-                    return affinity::target_load{true, fleet.load(index, now), of.slots,
-                                                 fleet.targets[index].service_time};
+                    const base::duration time = fleet.targets[index].service_time;
+                    return affinity::target_load{true, fleet.load(index, now), of.slots, time,
+                                                 time};
                 },
                 std::chrono::duration_cast<base::duration>(of.cold_work));
             if (!placed.has_value()) {
--- a/src/affinity/placement.cpp
+++ b/src/affinity/placement.cpp
@@ -147,9 +147,10 @@
         candidate.target = index;
         candidate.rank = target_rank;
         candidate.wait =
-            std::chrono::duration_cast<base::duration>(load.service_time * service_times_ahead);
+            std::chrono::duration_cast<base::duration>(load.queue_time * service_times_ahead);
         candidate.finish = candidate.wait + load.service_time;
-        const base::duration cost = candidate.finish + move_penalty * target_rank;
+        const base::duration cost =
+            candidate.finish + (load.knows_object ? base::duration{0} : move_penalty * target_rank);
         if (!best.has_value() || cost < best_cost) {
             best = candidate;
             best_cost = cost;
--- a/src/affinity/placement.h
+++ b/src/affinity/placement.h
@@ -30,8 +30,8 @@
                                         const std::function<bool(std::uint32_t)>& allowed);
 
 /// Returns the ranked target with the earliest predicted finish. Each rank after the first adds
-/// `move_penalty`, because the object is probably unknown there. Empty if every target is
-/// unusable or full.
+/// `move_penalty` unless the target knows the object: a run there makes one more copy. Empty if
+/// every target is unusable or full.
 std::optional<placement> choose(std::span<const std::uint32_t> ranked,
                                 const std::function<target_load(std::uint32_t)>& load_of,
                                 base::duration move_penalty);
--- a/src/affinity/tests/placement_test.cpp
+++ b/src/affinity/tests/placement_test.cpp
@@ -116,6 +116,7 @@
     for (auto& load : loads) {
         load.slots = 4;
         load.service_time = 100ms;
+        load.queue_time = 100ms;
     }
     const auto load_of = [&](std::uint32_t index) {
         return loads[index];
@@ -130,6 +131,13 @@
         loads[0].requests = 13;
         CHECK(affinity::choose(ranked, load_of, 150ms)->target == 1);
     }
+    SUBCASE("a shorter wait moves the object to another target that knows it already")
+    {
+        loads[0].requests = 9;
+        CHECK(affinity::choose(ranked, load_of, 150ms)->target == 0);
+        loads[1].knows_object = true;
+        CHECK(affinity::choose(ranked, load_of, 150ms)->target == 1);
+    }
     SUBCASE("a slow target loses its objects if other targets are free")
     {
         loads[0].service_time = 500ms;
--- a/src/affinity/types/placement.h
+++ b/src/affinity/types/placement.h
@@ -32,7 +32,9 @@
     bool usable = true;
     double requests = 0; ///< Running and waiting requests of all hosts.
     std::uint32_t slots = 1;
-    base::duration service_time{0}; ///< Typical time of one request without waiting.
+    base::duration service_time{0}; ///< Expected time of the request without waiting.
+    base::duration queue_time{0};   ///< Average time of the requests that are ahead of it.
+    bool knows_object = false;      ///< Whether the target has run the object before.
 };
 
 /// Chosen target and the predicted time of the request there.
--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -97,6 +97,9 @@
     const bool is_not_run = http::find_header(head.headers, names.not_run).has_value();
     if (is_not_run || head.status == status_misdirected) {
         ++m_sent_attempts;
+        if (target != nullptr) {
+            on_not_run(*target, m_sent);
+        }
         if (target != nullptr && head.status == status_misdirected) {
             target->is_misdirected = true;
         } else if (target != nullptr && !rejects_despite_free_slots(*target)) {
@@ -223,7 +226,8 @@
     target_pool& pool = pool_of(m_context, m_service);
     const base::time_point now = base::boot_clock::now();
     if (pooled_target* target = current_target(); target != nullptr) {
-        on_ended(pool, *target, is_success ? std::optional(now - m_sent_at) : std::nullopt, now);
+        on_ended(pool, *target, m_sent, is_success ? std::optional(now - m_sent_at) : std::nullopt,
+                 now);
     }
     m_target = {};
 }
@@ -305,7 +309,7 @@
     progress.unsent_attempts = m_unsent_attempts;
     progress.may_have_run = m_may_have_run;
     progress.time_left = m_deadline - base::boot_clock::now();
-    progress.expected = m_context.pools.at(m_service).service_time;
+    progress.expected = m_context.pools.at(m_service).times.all.mean;
     return progress;
 }
 
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -4,6 +4,7 @@
 #include "apps/common/response_stream.h"
 #include "apps/host/host_context.h"
 #include "apps/host/request_parts.h"
+#include "base/hash.h"
 #include "http/exchange.h"
 #include "http/loop.h"
 #include "limits/fleet_share.h"
@@ -159,12 +160,17 @@
     send_to_target();
 }
 
+prediction::request_traits forward_task::traits() const
+{
+    return {base::stable_hash(m_route->name), m_object, m_route->has_affinity, m_route->objective};
+}
+
 std::optional<affinity::placement> forward_task::place(base::time_point now) const
 {
     const auto allowed = [this](const base::region_id& region) {
         return routing::is_home(*m_route, m_account, region);
     };
-    return choose_target(pool_of(m_context, m_service), m_object, m_tried, allowed,
+    return choose_target(pool_of(m_context, m_service), traits(), m_tried, allowed,
                          m_context.settings.regions, make_view(m_context, now));
 }
 
@@ -228,7 +234,7 @@
     m_rank = placement.rank;
     m_sent_at = now;
     m_tried.push_back(m_target);
-    on_sent(pool, target, now);
+    m_sent = on_sent(pool, target, traits(), placement.wait, now);
 
     http::client_request request;
     request.address = target.entry.address;
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "affinity/types/placement.h"
+#include "apps/host/target_pool.h"
 #include "base/result.h"
 #include "base/time.h"
 #include "base/types/ids.h"
@@ -25,8 +26,6 @@
 
 class response_stream;
 struct host_context;
-struct pooled_target;
-struct target_pool;
 
 /// Belongs to the loop's thread; `host_context::tasks` keeps it alive until the response was sent
 /// or the caller disconnected.
@@ -48,6 +47,7 @@
     void retry_quota();
     void refuse_over_quota();
     void begin();
+    prediction::request_traits traits() const;
     std::optional<affinity::placement> place(base::time_point now) const;
     void send_to_target();
     base::status check_placement(const affinity::placement& placement);
@@ -111,6 +111,7 @@
     std::unique_ptr<http::client_call> m_call;
     base::target_id m_target;
     base::time_point m_sent_at{};
+    sent_request m_sent;
     std::uint32_t m_rank = 0;
     /// Time-out of the attempt, until its response is streamed; 0: not set.
     std::uint64_t m_timer = 0;
--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -3,6 +3,7 @@
 #include "fleet/members.h"
 #include "http/server.h"
 
+#include "prediction/service_times.h"
 #include <nlohmann/json.hpp>
 #include <prometheus/gauge.h>
 
@@ -34,7 +35,9 @@
                 {"running", target.running},
                 {"leaving", target.entry.is_leaving},
                 {"service_ms",
-                 std::chrono::duration<double, std::milli>(target.service_time).count()}};
+                 std::chrono::duration<double, std::milli>(
+                     prediction::average_time(pool.times, target.history, base::boot_clock::now()))
+                     .count()}};
         }
     }
     return all;
--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -1,6 +1,7 @@
 #include "apps/host/target_pool.h"
 
 #include "base/hash.h"
+#include "prediction/service_times.h"
 
 #include <algorithm>
 #include <array>
@@ -13,16 +14,13 @@
 
 namespace {
 
-/// Weight of a new sample in the moving averages, which cover about the last ten responses.
+/// Weight of a new sample in the moving average of failures, which covers about the last ten
+/// responses.
 constexpr double sample_weight = 0.15;
 
 /// Time constant with which the weight of a reported load decays: a few service times.
 constexpr double report_decay_s = 0.6;
 
-/// Time constant with which a target's measured service time decays to the average of the pool, so
-/// that a slow target is tried again.
-constexpr double slowness_decay_s = 4.0;
-
 /// Average fraction of failed attempts at which a target is ejected.
 constexpr double ejection_failure_fraction = 0.35;
 
@@ -31,12 +29,8 @@
 /// The ejection time doubles with each failure in a row up to this number.
 constexpr unsigned max_ejection_steps = 4;
 
-/// Assumed service time until the first response.
-constexpr std::chrono::milliseconds default_service_time{150};
-
-/// Cost of using a target other than the object's first one, in service times: a request for an
-/// object that the target does not know takes about this much longer. The cost is weighed against
-/// the wait at the first target.
+/// Cost of one more copy of an object, in average service times, weighed against the wait at the
+/// object's first target.
 constexpr double move_cost_factor = 1.5;
 
 /// Burst of requests that a cold target may receive.
@@ -47,35 +41,6 @@
     return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
 
-base::duration blend(base::duration old, base::duration sample)
-{
-    if (old == base::duration{0}) {
-        return sample;
-    }
-    return old + std::chrono::duration_cast<base::duration>((sample - old) * sample_weight);
-}
-
-base::duration typical_time(const target_pool& pool)
-{
-    return pool.service_time == base::duration{0} ? base::duration(default_service_time)
-                                                  : pool.service_time;
-}
-
-/// Expected service time of the target; converges to the pool's average while there are no new
-/// samples.
-base::duration expected_time(const target_pool& pool, const pooled_target& target,
-                             base::time_point now)
-{
-    const base::duration typical = typical_time(pool);
-    if (target.service_time == base::duration{0}) {
-        return typical;
-    }
-    const double age = seconds_between(target.sampled_at, now);
-    const double confidence = std::exp(-age / slowness_decay_s);
-    return typical +
-           std::chrono::duration_cast<base::duration>((target.service_time - typical) * confidence);
-}
-
 double load_of(const pooled_target& target, base::time_point now)
 {
     const double freshness = std::exp(-seconds_between(target.reported_at, now) / report_decay_s);
@@ -101,6 +66,20 @@
            view.now >= target.ejected_until && may_use_cold(pool, target, view);
 }
 
+affinity::target_load load_for(const target_pool& pool, const pooled_target& target,
+                               const prediction::request_traits& request, const pool_view& view)
+{
+    affinity::target_load load;
+    load.usable = is_usable(pool, target, view);
+    load.requests = load_of(target, view.now);
+    load.slots = target.entry.slots;
+    load.service_time = prediction::expected_time(pool.times, target.history, request, view.now);
+    load.queue_time = prediction::average_time(pool.times, target.history, view.now);
+    load.knows_object =
+        prediction::recency_of(target.history, request) != prediction::recency::never;
+    return load;
+}
+
 void apply_entry(pooled_target& target, const target_entry& entry, base::time_point now)
 {
     const bool is_new =
@@ -171,7 +150,8 @@
 }
 
 std::optional<affinity::placement>
-choose_target(target_pool& pool, std::uint64_t object, const std::vector<base::target_id>& tried,
+choose_target(target_pool& pool, const prediction::request_traits& request,
+              const std::vector<base::target_id>& tried,
               const std::function<bool(const base::region_id&)>& allowed,
               const std::map<base::failure_domain_id, base::region_id>& regions,
               const pool_view& view)
@@ -183,28 +163,33 @@
     };
     const auto load = [&](std::uint32_t index) {
         const pooled_target& target = pool.targets[index];
-        return affinity::target_load{is_usable(pool, target, view), load_of(target, view.now),
-                                     target.entry.slots, expected_time(pool, target, view.now)};
+        return load_for(pool, target, request, view);
     };
-    const auto penalty =
-        std::chrono::duration_cast<base::duration>(typical_time(pool) * move_cost_factor);
-    const auto ranked = affinity::rank_targets(pool.layout, object, is_eligible);
+    const auto penalty = std::chrono::duration_cast<base::duration>(
+        prediction::average_time(pool.times, {}, view.now) * move_cost_factor);
+    const auto ranked = affinity::rank_targets(pool.layout, request.object, is_eligible);
     const auto chosen = affinity::choose(ranked, load, penalty);
     if (chosen.has_value()) {
         return chosen;
     }
     // None of the object's own targets can take the request; any other target is better than a
     // refusal.
-    const auto others = affinity::rank_targets(pool.layout, object, [&](std::uint32_t index) {
-        const affinity::target_load now = load(index);
-        return is_eligible(index) && now.usable &&
-               now.requests < now.slots * affinity::max_requests_per_slot;
-    });
+    const auto others =
+        affinity::rank_targets(pool.layout, request.object, [&](std::uint32_t index) {
+            const affinity::target_load now = load(index);
+            return is_eligible(index) && now.usable &&
+                   now.requests < now.slots * affinity::max_requests_per_slot;
+        });
     return affinity::choose(others, load, penalty);
 }
 
-void on_sent(target_pool& pool, pooled_target& target, base::time_point now)
+sent_request on_sent(target_pool& pool, pooled_target& target,
+                     const prediction::request_traits& request, base::duration predicted_wait,
+                     base::time_point now)
 {
+    sent_request sent{request, prediction::recency_of(target.history, request), predicted_wait,
+                      load_of(target, now) + 1 <= target.entry.slots};
+    prediction::record_run(target.history, request);
     ++target.running;
     if (now < target.cold_until && pool.cold_rate > 0) {
         target.cold_tokens =
@@ -213,10 +198,11 @@
         target.cold_refilled = now;
         target.cold_tokens -= 1;
     }
+    return sent;
 }
 
-void on_ended(target_pool& pool, pooled_target& target, std::optional<base::duration> took,
-              base::time_point now)
+void on_ended(target_pool& pool, pooled_target& target, const sent_request& sent,
+              std::optional<base::duration> took, base::time_point now)
 {
     if (target.running > 0) {
         --target.running;
@@ -224,12 +210,19 @@
     if (!took.has_value()) {
         return;
     }
-    const double slots = std::max<std::uint32_t>(target.entry.slots, 1);
-    const double load_per_slot = std::max(1.0, (load_of(target, now) + 1) / slots);
-    const auto unloaded_time = std::chrono::duration_cast<base::duration>(*took / load_per_slot);
-    target.service_time = blend(expected_time(pool, target, now), unloaded_time);
-    target.sampled_at = now;
-    pool.service_time = blend(pool.service_time, unloaded_time);
+    // The report that came with the response tells of requests that this host did not see.
+    const bool had_free_slot =
+        sent.had_free_slot && load_of(target, now) < std::max<std::uint32_t>(target.entry.slots, 1);
+    prediction::record_time(pool.times, target.history,
+                            {sent.traits, sent.known, sent.predicted_wait, *took, had_free_slot},
+                            now);
+}
+
+void on_not_run(pooled_target& target, const sent_request& sent)
+{
+    if (sent.known == prediction::recency::never) {
+        prediction::forget_run(target.history, sent.traits);
+    }
 }
 
 bool on_failure(pooled_target& target, bool is_hard, base::time_point now)
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -4,6 +4,7 @@
 #include "affinity/placement.h"
 #include "apps/host/types/target_entry.h"
 #include "base/time.h"
+#include "prediction/types/service_times.h"
 #include "retries/types/retry.h"
 #include "routing/types/route_table.h"
 
@@ -25,8 +26,7 @@
     std::uint32_t running_at_report = 0;
     base::time_point reported_at{};
     base::time_point last_response_at{}; ///< Time of the last response of any kind.
-    base::duration service_time{0};      ///< Moving average without waiting time; 0: no sample yet.
-    base::time_point sampled_at{};
+    prediction::target_history history;
     double failure_fraction = 0; ///< Moving average of the fraction of failed attempts.
     unsigned failures_in_row = 0;
     base::time_point ejected_until{};
@@ -43,8 +43,8 @@
     double cold_rate = 0;                   ///< Requests per second that a cold target can handle.
     std::chrono::milliseconds cold_time{0}; ///< Time for which a target is cold after a start.
     std::vector<pooled_target> targets;
-    affinity::layout layout;        ///< Layout of `targets`, with the same indexes.
-    base::duration service_time{0}; ///< Moving average over all targets.
+    affinity::layout layout; ///< Layout of `targets`, with the same indexes.
+    prediction::service_times times;
     retries::retry_budget budget;
 };
 
@@ -61,21 +61,32 @@
                  const std::map<base::failure_domain_id, base::region_id>& regions,
                  const base::failure_domain_id& own_domain, base::time_point now);
 
-/// Chooses a target for the object. Excludes the targets in `tried` and the regions that are not
+/// Chooses a target for the request. Excludes the targets in `tried` and the regions that are not
 /// allowed.
 std::optional<affinity::placement>
-choose_target(target_pool& pool, std::uint64_t object, const std::vector<base::target_id>& tried,
+choose_target(target_pool& pool, const prediction::request_traits& request,
+              const std::vector<base::target_id>& tried,
               const std::function<bool(const base::region_id&)>& allowed,
               const std::map<base::failure_domain_id, base::region_id>& regions,
               const pool_view& view);
 
 pooled_target* find_target(target_pool& pool, const base::target_id& id);
 
-void on_sent(target_pool& pool, pooled_target& target, base::time_point now);
+/// What the host predicted about a request when it sent it to a target.
+struct sent_request {
+    prediction::request_traits traits;
+    prediction::recency known = prediction::recency::never;
+    base::duration predicted_wait{0};
+    bool had_free_slot = true;
+};
+
+sent_request on_sent(target_pool& pool, pooled_target& target,
+                     const prediction::request_traits& request, base::duration predicted_wait,
+                     base::time_point now);
 
 /// `took`: duration of a complete successful response; empty otherwise.
-void on_ended(target_pool& pool, pooled_target& target, std::optional<base::duration> took,
-              base::time_point now);
+void on_ended(target_pool& pool, pooled_target& target, const sent_request& sent,
+              std::optional<base::duration> took, base::time_point now);
 
 /// Records a failure that the target is responsible for. Returns true if the target is ejected
 /// because of it.
@@ -93,4 +104,7 @@
 /// Called when the target rejected a request because of its load.
 void on_rejected(pooled_target& target, base::time_point now);
 
+/// Called when the target did not run the request.
+void on_not_run(pooled_target& target, const sent_request& sent);
+
 } // namespace snipeshore::apps
--- a/src/apps/host/tests/target_pool_test.cpp
+++ b/src/apps/host/tests/target_pool_test.cpp
@@ -34,13 +34,25 @@
         pool, entries, [](const base::failure_domain_id&) { return false; }, regions, domain, now);
 }
 
+prediction::request_traits request_for(std::uint64_t object)
+{
+    return {1, object, true, 300ms};
+}
+
+apps::sent_request send(apps::target_pool& pool, std::uint32_t target, base::time_point now,
+                        std::uint64_t object = 1)
+{
+    return apps::on_sent(pool, pool.targets[target], request_for(object), 0ms, now);
+}
+
 std::optional<affinity::placement> choose(apps::target_pool& pool, base::time_point now,
                                           std::uint64_t object = 1, bool owns = true)
 {
-    return apps::choose_target(pool, object, {}, [](const base::region_id&) { return true; },
-                               regions, {now, [owns](const base::target_id&) {
-                                             return owns;
-                                         }});
+    return apps::choose_target(pool, request_for(object), {},
+                               [](const base::region_id&) { return true; }, regions,
+                               {now, [owns](const base::target_id&) {
+                                    return owns;
+                                }});
 }
 
 } // namespace
@@ -105,11 +117,11 @@
     {
         const std::uint32_t first = choose(pool, start)->target;
         for (int i = 0; i < 14; ++i) {
-            apps::on_sent(pool, pool.targets[first], start);
+            send(pool, first, start);
         }
         CHECK(choose(pool, start)->target == 1 - first);
         for (int i = 0; i < 14; ++i) {
-            apps::on_sent(pool, pool.targets[1 - first], start);
+            send(pool, 1 - first, start);
         }
         CHECK_FALSE(choose(pool, start).has_value());
     }
@@ -139,8 +151,7 @@
         for (int step = 0; step < 100; ++step) {
             const base::time_point now = start + 1s + step * 10ms;
             if (choose(pool, now).has_value()) {
-                apps::on_sent(pool, pool.targets[0], now);
-                apps::on_ended(pool, pool.targets[0], std::nullopt, now);
+                apps::on_ended(pool, pool.targets[0], send(pool, 0, now), std::nullopt, now);
                 ++sent;
             }
         }
