Let no request that is late anyway wait; take objects out of a region evenly

Cause: (1) a first run is predicted later than its objective and was still allowed to wait, in front of requests that would be in time. (3) Unusable targets took places among an object's four candidates.

--- a/src/affinity/admission.cpp
+++ b/src/affinity/admission.cpp
@@ -29,8 +29,12 @@
         least_urgent_fraction + (most_urgent_fraction - least_urgent_fraction) * request.urgency;
     const base::duration allowed_by_objective =
         scaled(request.objective, fraction) - request.service_time;
-    base::duration allowed =
-        std::max(allowed_by_objective, scaled(request.service_time, allowed_service_times));
+    // A request that misses its objective anyway, as the first run of an object often does, may
+    // only use a free slot.
+    const base::duration tolerance = allowed_by_objective < base::duration{0}
+                                         ? base::duration{0}
+                                         : scaled(request.typical_time, allowed_service_times);
+    base::duration allowed = std::max(allowed_by_objective, tolerance);
     if (request.objective == base::duration{0}) {
         allowed = request.time_left;
     }
--- a/src/affinity/placement.cpp
+++ b/src/affinity/placement.cpp
@@ -90,8 +90,11 @@
         result.region_fraction =
             std::min(1.0, local_load_factor * region_slots / (average_slots * region_domains));
     }
+    // The region's other failure domains keep the same objects; what the region cannot serve leaves
+    // it from all of them, or else the largest would get the objects of those without targets.
+    result.domain_fraction = std::min(result.domain_fraction, result.region_fraction);
     for (const placement_target& target : targets) {
-        const double slots = domain_slots[target.failure_domain];
+        const double slots = std::max(1.0, domain_slots[target.failure_domain]);
         const double spare = std::max(min_spare_fraction, 1.0 - average_slots / slots);
         result.weights.push_back(spare * target.slots);
     }
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -8,6 +8,7 @@
 #include "http/exchange.h"
 #include "http/loop.h"
 #include "limits/fleet_share.h"
+#include "prediction/service_times.h"
 #include "retries/next_step.h"
 #include "retries/quarantine.h"
 #include "retries/retry_budget.h"
@@ -198,6 +199,8 @@
     affinity::admission_inputs request;
     request.wait = placement.wait;
     request.service_time = placement.finish - placement.wait;
+    request.typical_time =
+        prediction::average_time(pool_of(m_context, m_service).times, {}, m_sent_at);
     request.objective = m_route->objective;
     request.time_left = m_deadline - base::boot_clock::now() - response_reserve;
     request.urgency = routing::urgency_of(*m_routes, routing::rank_of(*m_route, m_account));
--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -31,7 +31,7 @@
 
 /// Cost of one more copy of an object, in average service times, weighed against the wait at the
 /// object's first target.
-constexpr double move_cost_factor = 1.5;
+constexpr double copy_cost_factor = 1.5;
 
 /// Burst of requests that a cold target may receive.
 constexpr double cold_burst = 2;
@@ -111,7 +111,7 @@
         const std::uint32_t domain = domain_index[target.entry.failure_domain];
         const bool may_serve = !target.entry.is_leaving && !target.is_drained;
         layout_targets.push_back({base::stable_hash(target.entry.id.value()), domain,
-                                  domain_regions[domain], may_serve ? target.entry.slots : 1});
+                                  domain_regions[domain], may_serve ? target.entry.slots : 0});
     }
     pool.layout =
         affinity::make_layout(std::move(layout_targets), domain_regions, domain_index[own_domain]);
@@ -156,31 +156,29 @@
               const std::map<base::failure_domain_id, base::region_id>& regions,
               const pool_view& view)
 {
-    const auto is_eligible = [&](std::uint32_t index) {
-        const target_entry& entry = pool.targets[index].entry;
-        return std::find(tried.begin(), tried.end(), entry.id) == tried.end() &&
-               allowed(regions.at(entry.failure_domain));
-    };
     const auto load = [&](std::uint32_t index) {
+        return load_for(pool, pool.targets[index], request, view);
+    };
+    const auto can_serve = [&](std::uint32_t index) {
         const pooled_target& target = pool.targets[index];
-        return load_for(pool, target, request, view);
+        return std::find(tried.begin(), tried.end(), target.entry.id) == tried.end() &&
+               allowed(regions.at(target.entry.failure_domain)) && is_usable(pool, target, view);
+    };
+    const auto has_room = [&](std::uint32_t index) {
+        const affinity::target_load now = load(index);
+        return can_serve(index) && now.requests < now.slots * affinity::max_requests_per_slot;
     };
-    const auto penalty = std::chrono::duration_cast<base::duration>(
-        prediction::average_time(pool.times, {}, view.now) * move_cost_factor);
-    const auto ranked = affinity::rank_targets(pool.layout, request.object, is_eligible);
-    const auto chosen = affinity::choose(ranked, load, penalty);
-    if (chosen.has_value()) {
-        return chosen;
+    const auto copy_cost = std::chrono::duration_cast<base::duration>(
+        prediction::average_time(pool.times, {}, view.now) * copy_cost_factor);
+    const auto own = affinity::choose(
+        affinity::rank_targets(pool.layout, request.object, can_serve), load, copy_cost);
+    if (own.has_value()) {
+        return own;
     }
     // None of the object's own targets can take the request; any other target is better than a
     // refusal.
-    const auto others =
-        affinity::rank_targets(pool.layout, request.object, [&](std::uint32_t index) {
-            const affinity::target_load now = load(index);
-            return is_eligible(index) && now.usable &&
-                   now.requests < now.slots * affinity::max_requests_per_slot;
-        });
-    return affinity::choose(others, load, penalty);
+    return affinity::choose(affinity::rank_targets(pool.layout, request.object, has_room), load,
+                            copy_cost);
 }
 
 sent_request on_sent(target_pool& pool, pooled_target& target,
