Let objects leave a busy failure domain and region

Cause: fixed fractions assume equal demand.

Change: the fraction of the objects that stays follows the load, the same objects leave first.

--- a/src/affinity/placement.cpp
+++ b/src/affinity/placement.cpp
@@ -1,6 +1,7 @@
 #include "affinity/placement.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <utility>
 
@@ -16,6 +17,16 @@
 /// Lower bound of the fraction of a target's slots that is available to objects of other regions.
 constexpr double min_spare_fraction = 0.05;
 
+/// Requests per slot above which objects leave, and below which they return.
+constexpr double busy_load = 0.85;
+constexpr double idle_load = 0.5;
+
+/// Fraction of the objects that leaves or returns in a second. Faster moves would make too many
+/// targets run objects for the first time at once.
+constexpr double leave_per_s = 0.06;
+constexpr double return_per_s = 0.02;
+constexpr double min_home_share = 0.1;
+
 constexpr std::uint64_t position_salt = 0x9e3779b97f4a7c15ULL;
 
 /// Finalizer of SplitMix64.
@@ -49,10 +60,12 @@
 int first_tier(const layout& service_layout, std::uint64_t object)
 {
     const double position = to_unit_interval(mix(object ^ position_salt));
-    if (position < service_layout.domain_fraction) {
+    const double region = service_layout.region_fraction * service_layout.home.region;
+    const double domain = service_layout.domain_fraction * service_layout.home.domain;
+    if (position < std::min(domain, region)) {
         return 0;
     }
-    return position < service_layout.region_fraction ? 1 : 2;
+    return position < region ? 1 : 2;
 }
 
 int tier_of(const layout& service_layout, const placement_target& target, int first)
@@ -102,6 +115,23 @@
     return result;
 }
 
+void adapt_home(home_share& home, const home_load& load, base::time_point now)
+{
+    const double passed_s =
+        std::min(1.0, std::chrono::duration<double>(now - home.adapted_at).count());
+    home.adapted_at = now;
+    const auto adapt = [passed_s](double& share, double requests_per_slot) {
+        if (requests_per_slot > busy_load) {
+            share -= leave_per_s * passed_s;
+        } else if (requests_per_slot < idle_load) {
+            share += return_per_s * passed_s;
+        }
+        share = std::clamp(share, min_home_share, 1.0);
+    };
+    adapt(home.domain, load.domain);
+    adapt(home.region, load.region);
+}
+
 std::vector<std::uint32_t> rank_targets(const layout& service_layout, std::uint64_t object,
                                         const std::function<bool(std::uint32_t)>& allowed)
 {
--- a/src/affinity/placement.h
+++ b/src/affinity/placement.h
@@ -23,6 +23,20 @@
 layout make_layout(std::vector<placement_target> targets,
                    std::span<const std::uint32_t> domain_regions, std::uint32_t own_domain);
 
+/// Requests per slot, running and waiting, on the targets of the own failure domain and region.
+struct home_load {
+    double domain = 0;
+    double region = 0;
+};
+
+/// Adapts the fractions of the objects that stay at home to the load there.
+///
+/// The load pattern that this answers: the callers of one failure domain or region send more than
+/// its targets can serve while others have free slots, for example because callers have moved there
+/// or in the busy hours of a region. Objects leave one after the other, always the same ones first,
+/// so that each pays one slow first run elsewhere.
+void adapt_home(home_share& home, const home_load& load, base::time_point now);
+
 /// Returns the best targets for the object in order of preference, at most `max_ranked_targets`, as
 /// indices into `layout::targets`. Only targets for which `allowed` returns true are ranked; it can
 /// for example exclude targets outside the home regions of a route.
--- a/src/affinity/types/placement.h
+++ b/src/affinity/types/placement.h
@@ -16,6 +16,14 @@
     std::uint32_t slots = 1; ///< Requests that the target runs concurrently.
 };
 
+/// Factors on the fractions of the objects that stay in the own failure domain and region, 0 to 1.
+/// They follow the load there.
+struct home_share {
+    double domain = 1;
+    double region = 1;
+    base::time_point adapted_at{};
+};
+
 /// Targets of one service and values derived from them.
 struct layout {
     std::vector<placement_target> targets;
@@ -23,6 +31,7 @@
     /// Fractions of the objects, 0 to 1, that the own failure domain and the own region can serve.
     double domain_fraction = 1;
     double region_fraction = 1;
+    home_share home;
     std::uint32_t own_domain = 0;
     std::uint32_t own_region = 0;
 };
--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -33,6 +33,9 @@
 /// object's first target.
 constexpr double copy_cost_factor = 1.5;
 
+/// Weight of the current load in the average that the placement follows.
+constexpr double load_weight = 0.1;
+
 /// Burst of requests that a cold target may receive.
 constexpr double cold_burst = 2;
 
@@ -80,6 +83,40 @@
     return load;
 }
 
+/// Interval in which the placement follows the load.
+constexpr std::chrono::milliseconds adapt_interval{100};
+
+void follow_load(target_pool& pool, const pool_view& view)
+{
+    if (view.now < pool.layout.home.adapted_at + adapt_interval) {
+        return;
+    }
+    double domain_requests = 0;
+    double domain_slots = 0;
+    double region_requests = 0;
+    double region_slots = 0;
+    for (std::size_t index = 0; index < pool.targets.size(); ++index) {
+        const affinity::placement_target& place = pool.layout.targets[index];
+        if (place.region != pool.layout.own_region || !is_usable(pool, pool.targets[index], view)) {
+            continue;
+        }
+        const double requests = load_of(pool.targets[index], view.now);
+        region_requests += requests;
+        region_slots += place.slots;
+        if (place.failure_domain == pool.layout.own_domain) {
+            domain_requests += requests;
+            domain_slots += place.slots;
+        }
+    }
+    // Smoothed over about a second.
+    const auto smooth = [](double& average, double requests, double slots) {
+        average += (requests / std::max(1.0, slots) - average) * load_weight;
+    };
+    smooth(pool.home_load.domain, domain_requests, domain_slots);
+    smooth(pool.home_load.region, region_requests, region_slots);
+    affinity::adapt_home(pool.layout.home, pool.home_load, view.now);
+}
+
 void apply_entry(pooled_target& target, const target_entry& entry, base::time_point now)
 {
     const bool is_new =
@@ -113,8 +150,10 @@
         layout_targets.push_back({base::stable_hash(target.entry.id.value()), domain,
                                   domain_regions[domain], may_serve ? target.entry.slots : 0});
     }
+    const affinity::home_share home = pool.layout.home;
     pool.layout =
         affinity::make_layout(std::move(layout_targets), domain_regions, domain_index[own_domain]);
+    pool.layout.home = home;
 }
 
 } // namespace
@@ -156,6 +195,7 @@
               const std::map<base::failure_domain_id, base::region_id>& regions,
               const pool_view& view)
 {
+    follow_load(pool, view);
     const auto load = [&](std::uint32_t index) {
         return load_for(pool, pool.targets[index], request, view);
     };
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -43,7 +43,8 @@
     double cold_rate = 0;                   ///< Requests per second that a cold target can handle.
     std::chrono::milliseconds cold_time{0}; ///< Time for which a target is cold after a start.
     std::vector<pooled_target> targets;
-    affinity::layout layout; ///< Layout of `targets`, with the same indexes.
+    affinity::layout layout;       ///< Layout of `targets`, with the same indexes.
+    affinity::home_load home_load; ///< Moving average.
     prediction::service_times times;
     retries::retry_budget budget;
 };
