Tell other hosts the load of the own failure domain

Cause: a target that a host has not used lately looked idle, as its last report fades.

Change: each message between hosts carries requests per slot by service; a target without a recent report is taken to be as busy as its domain.

--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -304,6 +304,9 @@
     }
     const base::time_point now = base::boot_clock::now();
     message.crashes = recent_reports(m_context.crashes, now);
+    for (const auto& [service, pool] : m_context.pools) {
+        message.loads[service] = pool.home_load.domain;
+    }
     if (!includes_demand) {
         return message;
     }
@@ -341,6 +344,12 @@
              {"hosts", static_cast<std::uint64_t>(m_context.members.members.size() + 1)}});
     }
     apply_reports(m_context.crashes, message.from.id, message.crashes, now);
+    for (const auto& [service, load] : message.loads) {
+        const auto pool = m_context.pools.find(service);
+        if (pool != m_context.pools.end()) {
+            pool->second.domain_loads[message.from.failure_domain] = {load, now};
+        }
+    }
     compare_versions(message);
 }
 
--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -36,6 +36,9 @@
 /// Weight of the current load in the average that the placement follows.
 constexpr double load_weight = 0.1;
 
+/// A domain's load that was reported longer ago says nothing: hosts report it every second or two.
+constexpr std::chrono::seconds domain_load_lifetime{5};
+
 /// Burst of requests that a cold target may receive.
 constexpr double cold_burst = 2;
 
@@ -44,12 +47,30 @@
     return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
 
+double freshness_of(const pooled_target& target, base::time_point now)
+{
+    return std::exp(-seconds_between(target.reported_at, now) / report_decay_s);
+}
+
+/// Requests at the target: this host's own, and those of others as the target reported lately.
 double load_of(const pooled_target& target, base::time_point now)
 {
-    const double freshness = std::exp(-seconds_between(target.reported_at, now) / report_decay_s);
     const double others =
         std::max(0.0, target.reported_load - static_cast<double>(target.running_at_report));
-    return static_cast<double>(target.running) + others * freshness;
+    return static_cast<double>(target.running) + others * freshness_of(target, now);
+}
+
+/// As `load_of`; where the report is old, the target is taken to be as busy as its failure domain.
+double probable_load(const target_pool& pool, const pooled_target& target, base::time_point now)
+{
+    const auto reported = pool.domain_loads.find(target.entry.failure_domain);
+    if (reported == pool.domain_loads.end() ||
+        now - reported->second.reported_at > domain_load_lifetime) {
+        return load_of(target, now);
+    }
+    const double others = std::max(0.0, reported->second.requests_per_slot * target.entry.slots -
+                                            static_cast<double>(target.running));
+    return load_of(target, now) + others * (1 - freshness_of(target, now));
 }
 
 bool may_use_cold(const target_pool& pool, const pooled_target& target, const pool_view& view)
@@ -74,7 +95,7 @@
 {
     affinity::target_load load;
     load.usable = is_usable(pool, target, view);
-    load.requests = load_of(target, view.now);
+    load.requests = probable_load(pool, target, view.now);
     load.slots = target.entry.slots;
     load.service_time = prediction::expected_time(pool.times, target.history, request, view.now);
     load.queue_time = prediction::average_time(pool.times, target.history, view.now);
@@ -100,11 +121,10 @@
         if (place.region != pool.layout.own_region || !is_usable(pool, pool.targets[index], view)) {
             continue;
         }
-        const double requests = load_of(pool.targets[index], view.now);
-        region_requests += requests;
+        region_requests += probable_load(pool, pool.targets[index], view.now);
         region_slots += place.slots;
         if (place.failure_domain == pool.layout.own_domain) {
-            domain_requests += requests;
+            domain_requests += load_of(pool.targets[index], view.now);
             domain_slots += place.slots;
         }
     }
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -37,13 +37,20 @@
     bool is_misdirected = false; ///< Another target responds at its address.
 };
 
+/// Load that another host reported for its failure domain.
+struct domain_load {
+    double requests_per_slot = 0;
+    base::time_point reported_at{};
+};
+
 /// State of the targets of one service. Belongs to the loop's thread.
 struct target_pool {
     base::service_id service;
     double cold_rate = 0;                   ///< Requests per second that a cold target can handle.
     std::chrono::milliseconds cold_time{0}; ///< Time for which a target is cold after a start.
     std::vector<pooled_target> targets;
-    affinity::layout layout;       ///< Layout of `targets`, with the same indexes.
+    affinity::layout layout; ///< Layout of `targets`, with the same indexes.
+    std::map<base::failure_domain_id, domain_load> domain_loads;
     affinity::home_load home_load; ///< Moving average.
     prediction::service_times times;
     retries::retry_budget budget;
--- a/src/fleet/exchange_encoding.cpp
+++ b/src/fleet/exchange_encoding.cpp
@@ -37,20 +37,22 @@
     return host;
 }
 
-json amounts_json(const std::map<base::account_id, double>& amounts)
+template <typename Id>
+json amounts_json(const std::map<Id, double>& amounts)
 {
     json made = json::object();
-    for (const auto& [account, amount] : amounts) {
-        made[account.value()] = std::floor(amount * amount_steps);
+    for (const auto& [id, amount] : amounts) {
+        made[id.value()] = std::floor(amount * amount_steps);
     }
     return made;
 }
 
-std::map<base::account_id, double> read_amounts(const json& from)
+template <typename Id>
+std::map<Id, double> read_amounts(const json& from)
 {
-    std::map<base::account_id, double> amounts;
-    for (const auto& [account, amount] : from.items()) {
-        amounts[base::account_id(account)] = std::max(0.0, amount.get<double>() / amount_steps);
+    std::map<Id, double> amounts;
+    for (const auto& [id, amount] : from.items()) {
+        amounts[Id(id)] = std::max(0.0, amount.template get<double>() / amount_steps);
     }
     return amounts;
 }
@@ -102,6 +104,9 @@
     if (!message.crashes.empty()) {
         made["c"] = crashes_json(message.crashes);
     }
+    if (!message.loads.empty()) {
+        made["l"] = amounts_json(message.loads);
+    }
     return made.dump();
 }
 
@@ -111,9 +116,10 @@
         exchange_message message;
         message.from = read_member(from.at("m"));
         message.versions = from.at("v").get<std::map<std::string, std::uint64_t>>();
-        message.wanted = read_amounts(from.value("w", json::object()));
-        message.granted = read_amounts(from.value("g", json::object()));
+        message.wanted = read_amounts<base::account_id>(from.value("w", json::object()));
+        message.granted = read_amounts<base::account_id>(from.value("g", json::object()));
         message.crashes = read_crashes(from.value("c", json::array()));
+        message.loads = read_amounts<base::service_id>(from.value("l", json::object()));
         return message;
     });
 }
--- a/src/fleet/types/exchange.h
+++ b/src/fleet/types/exchange.h
@@ -27,6 +27,8 @@
     /// Tokens that the sender grants the receiver from its own share, by account.
     std::map<base::account_id, double> granted;
     std::vector<crash_report> crashes;
+    /// Requests per slot on the targets of the sender's failure domain, by service.
+    std::map<base::service_id, double> loads;
 };
 
 } // namespace snipeshore::fleet
