--- a/src/affinity/placement.cpp
+++ b/src/affinity/placement.cpp
@@ -23,7 +23,8 @@
 
 /// Fraction of the objects that leaves or returns in a second. Faster moves would make too many
 /// targets run objects for the first time at once.
-constexpr double leave_per_s = 0.06;
+constexpr double leave_domain_per_s = 0.25;
+constexpr double leave_region_per_s = 0.06;
 constexpr double return_per_s = 0.02;
 constexpr double min_home_share = 0.1;
 
@@ -120,7 +121,7 @@
     const double passed_s =
         std::min(1.0, std::chrono::duration<double>(now - home.adapted_at).count());
     home.adapted_at = now;
-    const auto adapt = [passed_s](double& share, double requests_per_slot) {
+    const auto adapt = [passed_s](double& share, double requests_per_slot, double leave_per_s) {
         if (requests_per_slot > busy_load) {
             share -= leave_per_s * passed_s;
         } else if (requests_per_slot < idle_load) {
@@ -128,8 +129,8 @@
         }
         share = std::clamp(share, min_home_share, 1.0);
     };
-    adapt(home.domain, load.domain);
-    adapt(home.region, load.region);
+    adapt(home.domain, load.domain, leave_domain_per_s);
+    adapt(home.region, load.region, leave_region_per_s);
 }
 
 std::vector<std::uint32_t> rank_targets(const layout& service_layout, std::uint64_t object,
