--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -39,6 +39,11 @@
 /// A domain's load that was reported longer ago says nothing: hosts report it every second or two.
 constexpr std::chrono::seconds domain_load_lifetime{5};
 
+/// Objects that move to their first target although another one knows them, per request and in a
+/// burst. Each move costs a slow first run, so that a new target gets its objects one by one.
+constexpr double settled_per_request = 0.03;
+constexpr double max_settle_tokens = 2;
+
 /// Burst of requests that a cold target may receive.
 constexpr double cold_burst = 2;
 
@@ -230,8 +235,17 @@
     };
     const auto copy_cost = std::chrono::duration_cast<base::duration>(
         prediction::average_time(pool.times, {}, view.now) * copy_cost_factor);
-    const auto own = affinity::choose(
-        affinity::rank_targets(pool.layout, request.object, can_serve), load, copy_cost);
+    const auto ranked = affinity::rank_targets(pool.layout, request.object, can_serve);
+    const auto own = affinity::choose(ranked, load, copy_cost);
+    pool.settle_tokens = std::min(max_settle_tokens, pool.settle_tokens + settled_per_request);
+    if (own.has_value() && own->target != ranked.front() && pool.settle_tokens >= 1) {
+        // The object is known elsewhere, for example since its first target is new or was away.
+        const affinity::target_load first = load(ranked.front());
+        if (!first.knows_object && first.requests + 1 <= first.slots) {
+            pool.settle_tokens -= 1;
+            return affinity::choose(std::span(ranked).first(1), load, copy_cost);
+        }
+    }
     if (own.has_value()) {
         return own;
     }
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -54,6 +54,7 @@
     affinity::home_load home_load; ///< Moving average.
     prediction::service_times times;
     retries::retry_budget budget;
+    double settle_tokens = 0; ///< Number of objects that may move to their first target now.
 };
 
 /// State outside the pool that determines whether targets can be used.
