Return the tokens of requests that no target got; one call a pair of hosts

Cause: a request that was refused before it was sent kept its account's token. Each pair of hosts exchanged the same state twice a second, once a direction.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -333,6 +333,7 @@
 
 void forward_task::refuse(const error& cause)
 {
+    return_unused_token();
     const base::error_response& response = base::response_for(cause.kind);
     http::response_head head;
     head.status = response.http_status;
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -115,8 +115,12 @@
 
 void forward_task::check_quota()
 {
-    if (m_account == nullptr || m_account->rate <= 0 ||
-        limits::try_acquire(m_context.shares[m_account->id], m_arrived)) {
+    if (m_account == nullptr || m_account->rate <= 0) {
+        begin();
+        return;
+    }
+    if (limits::try_acquire(m_context.shares[m_account->id], m_arrived)) {
+        m_has_token = true;
         begin();
         return;
     }
@@ -134,6 +138,7 @@
 void forward_task::retry_quota()
 {
     if (limits::retry_acquire(m_context.shares[m_account->id], base::boot_clock::now())) {
+        m_has_token = true;
         begin();
         return;
     }
@@ -146,6 +151,14 @@
     refuse({error_kind::rate_exceeded, "the account's rate limit and burst are exhausted"});
 }
 
+void forward_task::return_unused_token()
+{
+    if (m_has_token && m_tried.empty()) {
+        m_has_token = false;
+        limits::return_token(m_context.shares[m_account->id], base::boot_clock::now());
+    }
+}
+
 void forward_task::begin()
 {
     const http::request_head& head = m_exchange->head();
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -46,6 +46,8 @@
     void check_quota();
     void retry_quota();
     void refuse_over_quota();
+    /// Gives the account's token back if the request was not sent to any target.
+    void return_unused_token();
     void begin();
     prediction::request_traits traits() const;
     std::optional<affinity::placement> place(base::time_point now) const;
@@ -106,6 +108,7 @@
     base::time_point m_deadline;        ///< For the first byte of the response.
     base::time_point m_caller_deadline; ///< For the whole response.
     base::duration m_retry_after{0};
+    bool m_has_token = false; ///< Whether a token of the account's share was taken.
 
     // The current attempt.
     std::unique_ptr<http::client_call> m_call;
--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -91,10 +91,13 @@
 void peer_exchange::contact_due_peers()
 {
     const unsigned interval = fleet::remote_interval_s(m_context.members);
+    const bool wants_tokens = !make_message(true).wanted.empty();
     unsigned position = 0;
     for (const auto& [id, known] : m_context.members.members) {
         const bool is_local = known.info.failure_domain == m_self.failure_domain;
-        if (is_local || (position + m_ticks) % interval == 0) {
+        // The response to a peer's call tells it the same as a call of this host would.
+        const bool is_due = is_local || (position + m_ticks) % interval == 0;
+        if (is_due && (wants_tokens || !has_called_lately(id, is_local ? 1 : interval))) {
             contact(known.info.control_address);
         }
         ++position;
@@ -116,6 +119,13 @@
     send(address, make_message(true), exchange_timeout, m_calls[address], [] {});
 }
 
+bool peer_exchange::has_called_lately(const base::host_id& peer, unsigned interval) const
+{
+    const auto called = m_called_at.find(peer);
+    return called != m_called_at.end() &&
+           base::boot_clock::now() - called->second < exchange_interval * interval * 3 / 4;
+}
+
 void peer_exchange::send(const std::string& address, const fleet::exchange_message& message,
                          std::chrono::milliseconds timeout,
                          std::unique_ptr<http::client_call>& call, std::function<void()> done)
@@ -230,6 +240,7 @@
         return;
     }
     process_message(base::value_of(message));
+    m_called_at[base::value_of(message).from.id] = base::boot_clock::now();
     fleet::exchange_message reply = make_message(false);
     const base::time_point now = base::boot_clock::now();
     for (const auto& [account, wanted] : base::value_of(message).wanted) {
--- a/src/apps/host/peer_exchange.h
+++ b/src/apps/host/peer_exchange.h
@@ -74,6 +74,7 @@
     void tick();
     void contact_due_peers();
     void contact(const std::string& address);
+    bool has_called_lately(const base::host_id& peer, unsigned interval) const;
     void send(const std::string& address, const fleet::exchange_message& message,
               std::chrono::milliseconds timeout, std::unique_ptr<http::client_call>& call,
               std::function<void()> done);
@@ -92,7 +93,8 @@
     fleet::member& m_self;
     std::map<std::string, rows::table_follower*> m_tables;
     std::unique_ptr<http::server> m_server;
-    std::map<std::string, std::unique_ptr<http::client_call>> m_calls;   ///< By control address.
+    std::map<std::string, std::unique_ptr<http::client_call>> m_calls; ///< By control address.
+    std::map<base::host_id, base::time_point> m_called_at;             ///< Last call of each peer.
     std::map<std::string, std::unique_ptr<http::client_call>> m_fetches; ///< By table.
     std::map<std::string, std::vector<waiting_call>> m_waiting;          ///< By table.
     std::map<base::account_id, borrow_state> m_borrow_states;
--- a/src/limits/fleet_share.cpp
+++ b/src/limits/fleet_share.cpp
@@ -113,6 +113,16 @@
     return true;
 }
 
+void return_token(fleet_share& share, base::time_point now)
+{
+    if (!share.is_limited) {
+        return;
+    }
+    refill(share, now);
+    // A token above the own burst came from a grant, which may have expired meanwhile.
+    share.tokens = std::min(share.tokens + 1, std::max(share.own.burst, share.tokens));
+}
+
 base::duration time_to_token(const fleet_share& share, base::time_point now)
 {
     const double missing = 1 - share.tokens - share.own.rate * seconds_between(share.refilled, now);
--- a/src/limits/fleet_share.h
+++ b/src/limits/fleet_share.h
@@ -35,6 +35,9 @@
 /// demand.
 bool retry_acquire(fleet_share& share, base::time_point now);
 
+/// Returns the token of a request that was refused before it was sent to any target.
+void return_token(fleet_share& share, base::time_point now);
+
 base::duration time_to_token(const fleet_share& share, base::time_point now);
 
 /// Tokens that the host is expected to lack until `until`; 0 if it has enough.
