Judge targets by their reports, not by rejections and time-outs alone

Cause: a rejection marked a target as full although its report said otherwise; when all targets of a service shed 45% of the requests, most were ejected; a target that answered others was ejected for slow answers.

Change: a report that comes with a rejection is believed; rejections eject a quarter of the targets at most; a time-out counts only against a silent target.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -90,10 +90,9 @@
         fail_attempt(attempt_result::broken, "response belongs to another request");
         return;
     }
-    if (const auto load = http::find_header(head.headers, names.load);
-        load.has_value() && target != nullptr) {
-        apply_load_report(*target, *load, now);
-    }
+    const auto load = http::find_header(head.headers, names.load);
+    const bool has_report =
+        load.has_value() && target != nullptr && apply_load_report(*target, *load, now);
     const bool is_not_run = http::find_header(head.headers, names.not_run).has_value();
     if (is_not_run || head.status == status_misdirected) {
         ++m_sent_attempts;
@@ -102,7 +101,7 @@
         }
         if (target != nullptr && head.status == status_misdirected) {
             target->is_misdirected = true;
-        } else if (target != nullptr && !rejects_despite_free_slots(*target)) {
+        } else if (target != nullptr && !has_report && !rejects_despite_free_slots(*target)) {
             on_rejected(*target, now);
         }
         fail_attempt(attempt_result::rejected,
@@ -190,7 +189,7 @@
     }
     if (pooled_target* target = current_target(); target != nullptr) {
         if (m_status >= first_failure_status) {
-            on_failure(*target, false, base::boot_clock::now());
+            on_failure(pool_of(m_context, m_service), *target, false, base::boot_clock::now());
         } else {
             on_success(*target);
         }
@@ -239,10 +238,13 @@
         (result == attempt_result::rejected && !rejects_despite_free_slots(*target))) {
         return;
     }
+    if (result == attempt_result::timed_out && target->last_response_at > m_sent_at) {
+        return; // It is at work on other requests, so it is busy rather than broken.
+    }
     const base::time_point now = base::boot_clock::now();
     const bool is_hard = result == attempt_result::not_sent ||
                          result == attempt_result::timed_out || result == attempt_result::broken;
-    if (on_failure(*target, is_hard, now)) {
+    if (on_failure(pool_of(m_context, m_service), *target, is_hard, now)) {
         if (result == attempt_result::not_sent) {
             on_unreachable(m_context.pools.at(m_service), *target);
         }
--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -24,6 +24,9 @@
 /// Average fraction of failed attempts at which a target is ejected.
 constexpr double ejection_failure_fraction = 0.35;
 
+/// Fraction of a service's targets that may be ejected because they fail some requests.
+constexpr double max_ejected_fraction = 0.25;
+
 constexpr std::chrono::milliseconds initial_ejection_time{700};
 
 /// The ejection time doubles with each failure in a row up to this number.
@@ -78,6 +81,15 @@
     return load_of(target, now) + others * (1 - freshness_of(target, now));
 }
 
+double ejected_fraction(const target_pool& pool, base::time_point now)
+{
+    const auto ejected =
+        std::count_if(pool.targets.begin(), pool.targets.end(),
+                      [now](const pooled_target& target) { return now < target.ejected_until; });
+    return static_cast<double>(ejected) /
+           static_cast<double>(std::max<std::size_t>(pool.targets.size(), 1));
+}
+
 bool may_use_cold(const target_pool& pool, const pooled_target& target, const pool_view& view)
 {
     if (view.now >= target.cold_until || pool.cold_rate <= 0) {
@@ -297,7 +309,7 @@
     }
 }
 
-bool on_failure(pooled_target& target, bool is_hard, base::time_point now)
+bool on_failure(const target_pool& pool, pooled_target& target, bool is_hard, base::time_point now)
 {
     ++target.failures_in_row;
     target.failure_fraction += (1 - target.failure_fraction) * sample_weight;
@@ -305,6 +317,9 @@
     if (!is_repeated && target.failure_fraction < ejection_failure_fraction) {
         return false;
     }
+    if (!is_hard && ejected_fraction(pool, now) >= max_ejected_fraction) {
+        return false;
+    }
     const unsigned steps = std::min(target.failures_in_row, max_ejection_steps);
     target.ejected_until = now + initial_ejection_time * (1U << (steps == 0 ? 0U : steps - 1));
     target.failure_fraction = 0;
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -98,8 +98,10 @@
               std::optional<base::duration> took, base::time_point now);
 
 /// Records a failure that the target is responsible for. Returns true if the target is ejected
-/// because of it.
-bool on_failure(pooled_target& target, bool is_hard, base::time_point now);
+/// because of it. Failures that are not hard, such as rejections of some requests, eject a limited
+/// fraction of the targets: if most of them fail alike, the others are no better and would be
+/// overloaded.
+bool on_failure(const target_pool& pool, pooled_target& target, bool is_hard, base::time_point now);
 
 /// Called when the target accepted no connection: it may have stopped, and is then cold when it
 /// returns.
--- a/src/apps/host/tests/target_pool_test.cpp
+++ b/src/apps/host/tests/target_pool_test.cpp
@@ -82,16 +82,16 @@
     SUBCASE("two failures in a row eject a target, and further failures eject it for longer")
     {
         apps::pooled_target& target = pool.targets[0];
-        CHECK_FALSE(apps::on_failure(target, true, start));
-        CHECK(apps::on_failure(target, true, start));
+        CHECK_FALSE(apps::on_failure(pool, target, true, start));
+        CHECK(apps::on_failure(pool, target, true, start));
         const base::duration first = target.ejected_until - start;
-        CHECK(apps::on_failure(target, true, start));
+        CHECK(apps::on_failure(pool, target, true, start));
         CHECK(target.ejected_until - start > first);
         for (std::uint64_t object = 0; object < 100; ++object) {
             CHECK(choose(pool, start, object)->target == 1);
         }
         apps::on_success(target);
-        CHECK_FALSE(apps::on_failure(target, true, start + 1min));
+        CHECK_FALSE(apps::on_failure(pool, target, true, start + 1min));
     }
     SUBCASE("a target with frequent failures is ejected, one with rare failures is not")
     {
@@ -100,12 +100,13 @@
         bool is_failing_ejected = false;
         for (int i = 0; i < 60; ++i) {
             if (i % 2 == 0) {
-                is_failing_ejected = apps::on_failure(failing, false, start) || is_failing_ejected;
+                is_failing_ejected =
+                    apps::on_failure(pool, failing, false, start) || is_failing_ejected;
             } else {
                 apps::on_success(failing);
             }
             if (i % 20 == 0) {
-                CHECK_FALSE(apps::on_failure(healthy, false, start));
+                CHECK_FALSE(apps::on_failure(pool, healthy, false, start));
             } else {
                 apps::on_success(healthy);
             }
@@ -168,15 +169,15 @@
         other.cold_rate = 2;
         other.cold_time = 3s;
         set(other, {make_entry("a")});
-        apps::on_failure(other.targets[0], true, start);
-        apps::on_failure(other.targets[0], true, start);
+        apps::on_failure(other, other.targets[0], true, start);
+        apps::on_failure(other, other.targets[0], true, start);
         apps::on_unreachable(other, other.targets[0]);
         CHECK_FALSE(choose(other, other.targets[0].ejected_until + 1s, 1, false).has_value());
     }
     SUBCASE("a new incarnation under the same id starts with fresh state")
     {
-        apps::on_failure(pool.targets[0], true, start);
-        apps::on_failure(pool.targets[0], true, start);
+        apps::on_failure(pool, pool.targets[0], true, start);
+        apps::on_failure(pool, pool.targets[0], true, start);
         auto again = make_entry("a");
         again.started_ms = 2;
         set(pool, {again}, start);
