Share one copy of an object in a region where messages are small

Change: routes with small messages share a copy until the bytes that crossed are worth one (ski rental).

--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -164,7 +164,7 @@
         of, fleet, now, [&](std::uint32_t domain, unsigned object) -> std::optional<std::uint32_t> {
             const auto ranked =
                 affinity::rank_targets(layouts[domain], base::stable_hash(std::to_string(object)),
-                                       [](std::uint32_t) { return true; });
+                                       false, [](std::uint32_t) { return true; });
             const auto placed = affinity::choose(
                 ranked,
                 [&](std::uint32_t index) {
--- a/src/affinity/placement.cpp
+++ b/src/affinity/placement.cpp
@@ -58,13 +58,13 @@
 
 /// First tier of targets for an object: 0 is the own failure domain, 1 the own region, 2 all
 /// targets.
-int first_tier(const layout& service_layout, std::uint64_t object)
+int first_tier(const layout& service_layout, std::uint64_t object, bool is_shared)
 {
     const double position = to_unit_interval(mix(object ^ position_salt));
     const double region = service_layout.region_fraction * service_layout.home.region;
     const double domain = service_layout.domain_fraction * service_layout.home.domain;
     if (position < std::min(domain, region)) {
-        return 0;
+        return is_shared ? 1 : 0;
     }
     return position < region ? 1 : 2;
 }
@@ -134,9 +134,10 @@
 }
 
 std::vector<std::uint32_t> rank_targets(const layout& service_layout, std::uint64_t object,
+                                        bool is_shared,
                                         const std::function<bool(std::uint32_t)>& allowed)
 {
-    const int first = first_tier(service_layout, object);
+    const int first = first_tier(service_layout, object, is_shared);
     std::vector<scored_target> all;
     all.reserve(service_layout.targets.size());
     for (std::uint32_t index = 0; index < service_layout.targets.size(); ++index) {
--- a/src/affinity/placement.h
+++ b/src/affinity/placement.h
@@ -39,8 +39,10 @@
 
 /// Returns the best targets for the object in order of preference, at most `max_ranked_targets`, as
 /// indices into `layout::targets`. Only targets for which `allowed` returns true are ranked; it can
-/// for example exclude targets outside the home regions of a route.
+/// for example exclude targets outside the home regions of a route. A shared object uses one target
+/// in the whole region, others one in the own failure domain.
 std::vector<std::uint32_t> rank_targets(const layout& service_layout, std::uint64_t object,
+                                        bool is_shared,
                                         const std::function<bool(std::uint32_t)>& allowed);
 
 /// Returns the ranked target with the earliest predicted finish. Each rank after the first adds
--- a/src/affinity/tests/placement_test.cpp
+++ b/src/affinity/tests/placement_test.cpp
@@ -39,7 +39,8 @@
 
 std::vector<std::uint32_t> rank(const affinity::layout& layout, std::uint64_t number)
 {
-    return affinity::rank_targets(layout, object(number), [](std::uint32_t) { return true; });
+    return affinity::rank_targets(layout, object(number), false,
+                                  [](std::uint32_t) { return true; });
 }
 
 } // namespace
@@ -99,9 +100,10 @@
     {
         const auto layout = affinity::make_layout(make_targets(2), regions, 0);
         for (std::uint64_t i = 0; i < object_count; ++i) {
-            const auto ranked = affinity::rank_targets(layout, object(i), [&](std::uint32_t index) {
-                return layout.targets[index].region == 1;
-            });
+            const auto ranked =
+                affinity::rank_targets(layout, object(i), false, [&](std::uint32_t index) {
+                    return layout.targets[index].region == 1;
+                });
             CHECK(std::all_of(ranked.begin(), ranked.end(), [&](std::uint32_t index) {
                 return layout.targets[index].region == 1;
             }));
--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -139,6 +139,7 @@
 
 void forward_task::on_body(std::string_view chunk)
 {
+    m_response_bytes += chunk.size();
     if (m_buffered_head.has_value()) {
         m_buffered_body.append(chunk);
     } else if (m_is_streaming && m_stream != nullptr && m_call != nullptr) {
@@ -227,7 +228,12 @@
     if (pooled_target* target = current_target(); target != nullptr) {
         on_ended(pool, *target, m_sent, is_success ? std::optional(now - m_sent_at) : std::nullopt,
                  now);
+        if (is_success) {
+            on_transferred(pool, *target, m_sent, m_exchange->body().size() + m_response_bytes,
+                           now);
+        }
     }
+    m_response_bytes = 0;
     m_target = {};
 }
 
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -115,6 +115,7 @@
     base::target_id m_target;
     base::time_point m_sent_at{};
     sent_request m_sent;
+    std::size_t m_response_bytes = 0;
     std::uint32_t m_rank = 0;
     /// Time-out of the attempt, until its response is streamed; 0: not set.
     std::uint64_t m_timer = 0;
--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -36,6 +36,9 @@
 /// object's first target.
 constexpr double copy_cost_factor = 1.5;
 
+/// Size of the heads of a request and its response.
+constexpr double head_bytes = 700;
+
 /// Weight of the current load in the average that the placement follows.
 constexpr double load_weight = 0.1;
 
@@ -247,7 +250,9 @@
     };
     const auto copy_cost = std::chrono::duration_cast<base::duration>(
         prediction::average_time(pool.times, {}, view.now) * copy_cost_factor);
-    const auto ranked = affinity::rank_targets(pool.layout, request.object, can_serve);
+    const bool is_shared = request.has_object && affinity::is_shared(pool.copies, request.route,
+                                                                     request.object, view.now);
+    const auto ranked = affinity::rank_targets(pool.layout, request.object, is_shared, can_serve);
     const auto own = affinity::choose(ranked, load, copy_cost);
     pool.settle_tokens = std::min(max_settle_tokens, pool.settle_tokens + settled_per_request);
     if (own.has_value() && own->target != ranked.front() && pool.settle_tokens >= 1) {
@@ -263,8 +268,8 @@
     }
     // None of the object's own targets can take the request; any other target is better than a
     // refusal.
-    return affinity::choose(affinity::rank_targets(pool.layout, request.object, has_room), load,
-                            copy_cost);
+    return affinity::choose(
+        affinity::rank_targets(pool.layout, request.object, is_shared, has_room), load, copy_cost);
 }
 
 sent_request on_sent(target_pool& pool, pooled_target& target,
@@ -302,6 +307,20 @@
                             now);
 }
 
+void on_transferred(target_pool& pool, const pooled_target& target, const sent_request& sent,
+                    std::size_t body_bytes, base::time_point now)
+{
+    if (!sent.traits.has_object) {
+        return;
+    }
+    const auto index = static_cast<std::size_t>(&target - pool.targets.data());
+    const affinity::placement_target& place = pool.layout.targets[index];
+    const bool has_crossed =
+        place.region == pool.layout.own_region && place.failure_domain != pool.layout.own_domain;
+    affinity::record_transfer(pool.copies, sent.traits.route, sent.traits.object,
+                              static_cast<double>(body_bytes) + head_bytes, has_crossed, now);
+}
+
 void on_not_run(pooled_target& target, const sent_request& sent)
 {
     if (sent.known == prediction::recency::never) {
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -1,6 +1,7 @@
 /// @file Targets of one service, with the state that one host keeps about them.
 #pragma once
 
+#include "affinity/copies.h"
 #include "affinity/placement.h"
 #include "apps/host/types/target_entry.h"
 #include "base/time.h"
@@ -51,6 +52,7 @@
     std::vector<pooled_target> targets;
     affinity::layout layout; ///< Layout of `targets`, with the same indexes.
     std::map<base::failure_domain_id, domain_load> domain_loads;
+    affinity::copy_ledger copies;
     affinity::home_load home_load; ///< Moving average.
     prediction::service_times times;
     retries::retry_budget budget;
@@ -115,6 +117,10 @@
 /// Called when the target rejected a request because of its load.
 void on_rejected(pooled_target& target, base::time_point now);
 
+/// Records the size of a completed request: `body_bytes` is that of both bodies.
+void on_transferred(target_pool& pool, const pooled_target& target, const sent_request& sent,
+                    std::size_t body_bytes, base::time_point now);
+
 /// Called when the target did not run the request.
 void on_not_run(pooled_target& target, const sent_request& sent);
 
