Tests of the placement under load, bounded load reports

A load report of more requests than any target queues counts as a full target; it kept a target unused for many seconds before.

--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -176,8 +176,13 @@
             if (!placed.has_value()) {
                 return std::nullopt;
             }
-            const affinity::admission_inputs request{placed->wait, placed->finish - placed->wait,
-                                                     of.objective, of.time_limit, 0};
+            affinity::admission_inputs request;
+            request.wait = placed->wait;
+            request.service_time = placed->finish - placed->wait;
+            request.typical_time = request.service_time;
+            request.objective = of.objective;
+            request.time_left = of.time_limit;
+            request.urgency = 0;
             return affinity::admit(request).admitted ? std::optional(placed->target) : std::nullopt;
         });
 }
--- a/src/affinity/tests/admission_test.cpp
+++ b/src/affinity/tests/admission_test.cpp
@@ -9,6 +9,7 @@
 {
     affinity::admission_inputs request;
     request.service_time = 200ms;
+    request.typical_time = 200ms;
     request.objective = 600ms;
     request.time_left = 4s;
     request.urgency = 0;
@@ -47,6 +48,14 @@
         request.wait = 0ms;
         CHECK(affinity::admit(request).admitted);
     }
+    SUBCASE("a request that is late anyway does not keep others waiting")
+    {
+        request.service_time = 900ms;
+        for (auto wait = 1ms; wait < 1s; wait += 50ms) {
+            request.wait = wait;
+            CHECK_FALSE(affinity::admit(request).admitted);
+        }
+    }
     SUBCASE("a request that cannot finish before its deadline is refused")
     {
         request.time_left = 300ms;
--- a/src/affinity/tests/placement_test.cpp
+++ b/src/affinity/tests/placement_test.cpp
@@ -96,6 +96,38 @@
         CHECK(used[1] < 100);
         CHECK(used[2] + used[3] > 400);
     }
+    SUBCASE(
+        "a region without enough targets loses objects from all its domains, so that none of them "
+        "gets those of a domain without targets on top of its own")
+    {
+        // Failure domain 1 of the region has no target, so domain 0 serves both.
+        std::vector<affinity::placement_target> targets{make_target(0, 0), make_target(1, 0)};
+        for (int i = 0; i < 6; ++i) {
+            targets.push_back(make_target(2 + i, i % 2 == 0 ? 2 : 3));
+        }
+        const auto layout = affinity::make_layout(targets, regions, 0);
+        int stayed = 0;
+        for (std::uint64_t i = 0; i < object_count; ++i) {
+            stayed += layout.targets[rank(layout, i).front()].region == 0 ? 1 : 0;
+        }
+        const auto count = static_cast<double>(object_count);
+        CHECK(stayed < 0.65 * count);
+        CHECK(stayed > 0.35 * count);
+    }
+    SUBCASE("a shared object has the same target for both failure domains of a region")
+    {
+        const auto targets = make_targets(2);
+        const auto one = affinity::make_layout(targets, regions, 0);
+        const auto other = affinity::make_layout(targets, regions, 1);
+        for (std::uint64_t i = 0; i < object_count; ++i) {
+            const auto first_shared = [&](const affinity::layout& of) {
+                return affinity::rank_targets(of, object(i), true,
+                                              [](std::uint32_t) { return true; })
+                    .front();
+            };
+            CHECK(first_shared(one) == first_shared(other));
+        }
+    }
     SUBCASE("targets that are not allowed are never ranked")
     {
         const auto layout = affinity::make_layout(make_targets(2), regions, 0);
@@ -158,3 +190,67 @@
         CHECK_FALSE(affinity::choose(ranked, load_of, 150ms).has_value());
     }
 }
+
+// Guards against a fixed division of the objects: when callers move, one region's targets refuse
+// requests while those of others are idle.
+TEST_CASE("objects leave a busy failure domain and region, and return when it is idle again")
+{
+    const auto layout_with = [](const affinity::home_share& home) {
+        auto layout = affinity::make_layout(make_targets(4), regions, 0);
+        layout.home = home;
+        return layout;
+    };
+    const auto fraction_at_home = [](const affinity::layout& layout) {
+        int stayed = 0;
+        for (std::uint64_t i = 0; i < object_count; ++i) {
+            stayed += layout.targets[rank(layout, i).front()].failure_domain == 0 ? 1 : 0;
+        }
+        return stayed / static_cast<double>(object_count);
+    };
+    affinity::home_share home;
+    base::time_point now{};
+    home.adapted_at = now;
+    const auto run = [&](const affinity::home_load& load, std::chrono::seconds time) {
+        for (auto passed = 0ms; passed < time; passed += 100ms) {
+            now += 100ms;
+            affinity::adapt_home(home, load, now);
+        }
+    };
+    SUBCASE("with a usual load nothing moves")
+    {
+        run({0.7, 0.7}, 60s);
+        CHECK(fraction_at_home(layout_with(home)) == 1.0);
+    }
+    SUBCASE("a region loses at most a seventh of its objects in two seconds")
+    {
+        run({2, 2}, 2s);
+        const auto layout = layout_with(home);
+        CHECK(layout.region_fraction * home.region > 1 - 1.0 / 7);
+        // Those that left the failure domain share the targets of the whole region.
+        CHECK(fraction_at_home(layout) < 0.8);
+    }
+    SUBCASE("the same objects leave first")
+    {
+        run({2, 2}, 1s);
+        const auto before = layout_with(home);
+        run({2, 2}, 1s);
+        const auto after = layout_with(home);
+        for (std::uint64_t i = 0; i < object_count; ++i) {
+            const bool had_left = before.targets[rank(before, i).front()].failure_domain != 0;
+            const bool is_back = after.targets[rank(after, i).front()].failure_domain == 0;
+            CHECK_FALSE((had_left && is_back));
+        }
+    }
+    SUBCASE("some objects stay, and all return once the targets are idle")
+    {
+        run({5, 5}, 60s);
+        CHECK(fraction_at_home(layout_with(home)) > 0);
+        run({0.1, 0.1}, 60s);
+        CHECK(fraction_at_home(layout_with(home)) == 1.0);
+    }
+    SUBCASE("a pause of the process moves no more than a second would")
+    {
+        affinity::adapt_home(home, {2, 2}, now + 1h);
+        CHECK(home.region > 0.9);
+    }
+}
--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -18,6 +18,9 @@
 /// responses.
 constexpr double sample_weight = 0.15;
 
+/// A report of more requests per slot than a target queues is taken for this much.
+constexpr double max_reported_per_slot = 8;
+
 /// Time constant with which the weight of a reported load decays: a few service times.
 constexpr double report_decay_s = 0.6;
 
@@ -368,7 +371,8 @@
         }
         at = next == end ? next : next + 1;
     }
-    target.reported_load = values[0] + values[1];
+    const double reported = static_cast<double>(values[0]) + static_cast<double>(values[1]);
+    target.reported_load = std::min(reported, target.entry.slots * max_reported_per_slot);
     target.running_at_report = target.running;
     target.reported_at = now;
     return true;
--- a/src/apps/host/tests/target_pool_test.cpp
+++ b/src/apps/host/tests/target_pool_test.cpp
@@ -2,8 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace snipeshore;
 using namespace std::chrono_literals;
@@ -126,6 +128,70 @@
         }
         CHECK_FALSE(choose(pool, start).has_value());
     }
+    // Guards against a report that makes a target look full for a long time.
+    SUBCASE("a report of more requests than any target queues counts as a full target")
+    {
+        const std::uint32_t first = choose(pool, start)->target;
+        CHECK(apps::apply_load_report(pool.targets[first], "4294967295,4294967295,4", start));
+        CHECK(choose(pool, start)->target == 1 - first);
+        CHECK(choose(pool, start + 3s)->target == first);
+    }
+    SUBCASE("when most targets reject some requests, only a part of them is ejected")
+    {
+        std::vector<apps::target_entry> entries;
+        for (int i = 0; i < 8; ++i) {
+            entries.push_back(make_entry("t" + std::to_string(i)));
+        }
+        set(pool, entries);
+        for (int i = 0; i < 100; ++i) {
+            for (apps::pooled_target& target : pool.targets) {
+                apps::on_failure(pool, target, false, start);
+                apps::on_success(target);
+            }
+        }
+        CHECK(std::count_if(pool.targets.begin(), pool.targets.end(),
+                            [](const auto& target) { return target.ejected_until > start; }) <= 2);
+        CHECK(choose(pool, start).has_value());
+    }
+    // Guards against a new target without requests, because others know all objects already.
+    SUBCASE("objects move to a new target one by one")
+    {
+        const auto run = [&pool](std::uint64_t object, base::time_point now) {
+            const std::uint32_t target = choose(pool, now, object)->target;
+            const apps::sent_request sent = send(pool, target, now, object);
+            const bool is_first = sent.known == prediction::recency::never;
+            apps::on_ended(pool, pool.targets[target], sent, is_first ? 200ms : 60ms, now);
+            return pool.targets[target].entry.id.value();
+        };
+        constexpr std::uint64_t objects = 30;
+        for (int round = 0; round < 10; ++round) {
+            for (std::uint64_t object = 0; object < objects; ++object) {
+                run(object, start);
+            }
+        }
+        set(pool, {make_entry("a"), make_entry("b"), make_entry("new")});
+        const auto run_round = [&] {
+            std::size_t on_new = 0;
+            for (std::uint64_t object = 0; object < objects; ++object) {
+                on_new += run(object, start + 1s) == "new" ? 1 : 0;
+            }
+            return on_new;
+        };
+        CHECK(run_round() <= 4);
+        for (int round = 0; round < 50; ++round) {
+            run_round();
+        }
+        CHECK(run_round() >= 4);
+    }
+    // Guards against load that others cause at a target which this host has not used lately.
+    SUBCASE("without a recent report a target is as busy as other hosts say of its domain")
+    {
+        set(pool, {make_entry("far", "s1")});
+        CHECK(choose(pool, start)->wait == 0ms);
+        pool.domain_loads[base::failure_domain_id("s1")] = {3.0, start};
+        CHECK(choose(pool, start)->wait > 0ms);
+        CHECK(choose(pool, start + 1min)->wait == 0ms);
+    }
     SUBCASE("the load reported for other hosts counts for a short time")
     {
         const std::uint32_t first = choose(pool, start)->target;
--- a/src/fleet/tests/exchange_encoding_test.cpp
+++ b/src/fleet/tests/exchange_encoding_test.cpp
@@ -13,6 +13,7 @@
     message.wanted[base::account_id("coop")] = 2.5;
     message.crashes.push_back({3, base::target_id("t1"), {~0ULL, 7}});
     message.granted[base::account_id("coop")] = 1.999;
+    message.loads[base::service_id("desk")] = 0.75;
     const auto read = fleet::parse_exchange(fleet::encode(message));
     REQUIRE(base::is_ok(read));
     const fleet::exchange_message& copy = base::value_of(read);
@@ -20,6 +21,7 @@
     CHECK(copy.from.state == fleet::member_state::ready);
     CHECK(copy.versions.at("op") == 12);
     CHECK(copy.wanted.at(base::account_id("coop")) == doctest::Approx(2.5));
+    CHECK(copy.loads.at(base::service_id("desk")) == doctest::Approx(0.75));
     REQUIRE(copy.crashes.size() == 1);
     CHECK(copy.crashes[0].target.value() == "t1");
     CHECK(copy.crashes[0].fingerprints == std::vector<std::uint64_t>{~0ULL, 7});
--- a/src/limits/tests/fleet_share_test.cpp
+++ b/src/limits/tests/fleet_share_test.cpp
@@ -42,6 +42,22 @@
         }
         CHECK(taken == 10);
     }
+    // Guards against refusing requests within the rate because of others that no target received.
+    SUBCASE("a returned token can be used again, and never exceeds the burst")
+    {
+        CHECK(limits::try_acquire(share, start + 250ms));
+        CHECK_FALSE(limits::try_acquire(share, start + 250ms));
+        limits::return_token(share, start + 250ms);
+        CHECK(limits::try_acquire(share, start + 250ms));
+        for (int i = 0; i < 100; ++i) {
+            limits::return_token(share, start + 250ms);
+        }
+        int taken = 0;
+        while (limits::try_acquire(share, start + 250ms)) {
+            ++taken;
+        }
+        CHECK(taken == 10);
+    }
     SUBCASE("the share accumulates at most its burst")
     {
         int taken = 0;
