Split the choice of targets from their state; require the request's id in every response

target_choice decides, target_pool keeps state; refusals and the log of requests are in forward_report. No change of behaviour in these. A response without the request's id was accepted as a failure or a rejection of the request; it may be a late copy of another one.

--- /dev/null
+++ b/src/apps/host/forward_report.cpp
@@ -0,0 +1,109 @@
+#include "apps/host/forward_task.h"
+
+#include "apps/host/host_context.h"
+#include "base/error_response.h"
+#include "http/exchange.h"
+#include "telemetry/event_log.h"
+#include "telemetry/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <utility>
+
+// Part of forward_task that refuses requests, and writes the log and the metrics of each.
+namespace snipeshore::apps {
+
+using base::error;
+using telemetry::severity;
+
+namespace {
+
+/// Minimum delay before a refused caller retries; before that the targets are still full.
+constexpr std::chrono::milliseconds min_retry_after{100};
+
+double to_milliseconds(base::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+std::string format_seconds(base::duration time)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(time).count());
+    return text;
+}
+
+} // namespace
+
+void forward_task::refuse(const error& cause)
+{
+    return_unused_token();
+    const base::error_response& response = base::response_for(cause.kind);
+    http::response_head head;
+    head.status = response.http_status;
+    head.headers.push_back({"content-type", "application/json"});
+    if (response.retry == base::retry_advice::after_delay ||
+        response.retry == base::retry_advice::other_host) {
+        head.headers.push_back({"retry-after", format_seconds(std::max<base::duration>(
+                                                   m_retry_after, min_retry_after))});
+    }
+    telemetry::log_event(severity::info, "refused",
+                         {{"request_id", m_id},
+                          {"kind", response.name},
+                          {"cause", cause.detail},
+                          {"route", m_route == nullptr ? "" : m_route->name},
+                          {"account", m_account == nullptr ? "" : m_account->id.value()},
+                          {"config", m_routes == nullptr ? 0 : m_routes->version},
+                          {"best_target", m_best_target.value()},
+                          {"predicted_wait_ms", to_milliseconds(m_predicted_wait)},
+                          {"predicted_ms", to_milliseconds(m_predicted_time)},
+                          {"sent", static_cast<std::uint64_t>(m_sent_attempts)},
+                          {"after_ms", to_milliseconds(base::boot_clock::now() - m_arrived)}});
+    const bool not_run = response.not_run && !m_may_have_run;
+    m_exchange->respond(std::move(head), base::error_body(cause, m_id, not_run));
+    record_end(response.http_status, response.name);
+    finish_task();
+}
+
+void forward_task::record_end(int status, std::string_view outcome)
+{
+    const base::duration took = base::boot_clock::now() - m_arrived;
+    const base::duration sent_after = m_tried.empty() ? base::duration{0} : m_sent_at - m_arrived;
+    const std::string route = m_route == nullptr ? "none" : m_route->name;
+    m_context.metrics
+        .counter("snipeshore_requests_total", "Requests by route and outcome.",
+                 {{"route", route}, {"outcome", std::string(outcome)}})
+        .Increment();
+    if (m_sent_attempts > 0) {
+        m_context.metrics
+            .counter("snipeshore_target_rank_total",
+                     "Requests by the rank of their last target; 0 is the object's first choice.",
+                     {{"rank", std::to_string(m_rank)}})
+            .Increment();
+    }
+    m_context.metrics
+        .latency("snipeshore_request_seconds",
+                 "Time from the arrival of a request to the end of its response.")
+        .Observe(std::chrono::duration<double>(took).count());
+    telemetry::log_event(severity::info, "request_done",
+                         {{"request_id", m_id},
+                          {"route", route},
+                          {"account", m_account == nullptr ? "" : m_account->id.value()},
+                          {"service", m_service.value()},
+                          {"status", status},
+                          {"outcome", outcome},
+                          {"object", m_object},
+                          {"target", m_tried.empty() ? "" : m_tried.back().value()},
+                          {"rank", static_cast<std::uint64_t>(m_rank)},
+                          {"predicted_wait_ms", to_milliseconds(m_predicted_wait)},
+                          {"predicted_ms", to_milliseconds(m_predicted_time)},
+                          {"sent", static_cast<std::uint64_t>(m_sent_attempts)},
+                          {"sent_after_ms", to_milliseconds(sent_after)},
+                          {"took_ms", to_milliseconds(took)}});
+}
+
+} // namespace snipeshore::apps
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "apps/host/crash_watch.h"
+#include "apps/host/target_choice.h"
 #include "apps/host/target_pool.h"
 #include "apps/host/types/host_settings.h"
 #include "base/types/ids.h"
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -59,27 +59,20 @@
     double settle_tokens = 0; ///< Number of objects that may move to their first target now.
 };
 
-/// State outside the pool that determines whether targets can be used.
-struct pool_view {
-    base::time_point now;
-    /// Whether this host is the one that sends requests to a cold target.
-    std::function<bool(const base::target_id&)> owns;
-};
-
 /// Replaces the targets and keeps the state of those with an unchanged incarnation.
 void set_targets(target_pool& pool, const std::vector<target_entry>& entries,
                  const std::function<bool(const base::failure_domain_id&)>& is_drained,
                  const std::map<base::failure_domain_id, base::region_id>& regions,
                  const base::failure_domain_id& own_domain, base::time_point now);
 
-/// Chooses a target for the request. Excludes the targets in `tried` and the regions that are not
-/// allowed.
-std::optional<affinity::placement>
-choose_target(target_pool& pool, const prediction::request_traits& request,
-              const std::vector<base::target_id>& tried,
-              const std::function<bool(const base::region_id&)>& allowed,
-              const std::map<base::failure_domain_id, base::region_id>& regions,
-              const pool_view& view);
+/// Requests at the target: this host's own, and those of others as the target reported lately.
+double load_of(const pooled_target& target, base::time_point now);
+
+/// Weight of the target's last load report, 0 to 1.
+double report_freshness(const pooled_target& target, base::time_point now);
+
+/// Requests that may be sent now to the target while it is cold.
+double cold_tokens(const target_pool& pool, const pooled_target& target, base::time_point now);
 
 pooled_target* find_target(target_pool& pool, const base::target_id& id);
 
--- a/src/apps/host/tests/host_test.cpp
+++ b/src/apps/host/tests/host_test.cpp
@@ -100,6 +100,8 @@
         http::response_head head;
         head.status = 503;
         head.headers.push_back({"x-not-executed", "1"});
+        const auto id = http::find_header(request->head().headers, "x-attempt-id");
+        head.headers.push_back({"x-attempt-id", std::string(id.value_or(""))});
         request->respond(head, "");
     };
     SUBCASE(
@@ -249,3 +251,46 @@
         CHECK(host.send("/safe/x", with_key).status == 200);
     }
 }
+
+// Guards against a late second copy of a response on a connection that is in use again: the next
+// caller would get it as its own.
+TEST_CASE("a copy of an earlier response never answers a later request")
+{
+    const auto response = [](const std::string& status, const std::string& headers) {
+        return "HTTP/1.1 " + status + "\r\ncontent-length: 4\r\n" + headers + "\r\nbody";
+    };
+    const std::string own = "x-attempt-id: id-1\r\nx-response-seal: s\r\n";
+    std::string copy;
+    SUBCASE("with the earlier id")
+    {
+        copy = response("200 OK", own);
+    }
+    SUBCASE("without an id")
+    {
+        copy = response("200 OK", "x-response-seal: s\r\n");
+    }
+    SUBCASE("of a failure without an id")
+    {
+        copy = response("500 Failed", "");
+    }
+    SUBCASE("of a rejection without an id, which is no proof that the later request has not run")
+    {
+        copy = response("503 Full", "x-not-executed: 1\r\n");
+    }
+    host_fixture host(plain_config);
+    http::tests::raw_server target([&](int connection) {
+        http::tests::read_until(connection, "\r\n\r\n");
+        http::tests::write_all(connection, response("200 OK", own));
+        http::tests::read_until(connection, "\r\n\r\n");
+        http::tests::write_all(connection, copy);
+    });
+    host.add_target("t1", target.address());
+    host.await_targets(1);
+    CHECK(host.send("/once/x", with_key, "POST", "a").status == 200);
+    const reply later =
+        host.send("/once/x", {{"x-key", "key"}, {"x-attempt-id", "id-2"}}, "POST", "b");
+    CHECK(later.status == 502);
+    CHECK(later.body != "body");
+    CHECK(later.body.find("\"not_run\":true") == std::string::npos);
+    CHECK(target.accepted() == 1);
+}
--- a/src/apps/host/tests/target_pool_test.cpp
+++ b/src/apps/host/tests/target_pool_test.cpp
@@ -1,5 +1,7 @@
 #include "apps/host/target_pool.h"
 
+#include "apps/host/target_choice.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -59,6 +59,7 @@
     if (!meant_for.empty() && meant_for != m_id) {
         http::response_head head;
         head.status = 421;
+        head.headers.push_back({"x-attempt-id", header_of(*request, "x-attempt-id")});
         request->respond(head, "");
         return;
     }
@@ -73,6 +74,7 @@
         http::response_head head;
         head.status = 503;
         head.headers.push_back({"x-not-executed", "1"});
+        head.headers.push_back({"x-attempt-id", header_of(*request, "x-attempt-id")});
         request->respond(head, "");
         return;
     }
