--- a/tests/docs/docs_test.cpp
+++ b/tests/docs/docs_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <regex>
@@ -39,14 +40,16 @@
            " |";
 }
 
+/// The sources of all programs, without their tests.
 std::string read_metric_sources()
 {
+    const std::filesystem::path root = SNIPESHORE_SOURCE_DIR;
     std::string all;
-    for (const char* path : {"src/apps/entry/dump.cpp", "src/apps/entry/entry_app.cpp",
-                             "src/apps/entry/request_task.cpp", "src/apps/lookup/lookup_app.cpp",
-                             "src/apps/agent/agent_app.cpp", "src/apps/host/forward_outcome.cpp",
-                             "src/apps/host/host_app.cpp", "src/apps/host/host_report.cpp"}) {
-        all += read_source(path);
+    for (const auto& entry : std::filesystem::recursive_directory_iterator(root / "src/apps")) {
+        const std::filesystem::path path = std::filesystem::relative(entry.path(), root);
+        if (path.extension() == ".cpp" && path.parent_path().filename() != "tests") {
+            all += read_source(path.string());
+        }
     }
     return all;
 }
