--- a/src/apps/host/forward_report.cpp
+++ b/src/apps/host/forward_report.cpp
@@ -3,6 +3,7 @@
 #include "apps/host/host_context.h"
 #include "base/error_response.h"
 #include "http/exchange.h"
+#include "prediction/service_times.h"
 #include "telemetry/event_log.h"
 #include "telemetry/metrics.h"
 
@@ -61,6 +62,7 @@
                           {"best_target", m_best_target.value()},
                           {"predicted_wait_ms", to_milliseconds(m_predicted_wait)},
                           {"predicted_ms", to_milliseconds(m_predicted_time)},
+                          {"retry_after_ms", to_milliseconds(m_retry_after)},
                           {"sent", static_cast<std::uint64_t>(m_sent_attempts)},
                           {"after_ms", to_milliseconds(base::boot_clock::now() - m_arrived)}});
     const bool not_run = response.not_run && !m_may_have_run;
@@ -99,6 +101,7 @@
                           {"object", m_object},
                           {"target", m_tried.empty() ? "" : m_tried.back().value()},
                           {"rank", static_cast<std::uint64_t>(m_rank)},
+                          {"known", prediction::to_string(m_sent.known)},
                           {"predicted_wait_ms", to_milliseconds(m_predicted_wait)},
                           {"predicted_ms", to_milliseconds(m_predicted_time)},
                           {"sent", static_cast<std::uint64_t>(m_sent_attempts)},
--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -77,6 +77,21 @@
                    {{"account", account.value()}})
             .Set(share.tokens + share.granted_tokens);
     }
+    for (const auto& [service, pool] : m_context.pools) {
+        const auto set_home = [this, &service = service](const std::string& scope, double share,
+                                                         double load) {
+            const prometheus::Labels labels{{"service", service.value()}, {"scope", scope}};
+            m_metrics
+                .gauge("snipeshore_home_share",
+                       "Factor on the fraction of the objects that stay at home, 0 to 1.", labels)
+                .Set(share);
+            m_metrics
+                .gauge("snipeshore_home_load", "Requests per slot on the targets at home.", labels)
+                .Set(load);
+        };
+        set_home("domain", pool.layout.home.domain, pool.home_load.domain);
+        set_home("region", pool.layout.home.region, pool.home_load.region);
+    }
     set("snipeshore_store_in_touch", "Whether the last call to the operators' table succeeded.",
         m_operator_rows.is_store_reachable() ? 1 : 0);
 }
--- a/src/prediction/service_times.cpp
+++ b/src/prediction/service_times.cpp
@@ -104,6 +104,19 @@
 
 } // namespace
 
+std::string_view to_string(recency known)
+{
+    switch (known) {
+    case recency::recent:
+        return "recent";
+    case recency::earlier:
+        return "earlier";
+    case recency::never:
+        return "never";
+    }
+    return "unknown";
+}
+
 recency recency_of(const target_history& history, const request_traits& request)
 {
     if (!request.has_object) {
--- a/src/prediction/service_times.h
+++ b/src/prediction/service_times.h
@@ -9,6 +9,7 @@
 #include "prediction/types/service_times.h"
 
 #include <cstddef>
+#include <string_view>
 
 namespace snipeshore::prediction {
 
@@ -16,6 +17,8 @@
 inline constexpr std::size_t max_routes = 4096;
 inline constexpr std::uint64_t remembered_runs = 256; ///< Per target, and so its objects.
 
+std::string_view to_string(recency known);
+
 recency recency_of(const target_history& history, const request_traits& request);
 
 /// Service time without the wait for a slot.
