Let the load that hosts tell each other fall without requests

Cause: the average of the load at home was updated only when a request came, so that a host without requests went on telling the load of its last ones. Change: it is updated before each message, by elapsed time. host_test: the load at home falls without further requests.

--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -315,7 +315,8 @@
     }
     const base::time_point now = base::boot_clock::now();
     message.crashes = recent_reports(m_context.crashes, now);
-    for (const auto& [service, pool] : m_context.pools) {
+    for (auto& [service, pool] : m_context.pools) {
+        follow_load(pool, make_view(m_context, now));
         message.loads[service] = pool.home_load.domain;
     }
     if (!includes_demand) {
--- a/src/apps/host/target_choice.cpp
+++ b/src/apps/host/target_choice.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 #include <span>
 
@@ -19,9 +20,8 @@
 /// Interval in which the placement follows the load.
 constexpr std::chrono::milliseconds adapt_interval{100};
 
-/// Weight of the current load in the average that the placement follows, which
-/// covers about a second.
-constexpr double load_weight = 0.1;
+/// Time constant of the average of the load that the placement follows.
+constexpr double load_time_constant_s = 1.0;
 
 /// A domain's load that was reported longer ago says nothing: hosts report it every second or two.
 constexpr std::chrono::seconds domain_load_lifetime{5};
@@ -72,11 +72,38 @@
     return load;
 }
 
+/// Returns the object's first target if the object should move there now, although another one
+/// knows it: its first target may be new, or may have been away. So each target gets its part of
+/// the objects, and each failure domain its own copies.
+std::optional<affinity::placement>
+settle(target_pool& pool, std::span<const std::uint32_t> ranked,
+       const std::function<affinity::target_load(std::uint32_t)>& load)
+{
+    pool.settle_tokens = std::min(max_settle_tokens, pool.settle_tokens + settled_per_request);
+    if (ranked.empty() || pool.settle_tokens < 1) {
+        return std::nullopt;
+    }
+    const affinity::target_load first = load(ranked.front());
+    const bool is_known_elsewhere =
+        std::any_of(ranked.begin() + 1, ranked.end(),
+                    [&](std::uint32_t index) { return load(index).knows_object; });
+    if (first.knows_object || !is_known_elsewhere || first.requests + 1 > first.slots) {
+        return std::nullopt;
+    }
+    pool.settle_tokens -= 1;
+    return affinity::choose(ranked.first(1), load, base::duration{0});
+}
+
+} // namespace
+
 void follow_load(target_pool& pool, const pool_view& view)
 {
-    if (view.now < pool.layout.home.adapted_at + adapt_interval) {
+    const base::duration passed = view.now - pool.layout.home.adapted_at;
+    if (passed < adapt_interval) {
         return;
     }
+    const double weight =
+        1 - std::exp(-std::chrono::duration<double>(passed).count() / load_time_constant_s);
     double domain_requests = 0;
     double domain_slots = 0;
     double region_requests = 0;
@@ -93,38 +120,14 @@
             domain_slots += place.slots;
         }
     }
-    const auto smooth = [](double& average, double requests, double slots) {
-        average += (requests / std::max(1.0, slots) - average) * load_weight;
+    const auto smooth = [weight](double& average, double requests, double slots) {
+        average += (requests / std::max(1.0, slots) - average) * weight;
     };
     smooth(pool.home_load.domain, domain_requests, domain_slots);
     smooth(pool.home_load.region, region_requests, region_slots);
     affinity::adapt_home(pool.layout.home, pool.home_load, view.now);
 }
 
-/// Returns the object's first target if the object should move there now, although another one
-/// knows it: its first target may be new, or may have been away. So each target gets its part of
-/// the objects, and each failure domain its own copies.
-std::optional<affinity::placement>
-settle(target_pool& pool, std::span<const std::uint32_t> ranked,
-       const std::function<affinity::target_load(std::uint32_t)>& load)
-{
-    pool.settle_tokens = std::min(max_settle_tokens, pool.settle_tokens + settled_per_request);
-    if (ranked.empty() || pool.settle_tokens < 1) {
-        return std::nullopt;
-    }
-    const affinity::target_load first = load(ranked.front());
-    const bool is_known_elsewhere =
-        std::any_of(ranked.begin() + 1, ranked.end(),
-                    [&](std::uint32_t index) { return load(index).knows_object; });
-    if (first.knows_object || !is_known_elsewhere || first.requests + 1 > first.slots) {
-        return std::nullopt;
-    }
-    pool.settle_tokens -= 1;
-    return affinity::choose(ranked.first(1), load, base::duration{0});
-}
-
-} // namespace
-
 std::optional<affinity::placement>
 choose_target(target_pool& pool, const prediction::request_traits& request,
               const std::vector<base::target_id>& tried,
--- a/src/apps/host/target_choice.h
+++ b/src/apps/host/target_choice.h
@@ -31,4 +31,8 @@
               const std::map<base::failure_domain_id, base::region_id>& regions,
               const pool_view& view);
 
+/// Updates the average of the load at home, and the placement that follows it. Called for each
+/// request, and before the load is told to other hosts, which must not hear of an old one.
+void follow_load(target_pool& pool, const pool_view& view);
+
 } // namespace snipeshore::apps
--- a/src/apps/host/tests/target_pool_test.cpp
+++ b/src/apps/host/tests/target_pool_test.cpp
@@ -194,6 +194,24 @@
         CHECK(choose(pool, start)->wait > 0ms);
         CHECK(choose(pool, start + 1min)->wait == 0ms);
     }
+    // Guards against an idle host that goes on telling others of the load of its last requests.
+    SUBCASE("the load at home falls without further requests")
+    {
+        const apps::pool_view busy{start, [](const base::target_id&) {
+                                       return true;
+                                   }};
+        std::vector<apps::sent_request> sent;
+        for (int i = 0; i < 8; ++i) {
+            sent.push_back(send(pool, 0, start));
+        }
+        apps::follow_load(pool, busy);
+        CHECK(pool.home_load.domain > 0.9);
+        for (const apps::sent_request& one : sent) {
+            apps::on_ended(pool, pool.targets[0], one, std::nullopt, start);
+        }
+        apps::follow_load(pool, {start + 5s, busy.owns});
+        CHECK(pool.home_load.domain < 0.1);
+    }
     SUBCASE("the load reported for other hosts counts for a short time")
     {
         const std::uint32_t first = choose(pool, start)->target;
--- a/src/prediction/types/service_times.h
+++ b/src/prediction/types/service_times.h
@@ -13,7 +13,7 @@
 /// How recently a target has run the object of a request. Targets are faster for objects that they
 /// have run recently.
 enum class recency : std::uint8_t {
-    recent,  ///< At most `recent_runs` requests of this host ago, or the request has no object.
+    recent,  ///< A few requests of this host ago, or the request has no object.
     earlier, ///< The target may have dropped the object meanwhile.
     never,   ///< Not that this host knows; other hosts may have sent the object there.
 };
