--- a/src/apps/common/stop_signal.h
+++ b/src/apps/common/stop_signal.h
@@ -1,4 +1,4 @@
-/// @file Delivers process signals as callbacks on the loop's thread.
+/// @file Delivers process signals as callbacks on the loop's thread, and reports a loop that stalls.
 #pragma once
 
 #include <atomic>
@@ -13,7 +13,8 @@
 
 /// Blocks SIGTERM, SIGINT and SIGHUP; must be constructed before any other thread starts, so that
 /// all threads inherit the signal mask. `on_stop` is posted to the loop once per SIGTERM or SIGINT,
-/// `on_reload` once per SIGHUP.
+/// `on_reload` once per SIGHUP. Its thread also observes the loop, so that a process that no longer
+/// reacts to a signal still says why.
 class stop_signal {
 public:
     stop_signal(http::loop& loop, std::function<void()> on_stop,
--- a/src/http/internal/loop_impl.h
+++ b/src/http/internal/loop_impl.h
@@ -47,6 +47,8 @@
     /// Keeps the object alive until its sockets are closed or the loop is destroyed.
     void keep_until_closed(std::shared_ptr<socket_owner> closing);
 
+    loop_activity activity() const;
+
     std::atomic<bool> stopped{false};
 
 private:
@@ -63,6 +65,9 @@
     std::map<timer_key, std::function<void()>> m_timers;
     std::unordered_map<timer_id, base::time_point> m_deadlines;
     timer_id m_last_timer = 0;
+    std::atomic<std::uint64_t> m_round{0};
+    std::atomic<loop_phase> m_phase{loop_phase::sockets};
+    std::atomic<base::time_point> m_wait_end{base::time_point{}};
     bool m_has_run_work = false; ///< Posted work or a timer ran after the last `h2o_evloop_run`.
     std::mutex m_posted_mutex;
     std::vector<std::function<void()>> m_posted;
--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -60,8 +60,14 @@
     // If posted work or timers ran in the last round, the loop must not wait: a write that they
     // made may have completed immediately, but h2o reports it only in its next run, after waiting
     // for other events.
-    h2o_evloop_run(evloop, m_has_run_work ? 0 : wait_ms(max_wait_ms));
+    const int wait = m_has_run_work ? 0 : wait_ms(max_wait_ms);
+    m_phase = loop_phase::sockets;
+    m_wait_end = base::boot_clock::now() + std::chrono::milliseconds(wait);
+    ++m_round;
+    h2o_evloop_run(evloop, wait);
+    m_phase = loop_phase::posted_work;
     const bool has_run_posted = run_posted();
+    m_phase = loop_phase::timers;
     const bool has_run_timers = run_due_timers();
     m_has_run_work = has_run_posted || has_run_timers;
     release_closed_owners();
@@ -155,6 +161,11 @@
     std::erase_if(m_closing_owners, [](const auto& one) { return one->is_closed(); });
 }
 
+loop_activity loop::impl::activity() const
+{
+    return {m_round, m_phase, m_wait_end};
+}
+
 loop::loop() : m_impl(std::make_unique<impl>()) {}
 
 loop::~loop() = default;
@@ -187,6 +198,11 @@
     m_impl->cancel(timer);
 }
 
+loop_activity loop::activity() const
+{
+    return m_impl->activity();
+}
+
 loop::impl& loop::internals()
 {
     return *m_impl;
