--- a/src/apps/common/stop_signal.cpp
+++ b/src/apps/common/stop_signal.cpp
@@ -30,7 +30,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     const sigset_t set = stop_signals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    m_thread = std::thread([this, &loop, stalls = stall_watch(loop), stop = std::move(on_stop), reload = std::move(on_reload)]() mutable {
+    m_thread = std::thread([this, &loop, stalls = stall_watch(loop), stop = std::move(on_stop),
+                            reload = std::move(on_reload)]() mutable {
         const sigset_t awaited = stop_signals();
         const timespec poll_interval{0, stall_watch::check_interval.count()};
         while (!m_is_stopping) {
--- a/src/apps/common/stop_signal.h
+++ b/src/apps/common/stop_signal.h
@@ -1,4 +1,5 @@
-/// @file Delivers process signals as callbacks on the loop's thread, and reports a loop that stalls.
+/// @file Delivers process signals as callbacks on the loop's thread, and reports a loop that
+/// stalls.
 #pragma once
 
 #include <atomic>
