Run timers and posted work within a callback of libh2o

Cause: libh2o frees the sockets that were closed at the start of each h2o_evloop_run, before it runs the callbacks that are due. A write that completes at once puts its socket on the list of due callbacks. Timers and posted work ran between two calls of h2o_evloop_run; a connection that was written to and closed there was freed while it was on that list. When a connection that was accepted next got the same memory, the list pointed to itself and h2o_evloop_run never returned. The announcement of a stop does this: it replaces calls to peers that were sent in the same round. Any call that is sent and cancelled in one timer does.

Ruled out: a lost wake-up (the round's wait was 0), a blocked system call (the thread uses the processor), an endless callback of ours (the program counter stays within libh2o).

Change: timers and posted work run within a callback of libh2o, after which it runs all callbacks that have become due before it frees a socket. So no caller of the loop has to know the rule. The callbacks that the client replaces in libh2o's sockets are replaced before the loop next waits, as before.

--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/call_state.h"
 
 #include "http/internal/client_impl.h"
+#include "http/internal/loop_impl.h"
 #include "http/internal/message_check.h"
 
 #include <algorithm>
@@ -203,9 +204,9 @@
     m_request_buffer = h2o_iovec_init(m_encoded_request.data(), m_encoded_request.size());
     m_phase = phase::waiting_for_head;
     m_is_sent = true;
-    // h2o installs its socket callbacks after this callback has returned, and reads in a later
-    // round of the loop.
-    m_owner->owner.schedule(base::boot_clock::now(), [weak = weak_from_this()] {
+    // h2o installs its socket callbacks after this callback has returned, and reads once the loop
+    // has waited for events.
+    m_owner->owner.internals().run_before_wait([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->install_head_check();
         }
@@ -310,7 +311,7 @@
         return nullptr;
     }
     if (self->m_framing == framing::until_close) {
-        self->m_owner->owner.schedule(base::boot_clock::now(), [weak = self->weak_from_this()] {
+        self->m_owner->owner.internals().run_before_wait([weak = self->weak_from_this()] {
             if (const auto waiting = weak.lock()) {
                 waiting->install_reset_check();
             }
--- a/src/http/internal/loop_impl.h
+++ b/src/http/internal/loop_impl.h
@@ -44,6 +44,11 @@
     timer_id schedule(base::time_point deadline, std::function<void()> work);
     void cancel(timer_id timer);
 
+    /// Calls `work` on the loop's thread before the loop next waits for events, after the callbacks
+    /// of h2o that are due. For work that changes callbacks of sockets; it must neither write to a
+    /// socket nor close one.
+    void run_before_wait(std::function<void()> work);
+
     /// Keeps the object alive until its sockets are closed or the loop is destroyed.
     void keep_until_closed(std::shared_ptr<socket_owner> closing);
 
@@ -52,10 +57,12 @@
     std::atomic<bool> stopped{false};
 
 private:
-    int wait_ms(int max_wait_ms) const;
-    /// Both return whether anything was run.
-    bool run_posted();
-    bool run_due_timers();
+    int wait_ms(int max_wait_ms);
+    void enter_callback();
+    static void on_callback(h2o_socket_t* socket, const char* failure);
+    void run_posted();
+    void run_due_timers();
+    void run_work_before_wait();
     void release_closed_owners();
 
     using timer_key = std::pair<base::time_point, timer_id>;
@@ -68,7 +75,9 @@
     std::atomic<std::uint64_t> m_round{0};
     std::atomic<loop_phase> m_phase{loop_phase::sockets};
     std::atomic<base::time_point> m_wait_end{base::time_point{}};
-    bool m_has_run_work = false; ///< Posted work or a timer ran after the last `h2o_evloop_run`.
+    /// Never carries data. Writing nothing to it makes h2o call back among its socket callbacks.
+    h2o_socket_t* m_callback_socket = nullptr;
+    std::vector<std::function<void()>> m_work_before_wait;
     std::mutex m_posted_mutex;
     std::vector<std::function<void()>> m_posted;
     std::vector<std::shared_ptr<socket_owner>> m_closing_owners;
--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -2,9 +2,12 @@
 
 #include "http/internal/loop_impl.h"
 
+#include <sys/eventfd.h>
+
 #include <algorithm>
 #include <csignal>
 #include <cstdint>
+#include <utility>
 
 #ifdef __SANITIZE_ADDRESS__
 // libh2o leaks its queues and the entries of pooled connections that the peer has closed.
@@ -36,6 +39,9 @@
     evloop = h2o_evloop_create();
     m_queue = h2o_multithread_create_queue(evloop);
     h2o_multithread_register_receiver(m_queue, &m_receiver, ignore_messages);
+    m_callback_socket = h2o_evloop_socket_create(evloop, eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC),
+                                                 H2O_SOCKET_FLAG_DONT_READ);
+    m_callback_socket->data = this;
 }
 
 loop::impl::~impl()
@@ -50,6 +56,7 @@
     m_timers.clear();
     m_posted.clear();
     m_closing_owners.clear();
+    h2o_socket_close(m_callback_socket);
     h2o_multithread_unregister_receiver(m_queue, &m_receiver);
     h2o_multithread_destroy_queue(m_queue);
     h2o_evloop_destroy(evloop);
@@ -57,22 +64,36 @@
 
 void loop::impl::run_once(int max_wait_ms)
 {
-    // If posted work or timers ran in the last round, the loop must not wait: a write that they
-    // made may have completed immediately, but h2o reports it only in its next run, after waiting
-    // for other events.
-    const int wait = m_has_run_work ? 0 : wait_ms(max_wait_ms);
+    const int wait = wait_ms(max_wait_ms);
+    if (wait == 0) {
+        enter_callback();
+    }
     m_phase = loop_phase::sockets;
     m_wait_end = base::boot_clock::now() + std::chrono::milliseconds(wait);
     ++m_round;
     h2o_evloop_run(evloop, wait);
-    m_phase = loop_phase::posted_work;
-    const bool has_run_posted = run_posted();
-    m_phase = loop_phase::timers;
-    const bool has_run_timers = run_due_timers();
-    m_has_run_work = has_run_posted || has_run_timers;
+    run_work_before_wait();
     release_closed_owners();
 }
 
+void loop::impl::enter_callback()
+{
+    // h2o frees closed sockets before it runs callbacks, also a socket that waits for the callback
+    // of a completed write. So sockets may be written to and closed only within a callback of h2o,
+    // and timers and posted work, which do both, run in one.
+    h2o_socket_write(m_callback_socket, nullptr, 0, on_callback);
+}
+
+void loop::impl::on_callback(h2o_socket_t* socket, const char* /*failure*/)
+{
+    auto* self = static_cast<impl*>(socket->data);
+    self->m_phase = loop_phase::posted_work;
+    self->run_posted();
+    self->m_phase = loop_phase::timers;
+    self->run_due_timers();
+    self->m_phase = loop_phase::sockets;
+}
+
 void loop::impl::wake()
 {
     h2o_multithread_send_message(&m_receiver, nullptr);
@@ -111,8 +132,22 @@
     m_closing_owners.push_back(std::move(closing));
 }
 
-int loop::impl::wait_ms(int max_wait_ms) const
+void loop::impl::run_before_wait(std::function<void()> work)
+{
+    m_work_before_wait.push_back(std::move(work));
+}
+
+int loop::impl::wait_ms(int max_wait_ms)
 {
+    if (!m_work_before_wait.empty()) {
+        return 0;
+    }
+    {
+        const std::lock_guard lock(m_posted_mutex);
+        if (!m_posted.empty()) {
+            return 0;
+        }
+    }
     if (m_timers.empty()) {
         return max_wait_ms;
     }
@@ -121,7 +156,7 @@
     return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, max_wait_ms));
 }
 
-bool loop::impl::run_posted()
+void loop::impl::run_posted()
 {
     std::vector<std::function<void()>> work;
     {
@@ -131,16 +166,14 @@
     for (const auto& one : work) {
         one();
     }
-    return !work.empty();
 }
 
-bool loop::impl::run_due_timers()
+void loop::impl::run_due_timers()
 {
     // Timers that callbacks add, even if already due, run in the next round, so that socket events
     // are processed in between.
     const timer_id last = m_last_timer;
     const base::time_point now = base::boot_clock::now();
-    bool has_run = false;
     auto next = m_timers.begin();
     while (next != m_timers.end() && next->first.first <= now) {
         if (next->first.second > last) {
@@ -150,10 +183,15 @@
         const auto node = m_timers.extract(next);
         m_deadlines.erase(node.key().second);
         node.mapped()();
-        has_run = true;
         next = m_timers.begin();
     }
-    return has_run;
+}
+
+void loop::impl::run_work_before_wait()
+{
+    for (const auto& work : std::exchange(m_work_before_wait, {})) {
+        work();
+    }
 }
 
 void loop::impl::release_closed_owners()
@@ -172,6 +210,8 @@
 
 void loop::run()
 {
+    // Writes made before `run` may have completed, which h2o reports only in a round.
+    m_impl->run_once(0);
     while (!m_impl->stopped.exchange(false)) {
         m_impl->run_once(longest_wait_ms);
     }
--- a/src/http/loop.h
+++ b/src/http/loop.h
@@ -27,8 +27,8 @@
 };
 
 /// Runs an h2o event loop. All functions except `post`, `stop` and `activity` must be called on the
-/// loop's thread. Ignores SIGPIPE for the whole process. Timers use the boot clock, so changes of the wall
-/// clock do not affect them.
+/// loop's thread. Ignores SIGPIPE for the whole process. Timers use the boot clock, so changes of
+/// the wall clock do not affect them.
 class loop {
 public:
     loop();
--- a/src/http/tests/connection_close_test.cpp
+++ b/src/http/tests/connection_close_test.cpp
@@ -5,8 +5,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace snipeshore::http::tests {
 
@@ -133,4 +136,76 @@
     close(caller);
 }
 
+// Guards against hosts that never end their planned stop: calls that were cancelled right after
+// their requests were written left freed sockets in a list of libh2o, which became circular when
+// new connections got the same memory.
+TEST_CASE("calls may be cancelled in the round in which their requests were written")
+{
+    constexpr unsigned hang_limit_s = 30;
+    alarm(hang_limit_s); // A loop that spins does not return here.
+    // More than the memory allocator keeps aside per size, so that the memory is used again.
+    constexpr std::size_t count = 40;
+    loop event_loop;
+    client http_client(event_loop, {});
+    std::vector<std::shared_ptr<exchange>> held;
+    server http_server(event_loop,
+                       [&](const std::shared_ptr<exchange>& from) { held.push_back(from); });
+    server_settings settings;
+    settings.address = "127.0.0.1:0";
+    REQUIRE(base::is_ok(http_server.listen(settings)));
+    const std::string address = http_server.bound_address();
+    const auto send_all = [&](std::vector<call_record>& records) {
+        std::vector<std::unique_ptr<client_call>> calls;
+        for (call_record& one : records) {
+            calls.push_back(record(http_client, get(address, "/"), one));
+        }
+        return calls;
+    };
+    const auto have_ended = [](const std::vector<call_record>& records) {
+        return std::all_of(records.begin(), records.end(),
+                           [](const call_record& one) { return one.end.has_value(); });
+    };
+    std::vector<call_record> first(count);
+    const auto pooled = send_all(first);
+    REQUIRE(run_until(event_loop, [&] { return held.size() == count; }));
+    for (const auto& one : std::exchange(held, {})) {
+        one->respond({}, "body");
+    }
+    REQUIRE(run_until(event_loop, [&] { return have_ended(first); }));
+
+    std::vector<int> callers;
+    std::vector<call_record> cancelled(count);
+    const auto send_and_cancel = [&] {
+        for (std::size_t i = 0; i < count; ++i) {
+            callers.push_back(connect_to(address));
+        }
+        for (const auto& call : send_all(cancelled)) {
+            CHECK(call->request_sent());
+        }
+    };
+    SUBCASE("in a timer")
+    {
+        event_loop.schedule(base::boot_clock::now(), send_and_cancel);
+    }
+    SUBCASE("in posted work")
+    {
+        event_loop.post(send_and_cancel);
+    }
+    REQUIRE(run_until(event_loop, [&] { return callers.size() == count; }));
+    std::vector<call_record> next(1);
+    const auto after = send_all(next);
+    REQUIRE(run_until(event_loop, [&] {
+        for (const auto& one : std::exchange(held, {})) {
+            one->respond({}, "body");
+        }
+        return have_ended(next);
+    }));
+    CHECK(next.front().body == "body");
+    CHECK_FALSE(cancelled.front().end.has_value());
+    for (const int caller : callers) {
+        close(caller);
+    }
+    alarm(0);
+}
+
 } // namespace snipeshore::http::tests
