Limit the nesting depth of JSON texts in one shared reader

Cause: nlohmann-json parses and destroys deep values iteratively, but copies, compares and writes them recursively. Several readers copied a part of the value (`value("w", json::object())`, a conditional expression in the target signals) or wrote it again (documents). A message between hosts of 240 KB, or a document, overflowed the stack and ended the process.

Evidence: fleet_test, platform_adapter_test, documents_test and targets_test "deeply nested" ended with SIGSEGV before the change. At the depth of a row of 65,536 bytes the copy did not overflow the 8 MB stack on arm64 (a trial overflowed between 46,000 and 50,000 levels), so the new host_test did not crash before; it failed only because a deep unknown field was accepted. The poller limits responses of targets to 16 KiB, which does not overflow either.

Change: base::parse_json and base::parse_json_or_discard reject more than 32 levels with a scan before the parser runs; all readers of texts from other processes use them. The deepest text in use is a patch of a document, 18 levels.

--- a/src/apps/ctl/configuration_commands.cpp
+++ b/src/apps/ctl/configuration_commands.cpp
@@ -2,6 +2,7 @@
 #include "apps/ctl/commands.h"
 #include "apps/ctl/document_access.h"
 #include "apps/ctl/output.h"
+#include "base/json_reader.h"
 #include "config/diff.h"
 #include "config/parse.h"
 
@@ -125,9 +126,9 @@
                                  {"version", state.record->version.value()},
                                  {"digest", state.record->digest},
                                  {"publication_id", state.record->id},
-                                 {"content", json::parse(text, nullptr, false)}});
+                                 {"content", base::parse_json_or_discard(text)}});
     } else {
-        context.out << json::parse(text, nullptr, false).dump(2) << '\n';
+        context.out << base::parse_json_or_discard(text).dump(2) << '\n';
         context.err << name << " version " << state.record->version.value() << ", digest "
                     << state.record->digest << '\n';
     }
--- a/src/apps/ctl/fleet_commands.cpp
+++ b/src/apps/ctl/fleet_commands.cpp
@@ -2,6 +2,7 @@
 #include "apps/ctl/commands.h"
 #include "apps/ctl/document_access.h"
 #include "apps/ctl/output.h"
+#include "base/json_reader.h"
 #include "config/parse.h"
 
 #include <ostream>
@@ -74,7 +75,7 @@
     if (!base::is_ok(page)) {
         return {address, nullptr, base::error_of(page).detail};
     }
-    json content = json::parse(base::value_of(page), nullptr, false);
+    json content = base::parse_json_or_discard(base::value_of(page));
     if (!content.is_object()) {
         return {address, nullptr, "the dump is not a JSON object"};
     }
--- /dev/null
+++ b/src/apps/host/tests/odd_entries_test.cpp
@@ -0,0 +1,63 @@
+#include "apps/host/tests/host_fixture.h"
+
+#include "http/exchange.h"
+
+#include <doctest/doctest.h>
+
+using namespace snipeshore;
+using namespace apps::tests;
+
+namespace {
+
+/// About the largest depth that fits into a row of the store.
+constexpr std::size_t row_depth = 30'000;
+
+const http::header_list with_key{{"x-key", "key"}, {"x-attempt-id", "id-1"}};
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string entry_with(const std::string& fields)
+{
+    return R"({"service":"svc","zone":"z1","state":"ready")" + fields + "}";
+}
+
+} // namespace
+
+// Guards against one odd entry of another writer that ends every host that reads the table, again
+// after each start, or keeps the hosts from following the table.
+TEST_CASE("one odd entry of a target does not affect the other targets")
+{
+    const std::string address = R"(,"address":"127.0.0.1:9")";
+    const std::string numbers = R"(,"slots":4,"sequence":1)";
+    std::string odd;
+    SUBCASE("nested deeply in a field that is read")
+    {
+        odd = entry_with(address + numbers + R"(,"coldRemaining":)" + nested(row_depth));
+    }
+    SUBCASE("nested deeply in an unknown field")
+    {
+        odd = entry_with(address + numbers + R"(,"note":)" + nested(row_depth));
+    }
+    SUBCASE("nested deeply instead of an entry")
+    {
+        odd = nested(row_depth);
+    }
+    SUBCASE("nested deeply without an end")
+    {
+        odd = std::string(row_depth, '[');
+    }
+    host_fixture host(plain_config);
+    host.store.set("servers", "odd", odd);
+    test_target target(host.loop, respond_success);
+    host.add_target("t1", target.address());
+    host.await_targets(1);
+    CHECK(host.send("/safe/x", with_key).status == 200);
+    SUBCASE("the table is followed: a later target is learned")
+    {
+        host.add_target("t2", target.address());
+        host.await_targets(2);
+    }
+}
--- a/src/config/diff.cpp
+++ b/src/config/diff.cpp
@@ -1,5 +1,6 @@
 #include "config/diff.h"
 
+#include "base/json_reader.h"
 #include "config/internal/json.h"
 #include "config/internal/problems.h"
 
@@ -96,7 +97,7 @@
 
 json parse_or_quote(std::string_view text)
 {
-    json value = json::parse(text, nullptr, false);
+    json value = base::parse_json_or_discard(text);
     return value.is_discarded() ? json(text) : value;
 }
 
--- a/src/documents/publishing.cpp
+++ b/src/documents/publishing.cpp
@@ -1,5 +1,6 @@
 #include "documents/publishing.h"
 
+#include "base/json_reader.h"
 #include "documents/text.h"
 
 #include <nlohmann/json.hpp>
@@ -55,7 +56,7 @@
 base::result<publication> decode(std::string_view row_value)
 {
     try {
-        const auto value = nlohmann::json::parse(row_value);
+        const auto value = base::parse_json(row_value);
         publication record;
         record.version =
             base::document_version(value.at("version").get_ref<const std::uint64_t&>());
--- a/src/documents/tests/text_test.cpp
+++ b/src/documents/tests/text_test.cpp
@@ -82,3 +82,18 @@
 {
     CHECK(digest_of("") == "0e5751c026e543b2e8ab2eb06099daa1d1e5df47778f7787faab45cdf12fe3a8");
 }
+
+// Guards against a stack overflow when a text or a patch of another publisher is compared or
+// written.
+TEST_CASE("a deeply nested text is an error")
+{
+    constexpr std::size_t depth = 400'000;
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    CHECK_FALSE(base::is_ok(canonical_text(deep)));
+    CHECK_FALSE(is_json(deep));
+    CHECK_FALSE(base::is_ok(patch_between("{}", deep)));
+    CHECK(changed_paths(deep, deep).empty());
+    CHECK_FALSE(base::is_ok(apply_patches(deep, {})));
+    const std::string patch = R"([{"op":"add","path":"/a","value":)" + deep + "}]";
+    CHECK_FALSE(base::is_ok(apply_patches("{}", {patch})));
+}
--- a/src/documents/text.cpp
+++ b/src/documents/text.cpp
@@ -1,5 +1,7 @@
 #include "documents/text.h"
 
+#include "base/json_reader.h"
+
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
@@ -19,7 +21,7 @@
 
 nlohmann::json parse(std::string_view text)
 {
-    return nlohmann::json::parse(text, nullptr, false);
+    return base::parse_json_or_discard(text);
 }
 
 // Must match config::to_text: every publisher and replica must produce the same bytes.
@@ -54,7 +56,7 @@
 
 bool is_json(std::string_view text)
 {
-    return nlohmann::json::accept(text);
+    return !parse(text).is_discarded();
 }
 
 base::result<std::string> patch_between(std::string_view from, std::string_view to)
@@ -76,7 +78,7 @@
     }
     try {
         for (const auto patch : patches) {
-            document = document.patch(nlohmann::json::parse(patch));
+            document = document.patch(base::parse_json(patch));
         }
     } catch (const nlohmann::json::exception& failure) {
         return invalid(std::string("a patch cannot be applied: ") + failure.what());
--- a/src/fleet/exchange_encoding.cpp
+++ b/src/fleet/exchange_encoding.cpp
@@ -1,5 +1,7 @@
 #include "fleet/exchange_encoding.h"
 
+#include "base/json_reader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cmath>
@@ -84,7 +86,7 @@
     -> base::result<decltype(read(std::declval<const json&>()))>
 {
     try {
-        return read(json::parse(text));
+        return read(base::parse_json(text));
     } catch (const json::exception& failure) {
         return base::error{base::error_kind::document_invalid, failure.what()};
     }
--- a/src/fleet/tests/exchange_encoding_test.cpp
+++ b/src/fleet/tests/exchange_encoding_test.cpp
@@ -46,3 +46,14 @@
         CHECK(base::value_of(read_back).rows[1].removed);
     }
 }
+
+// Guards against a stack overflow when a part of a message is copied.
+TEST_CASE("a deeply nested message is an error")
+{
+    constexpr std::size_t depth = 120'000;
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    const std::string sender = R"({"m":["h","d","1.2.3.4:80","1.2.3.4:90",7,1],"v":{},"w":)";
+    CHECK_FALSE(base::is_ok(fleet::parse_exchange(sender + deep + "}")));
+    CHECK_FALSE(base::is_ok(fleet::parse_update(deep)));
+    CHECK_FALSE(base::is_ok(fleet::parse_member(deep)));
+}
--- a/src/store/replies.cpp
+++ b/src/store/replies.cpp
@@ -1,5 +1,7 @@
 #include "store/internal/replies.h"
 
+#include "base/json_reader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -56,7 +58,7 @@
 base::result<row> read_row_body(call_kind kind, const std::string& key, const std::string& body)
 {
     try {
-        const json value = json::parse(body);
+        const json value = base::parse_json(body);
         row read;
         read.key = value.at("key").get<std::string>();
         read.value = value.at("value").get<std::string>();
@@ -74,7 +76,7 @@
 {
     try {
         std::vector<listed_host> hosts;
-        const json value = json::parse(body);
+        const json value = base::parse_json(body);
         for (const json& entry : value.at("hosts")) {
             listed_host host;
             host.host_id = entry.at("host_id").get<std::string>();
--- a/src/targets/response_signals.cpp
+++ b/src/targets/response_signals.cpp
@@ -1,5 +1,7 @@
 #include "targets/response_signals.h"
 
+#include "base/json_reader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -54,7 +56,7 @@
 
 nlohmann::json parse_object(std::string_view body)
 {
-    auto parsed = nlohmann::json::parse(body, nullptr, false);
+    auto parsed = base::parse_json_or_discard(body);
     return parsed.is_object() ? parsed : nlohmann::json::object();
 }
 
--- a/src/targets/tests/response_signals_test.cpp
+++ b/src/targets/tests/response_signals_test.cpp
@@ -80,4 +80,14 @@
     CHECK_FALSE(read_load(make_head(500), R"({"slots":3,"running":2,"queued":1})"));
 }
 
+// Guards against a stack overflow when the body is copied.
+TEST_CASE("a deeply nested body has no signals")
+{
+    constexpr std::size_t depth = 400'000;
+    const std::string body =
+        R"({"status":)" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    CHECK_FALSE(read_load(make_head(200), body).has_value());
+    CHECK(read_health(make_head(200), body) == health_state::healthy);
+}
+
 } // namespace snipeshore::targets::tests
