--- a/src/apps/host/tests/odd_entries_test.cpp
+++ b/src/apps/host/tests/odd_entries_test.cpp
@@ -49,6 +49,18 @@
     {
         odd = std::string(row_depth, '[');
     }
+    SUBCASE("a number that is too large for any type")
+    {
+        odd = entry_with(address + R"(,"slots":1e999,"sequence":1)");
+    }
+    SUBCASE("a cold time that overflows a time")
+    {
+        odd = entry_with(address + numbers + R"(,"coldRemaining":"1e300s")");
+    }
+    SUBCASE("a port out of range")
+    {
+        odd = entry_with(R"(,"address":"127.0.0.1:99999")" + numbers);
+    }
     host_fixture host(plain_config);
     host.store.set("servers", "odd", odd);
     test_target target(host.loop, respond_success);
