Stop using a target whose entry becomes unreadable

Cause: apply_rows skipped an unreadable row and so kept the target's former entry for as long as the row existed. The protocol says that such an entry names no endpoint to use. Hosts disagreed, since one that read the whole table later did not learn the target.

Change: an unreadable row removes the target at once, and cancels a pending removal. The delay of removals after an outage of the store is for expired rows and does not apply. The event target_gone names the cause.

--- a/src/apps/host/target_registry.cpp
+++ b/src/apps/host/target_registry.cpp
@@ -46,6 +46,16 @@
     return is_change;
 }
 
+bool remove_now(target_registry& registry, const base::target_id& id, std::string_view cause)
+{
+    registry.pending_removals.erase(id);
+    if (registry.targets.erase(id) == 0) {
+        return false;
+    }
+    telemetry::log_event(severity::info, "target_gone", {{"target", id.value()}, {"cause", cause}});
+    return true;
+}
+
 bool remove(target_registry& registry, const base::target_id& id, const registry_view& view)
 {
     if (!registry.targets.contains(id)) {
@@ -56,9 +66,7 @@
         registry.pending_removals[id] = removal_time;
         return false;
     }
-    telemetry::log_event(severity::info, "target_gone", {{"target", id.value()}});
-    registry.targets.erase(id);
-    return true;
+    return remove_now(registry, id, "row removed");
 }
 
 } // namespace
@@ -77,6 +85,9 @@
         if (!base::is_ok(entry)) {
             telemetry::log_event(severity::warning, "target_row_unreadable",
                                  {{"target", change.key}, {"cause", base::error_of(entry).detail}});
+            // The row no longer says where the target is. A host that starts now does not learn the
+            // target either. If the target is alive, its next report replaces the row.
+            is_changed = remove_now(registry, id, "row unreadable") || is_changed;
             continue;
         }
         is_changed = apply_entry(registry, base::value_of(entry)) || is_changed;
--- a/src/apps/host/tests/odd_entries_test.cpp
+++ b/src/apps/host/tests/odd_entries_test.cpp
@@ -73,3 +73,24 @@
         host.await_targets(2);
     }
 }
+
+// Guards against a host that goes on using the former entry of a target, although hosts that start
+// later do not know the target.
+TEST_CASE("a known target whose entry becomes unreadable is not used until the next readable entry")
+{
+    host_fixture host(plain_config);
+    test_target first(host.loop, respond_success);
+    test_target second(host.loop, respond_success);
+    host.add_target("t1", first.address());
+    host.add_target("t2", second.address());
+    host.await_targets(2);
+    host.store.set("servers", "t1", R"({"service":"svc","state":7})");
+    host.await_targets(1);
+    const int before = first.requests;
+    for (int i = 0; i < 8; ++i) {
+        CHECK(host.send("/safe/x" + std::to_string(i), with_key).status == 200);
+    }
+    CHECK(first.requests == before);
+    host.add_target("t1", first.address());
+    host.await_targets(2);
+}
--- a/src/apps/host/tests/target_registry_test.cpp
+++ b/src/apps/host/tests/target_registry_test.cpp
@@ -66,6 +66,33 @@
             apps::apply_rows(registry, formats, {{"u", "garbage", 2, false}}, store_reachable));
         CHECK(registry.targets.size() == 1);
     }
+    // Guards against a target that stays in use by an entry which is no longer there.
+    SUBCASE("an unreadable row of a known target removes it at once")
+    {
+        const apps::registry_view store_recovered{start, start - 100ms, 2s};
+        SUBCASE("while the store is reachable")
+        {
+            CHECK(
+                apps::apply_rows(registry, formats, {{"t", "garbage", 2, false}}, store_reachable));
+        }
+        SUBCASE("shortly after an outage of the store, since the row has not expired")
+        {
+            CHECK(
+                apps::apply_rows(registry, formats, {{"t", "garbage", 2, false}}, store_recovered));
+        }
+        SUBCASE("after a removal that is still pending")
+        {
+            CHECK_FALSE(apps::apply_rows(registry, formats, {{"t", "", 2, true}}, store_recovered));
+            CHECK(
+                apps::apply_rows(registry, formats, {{"t", "garbage", 3, false}}, store_recovered));
+            CHECK(registry.pending_removals.empty());
+        }
+        CHECK(registry.targets.empty());
+        // The next readable row of the same incarnation is used again.
+        CHECK(
+            apps::apply_rows(registry, formats, {{"t", "5 2 a:1 0 0", 4, false}}, store_reachable));
+        CHECK(registry.targets.contains(id));
+    }
     SUBCASE("a removed row removes the target at once while the store is reachable")
     {
         CHECK(apps::apply_rows(registry, formats, {{"t", "", 2, true}}, store_reachable));
