Send a value that is not UTF-8 as an empty one to other hosts

Cause: the encoding of rows between hosts replaced bytes that are not UTF-8 by U+FFFD. A target's entry with such bytes inside a string is malformed JSON for the host that read it from the store, but became valid for the hosts that got it from that host, so that they used the target.

Evidence: fleet_test, "a value that is not UTF-8 stays unreadable for other hosts", failed before.

Change: if the update cannot be encoded as it is, its values are checked one by one and those that are not UTF-8 are sent empty, which no reader of rows accepts either.

--- a/src/fleet/exchange_encoding.cpp
+++ b/src/fleet/exchange_encoding.cpp
@@ -92,6 +92,27 @@
     }
 }
 
+bool is_utf8(const std::string& text)
+{
+    try {
+        static_cast<void>(json(text).dump());
+        return true;
+    } catch (const json::exception&) {
+        return false;
+    }
+}
+
+json rows_json(const std::vector<rows::row>& changes, bool checks_values)
+{
+    json made = json::array();
+    for (const rows::row& change : changes) {
+        const bool is_sent = !checks_values || is_utf8(change.value);
+        made.push_back(json::array(
+            {change.key, change.version, change.removed, is_sent ? change.value : std::string()}));
+    }
+    return made;
+}
+
 } // namespace
 
 std::string encode(const exchange_message& message)
@@ -138,12 +159,15 @@
 
 std::string encode(const rows::replica_update& update)
 {
-    json changes = json::array();
-    for (const rows::row& change : update.rows) {
-        changes.push_back(json::array({change.key, change.version, change.removed, change.value}));
+    json made{
+        {"v", update.version}, {"full", update.is_full}, {"rows", rows_json(update.rows, false)}};
+    try {
+        return made.dump();
+    } catch (const json::exception&) {
+        // Only then each value is checked.
+        made["rows"] = rows_json(update.rows, true);
+        return made.dump(-1, ' ', false, json::error_handler_t::replace);
     }
-    const json made{{"v", update.version}, {"full", update.is_full}, {"rows", changes}};
-    return made.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 base::result<rows::replica_update> parse_update(std::string_view text)
--- a/src/fleet/exchange_encoding.h
+++ b/src/fleet/exchange_encoding.h
@@ -17,7 +17,8 @@
 std::string encode(const member& host);
 base::result<member> parse_member(std::string_view text);
 
-/// Rows that a host sends to another host. Bytes of a value that are not valid UTF-8 are replaced.
+/// Rows that a host sends to another host. A value that is not valid UTF-8 is sent as an empty one:
+/// no reader of rows accepts either of the two.
 std::string encode(const rows::replica_update& update);
 base::result<rows::replica_update> parse_update(std::string_view text);
 
--- a/src/fleet/tests/exchange_encoding_test.cpp
+++ b/src/fleet/tests/exchange_encoding_test.cpp
@@ -57,3 +57,19 @@
     CHECK_FALSE(base::is_ok(fleet::parse_update(deep)));
     CHECK_FALSE(base::is_ok(fleet::parse_member(deep)));
 }
+
+// Guards against hosts that disagree: replacing the bytes would make a row readable for the hosts
+// that get it from the reader, although the reader itself cannot read it.
+TEST_CASE("a value that is not UTF-8 stays unreadable for other hosts")
+{
+    const std::string value = "{\"service\":\"s\xff\"}";
+    const rows::replica_update update{
+        10, false, {{"odd", value, 9, false}, {"good", "\xc3\xa9", 10, false}}};
+    const auto read = fleet::parse_update(fleet::encode(update));
+    REQUIRE(base::is_ok(read));
+    const std::vector<rows::row>& rows = base::value_of(read).rows;
+    REQUIRE(rows.size() == 2);
+    CHECK(rows[0].value.empty());
+    CHECK(rows[0].version == 9);
+    CHECK(rows[1].value == "\xc3\xa9");
+}
