Ignore a row of a host that names another host

Cause: hosts were listed by the id inside the value of a row but removed by the row's key, so that a row with another id listed a host that the removal of the host's own row did not remove, or listed it again.

Change: such a row is logged as host_row_unreadable and not used.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -294,6 +294,11 @@
                                  {{"host", change.key}, {"cause", base::error_of(listed).detail}});
             continue;
         }
+        if (base::value_of(listed).id.value() != change.key) {
+            telemetry::log_event(severity::warning, "host_row_unreadable",
+                                 {{"host", change.key}, {"cause", "the row names another host"}});
+            continue;
+        }
         fleet::add_listed(m_context.members, base::value_of(listed));
     }
     update_budgets(m_context);
--- a/src/apps/host/tests/odd_entries_test.cpp
+++ b/src/apps/host/tests/odd_entries_test.cpp
@@ -3,6 +3,7 @@
 #include "http/exchange.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace snipeshore;
 using namespace apps::tests;
@@ -94,3 +95,24 @@
     host.add_target("t1", first.address());
     host.await_targets(2);
 }
+
+// Guards against a listed host that no removal of a row removes, and against odd rows of hosts.
+TEST_CASE("an odd row of a host is not taken for a host")
+{
+    host_fixture host(plain_config);
+    const std::string member = R"(["h2","z1","127.0.0.1:9","127.0.0.1:9",7,1])";
+    host.store.set("hosts", "h2", member);
+    host.store.set("hosts", "other", member);
+    host.store.set("hosts", "deep", nested(row_depth));
+    host.store.set("hosts", "h4", R"(["h4","z1","127.0.0.1:9","127.0.0.1:9",7,1])");
+    const auto is_listed = [&](const std::string& id) {
+        return host.app->dump()["hosts"].contains(id);
+    };
+    REQUIRE(host.run_until([&] { return is_listed("h4"); }));
+    CHECK(is_listed("h2"));
+    host.store.set("hosts", "h2", std::nullopt);
+    host.store.set("hosts", "other", member + " ");
+    host.store.set("hosts", "h5", R"(["h5","z1","127.0.0.1:9","127.0.0.1:9",7,1])");
+    REQUIRE(host.run_until([&] { return is_listed("h5"); }));
+    CHECK_FALSE(is_listed("h2"));
+}
