Read the numbers of messages between hosts without truncation

Cause: `get<std::uint64_t>()` and `get<int>()` of nlohmann-json convert negative, fractional and huge numbers without an error. A table version of -1 from a peer, or a row version of -1 from the store of the documents, became the largest version.

Change: these numbers are read by base::read_count; a host without an id is an error.

--- a/src/apps/host/tests/odd_entries_test.cpp
+++ b/src/apps/host/tests/odd_entries_test.cpp
@@ -104,12 +104,14 @@
     host.store.set("hosts", "h2", member);
     host.store.set("hosts", "other", member);
     host.store.set("hosts", "deep", nested(row_depth));
+    host.store.set("hosts", "h3", R"(["h3","z1","127.0.0.1:9","127.0.0.1:9",-7,1])");
     host.store.set("hosts", "h4", R"(["h4","z1","127.0.0.1:9","127.0.0.1:9",7,1])");
     const auto is_listed = [&](const std::string& id) {
         return host.app->dump()["hosts"].contains(id);
     };
     REQUIRE(host.run_until([&] { return is_listed("h4"); }));
     CHECK(is_listed("h2"));
+    CHECK_FALSE(is_listed("h3"));
     host.store.set("hosts", "h2", std::nullopt);
     host.store.set("hosts", "other", member + " ");
     host.store.set("hosts", "h5", R"(["h5","z1","127.0.0.1:9","127.0.0.1:9",7,1])");
--- a/src/fleet/exchange_encoding.cpp
+++ b/src/fleet/exchange_encoding.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace snipeshore::fleet {
@@ -16,6 +17,9 @@
 /// Amounts are encoded as integers in hundredths, which keeps the messages short.
 constexpr double amount_steps = 100;
 
+/// Identifier of the library's exceptions for errors that are not its own.
+constexpr int error_id = 501;
+
 json member_json(const member& host)
 {
     return json::array({host.id.value(), host.failure_domain.value(), host.entry_address,
@@ -23,15 +27,23 @@
                         static_cast<int>(host.state), host.reads_store});
 }
 
+std::uint64_t read_number(const json& from)
+{
+    return base::read_count(from, std::numeric_limits<std::uint64_t>::max());
+}
+
 member read_member(const json& from)
 {
     member host;
     host.id = base::host_id(from.at(0).get<std::string>());
+    if (host.id.value().empty()) {
+        throw json::other_error::create(error_id, "host without an id", nullptr);
+    }
     host.failure_domain = base::failure_domain_id(from.at(1).get<std::string>());
     host.entry_address = from.at(2).get<std::string>();
     host.control_address = from.at(3).get<std::string>();
-    host.incarnation = base::incarnation(from.at(4).get<std::uint64_t>());
-    const int state = from.at(5).get<int>();
+    host.incarnation = base::incarnation(read_number(from.at(4)));
+    const std::uint64_t state = read_number(from.at(5));
     host.state = state == 1   ? member_state::ready
                  : state == 2 ? member_state::leaving
                               : member_state::starting;
@@ -72,9 +84,12 @@
 {
     std::vector<crash_report> crashes;
     for (const json& one : from) {
-        crashes.push_back({one.at(0).get<std::uint64_t>(),
-                           base::target_id(one.at(1).get<std::string>()),
-                           one.at(2).get<std::vector<std::uint64_t>>()});
+        crash_report& crash = crashes.emplace_back();
+        crash.crash = read_number(one.at(0));
+        crash.target = base::target_id(one.at(1).get<std::string>());
+        for (const json& fingerprint : one.at(2).get_ref<const json::array_t&>()) {
+            crash.fingerprints.push_back(read_number(fingerprint));
+        }
     }
     return crashes;
 }
@@ -138,7 +153,9 @@
     return parse_with(text, [](const json& from) {
         exchange_message message;
         message.from = read_member(from.at("m"));
-        message.versions = from.at("v").get<std::map<std::string, std::uint64_t>>();
+        for (const auto& [table, version] : from.at("v").get_ref<const json::object_t&>()) {
+            message.versions[table] = read_number(version);
+        }
         message.wanted = read_amounts<base::account_id>(from.value("w", json::object()));
         message.granted = read_amounts<base::account_id>(from.value("g", json::object()));
         message.crashes = read_crashes(from.value("c", json::array()));
@@ -174,11 +191,11 @@
 {
     return parse_with(text, [](const json& from) {
         rows::replica_update update;
-        update.version = from.at("v").get<std::uint64_t>();
+        update.version = read_number(from.at("v"));
         update.is_full = from.at("full").get<bool>();
         for (const json& one : from.at("rows")) {
             update.rows.push_back({one.at(0).get<std::string>(), one.at(3).get<std::string>(),
-                                   one.at(1).get<std::uint64_t>(), one.at(2).get<bool>()});
+                                   read_number(one.at(1)), one.at(2).get<bool>()});
         }
         return update;
     });
--- a/src/fleet/tests/exchange_encoding_test.cpp
+++ b/src/fleet/tests/exchange_encoding_test.cpp
@@ -73,3 +73,30 @@
     CHECK(rows[0].version == 9);
     CHECK(rows[1].value == "\xc3\xa9");
 }
+
+// Guards against numbers that are truncated to another, valid number.
+TEST_CASE("a message with a number out of range is an error")
+{
+    const auto member = [](const std::string& incarnation, const std::string& state) {
+        return R"(["h","d","1.2.3.4:80","1.2.3.4:90",)" + incarnation + "," + state + "]";
+    };
+    REQUIRE(base::is_ok(fleet::parse_member(member("7", "1"))));
+    const std::string from = R"({"m":)" + member("7", "1");
+    for (const std::string value : {"-1", "0.5", "1e300", "18446744073709551616", "true"}) {
+        INFO(value);
+        CHECK_FALSE(base::is_ok(fleet::parse_member(member(value, "1"))));
+        CHECK_FALSE(base::is_ok(fleet::parse_member(member("7", value))));
+        CHECK_FALSE(base::is_ok(fleet::parse_exchange(from + R"(,"v":{"op":)" + value + "}}")));
+        CHECK_FALSE(base::is_ok(
+            fleet::parse_exchange(from + R"(,"v":{},"c":[[)" + value + R"(,"t",[1]]]})")));
+        CHECK_FALSE(
+            base::is_ok(fleet::parse_exchange(from + R"(,"v":{},"c":[[1,"t",[)" + value + "]]]}")));
+        CHECK_FALSE(
+            base::is_ok(fleet::parse_update(R"({"v":)" + value + R"(,"full":false,"rows":[]})")));
+        CHECK_FALSE(base::is_ok(fleet::parse_update(R"({"v":1,"full":false,"rows":[["k",)" + value +
+                                                    R"(,false,"v"]]})")));
+    }
+    CHECK_FALSE(base::is_ok(fleet::parse_exchange(from + R"(,"v":7})")));
+    CHECK_FALSE(base::is_ok(fleet::parse_exchange(from + R"(,"v":{},"c":[[1,"t",7]]})")));
+    CHECK_FALSE(base::is_ok(fleet::parse_member(R"(["","d","1.2.3.4:80","1.2.3.4:90",7,1])")));
+}
--- a/src/store/replies.cpp
+++ b/src/store/replies.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <limits>
 
 namespace snipeshore::store::internal {
 
@@ -62,7 +63,8 @@
         row read;
         read.key = value.at("key").get<std::string>();
         read.value = value.at("value").get<std::string>();
-        read.version = value.at("version").get<std::uint64_t>();
+        read.version =
+            base::read_count(value.at("version"), std::numeric_limits<std::uint64_t>::max());
         if (read.key == key && read.version != 0) {
             return read;
         }
--- a/src/store/tests/http_store_test.cpp
+++ b/src/store/tests/http_store_test.cpp
@@ -274,6 +274,11 @@
     CHECK(kind_of(read_row_body(call_kind::write, "k", "{}")) == base::error_kind::store_unknown);
     CHECK(kind_of(read_row_body(call_kind::read, "k", R"({"key":"x","value":"","version":1})")) ==
           base::error_kind::store_unavailable);
+    for (const std::string version : {"-1", "0.5", "1e300", "18446744073709551616"}) {
+        CHECK(kind_of(read_row_body(call_kind::read, "k",
+                                    R"({"key":"k","value":"","version":)" + version + "}")) ==
+              base::error_kind::store_unavailable);
+    }
     CHECK(kind_of(read_hosts_body(R"({"hosts":[{"host_id":1}]})")) ==
           base::error_kind::store_unavailable);
 }
