Keep no pool for services that no configuration names

Cause: each service in an entry of a target got a pool, which was never removed, and an item in the message that hosts exchange every second. Another writer chooses the name, of up to the size of a row, so that a few entries would make the messages larger than the 256 KiB that hosts accept.

Evidence: host_test, "an entry of an unknown service is used only when a configuration names the service", failed before: 3 services instead of 1. The size of the messages was not run.

Change: a new configuration makes the pools of its services and of those that its routes refer to; entries of other services stay in the registry and are used when a later configuration names their service. Pools of services that are no longer named stay for requests in progress.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -234,6 +234,7 @@
     if (m_context.routes->limits.idle_timeout.count() > 0) {
         m_entry->set_request_timeout(m_context.routes->limits.idle_timeout + idle_timeout_margin);
     }
+    make_pools();
     update_targets();
     update_shares();
     check_ready();
@@ -307,6 +308,21 @@
     m_peers.on_rows_changed(m_formats.host_table);
 }
 
+void host_app::make_pools()
+{
+    // The pool of a service that is no longer named stays for requests in progress.
+    for (const auto& [id, service] : m_context.routes->services) {
+        pool_of(m_context, id);
+    }
+    for (const auto& [host, routes] : m_context.routes->hosts) {
+        for (const routing::route& route : routes) {
+            for (const routing::weighted_service& part : route.services) {
+                pool_of(m_context, part.service);
+            }
+        }
+    }
+}
+
 void host_app::update_targets()
 {
     const base::time_point now = base::boot_clock::now();
@@ -314,8 +330,13 @@
     for (const auto& [id, pool] : m_context.pools) {
         by_service[id];
     }
+    // Services that no configuration has named are ignored: their number and the length of their
+    // names have no bound.
     for (const auto& [id, entry] : m_registry.targets) {
-        by_service[entry.service].push_back(entry);
+        const auto service = by_service.find(entry.service);
+        if (service != by_service.end()) {
+            service->second.push_back(entry);
+        }
     }
     for (const auto& [service, entries] : by_service) {
         target_pool& pool = pool_of(m_context, service);
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -75,6 +75,7 @@
     void on_target_rows(const std::vector<rows::row>& changes);
     void on_host_rows(const std::vector<rows::row>& changes);
 
+    void make_pools(); ///< For the services of the configuration.
     void update_targets();
     void update_shares();
     void housekeep();
--- a/src/apps/host/tests/odd_entries_test.cpp
+++ b/src/apps/host/tests/odd_entries_test.cpp
@@ -20,6 +20,11 @@
     return std::string(depth, '[') + std::string(depth, ']');
 }
 
+std::string header(const reply& from, std::string_view name)
+{
+    return std::string(http::find_header(from.headers, name).value_or(""));
+}
+
 std::string entry_with(const std::string& fields)
 {
     return R"({"service":"svc","zone":"z1","state":"ready")" + fields + "}";
@@ -118,3 +123,38 @@
     REQUIRE(host.run_until([&] { return is_listed("h5"); }));
     CHECK_FALSE(is_listed("h2"));
 }
+
+// Guards against entries that make the state of every host and the messages between hosts grow: a
+// message has an item for each service with a pool, and a name may be as long as a row.
+TEST_CASE("an entry of an unknown service is used only when a configuration names the service")
+{
+    host_fixture host(plain_config);
+    test_target target(host.loop, respond_success);
+    host.add_target("t1", target.address());
+    const auto entry_of = [&](const std::string& service) {
+        return R"({"service":")" + service + R"(","zone":"z1","slots":4,"state":"ready",)" +
+               R"("sequence":1,"address":")" + target.address() + "\"}";
+    };
+    host.store.set("servers", "odd", entry_of(std::string(row_depth, 's')));
+    host.store.set("servers", "t2", entry_of("new"));
+    host.await_targets(3);
+    CHECK(host.app->dump()["services"].size() == 1);
+    CHECK(host.send("/safe/x", with_key).status == 200);
+    std::string next = plain_config;
+    next.replace(next.find("00000005"), 8, "00000006");
+    next.replace(next.find(R"({"name":"svc")"), 0, R"({"name":"new"},)");
+    const std::string route =
+        R"("kind":"safe","timeout":"2s","targetLatency":"1s","service":"svc")";
+    next.replace(next.find(route) + route.size() - 4, 3, "new");
+    host.store.set("op", "config", next);
+    REQUIRE(host.run_until([&] { return host.app->dump()["services"].size() == 2; }));
+    CHECK(header(host.send("/safe/x", with_key), "seen-x-target-instance") == "t2");
+    SUBCASE("targets of a service that is no longer named stay known for requests in progress")
+    {
+        std::string last = plain_config;
+        last.replace(last.find("00000005"), 8, "00000007");
+        host.store.set("op", "config", last);
+        REQUIRE(host.run_until([&] { return host.app->dump()["config_version"] == 7; }));
+        CHECK(host.app->dump()["services"]["new"]["targets"].size() == 1);
+    }
+}
