--- a/src/store/replies.cpp
+++ b/src/store/replies.cpp
@@ -1,9 +1,12 @@
 #include "store/internal/replies.h"
 
+#include "base/json_reader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cctype>
+#include <limits>
 
 namespace snipeshore::store::internal {
 
@@ -56,11 +59,12 @@
 base::result<row> read_row_body(call_kind kind, const std::string& key, const std::string& body)
 {
     try {
-        const json value = json::parse(body);
+        const json value = base::parse_json(body);
         row read;
         read.key = value.at("key").get<std::string>();
         read.value = value.at("value").get<std::string>();
-        read.version = value.at("version").get<std::uint64_t>();
+        read.version =
+            base::read_count(value.at("version"), std::numeric_limits<std::uint64_t>::max());
         if (read.key == key && read.version != 0) {
             return read;
         }
@@ -74,7 +78,7 @@
 {
     try {
         std::vector<listed_host> hosts;
-        const json value = json::parse(body);
+        const json value = base::parse_json(body);
         for (const json& entry : value.at("hosts")) {
             listed_host host;
             host.host_id = entry.at("host_id").get<std::string>();
