Close a connection after a refusal, and after a call cancelled at a head

Callers that sent an id again were told "not run" for a request that was running: the target wrote its refusal of the first one once more on the kept connection. The copy carries the same id, so that the check of the id does not see it. A call that was cancelled at the head of a response without a body (204, to HEAD) also left its connection in the pool, although its response belongs to another request.

Cause: http::client kept the connection in both cases. Now it is closed after 408, 421, 429 and 503 and after a cancelled call, so that no later request can read what follows. Ruled out: a second attempt of one request at the same target (m_tried); not-run responses to other methods than HEAD, whose call the host cancels.

--- a/src/apps/host/tests/host_test.cpp
+++ b/src/apps/host/tests/host_test.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
+
 using namespace snipeshore;
 using namespace apps::tests;
 using namespace std::chrono_literals;
@@ -294,3 +296,49 @@
     CHECK(later.body.find("\"not_run\":true") == std::string::npos);
     CHECK(target.accepted() == 1);
 }
+
+// Guards against requests that are reported as not run although they run, for a caller that uses an
+// id again: the copy of the first refusal has it.
+TEST_CASE("a copy of a target's refusal does not answer a request with the same id")
+{
+    const std::string refusal = "HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-attempt-id: id-1\r\n";
+    std::string first;
+    std::string method = "POST";
+    SUBCASE("of a request that was not run")
+    {
+        first = refusal + "x-not-executed: 1\r\n\r\n";
+    }
+    SUBCASE("of a HEAD request that was not run")
+    {
+        method = "HEAD";
+        first = refusal + "x-not-executed: 1\r\n\r\n";
+    }
+    SUBCASE("that does not say whether the request was run")
+    {
+        first = refusal + "\r\n";
+    }
+    host_fixture host(plain_config);
+    std::atomic<int> runs{0};
+    http::tests::parallel_raw_server target([&](int connection) {
+        while (!http::tests::read_until(connection, "\r\n\r\n").empty()) {
+            if (runs++ == 0) {
+                http::tests::write_all(connection, first);
+                if (!http::tests::read_until(connection, "\r\n\r\n").empty()) {
+                    ++runs;
+                    http::tests::write_all(connection, first);
+                }
+                return;
+            }
+            http::tests::write_all(connection,
+                                   "HTTP/1.1 200 OK\r\ncontent-length: 3\r\nx-attempt-id: id-1\r\n"
+                                   "x-response-seal: s\r\n\r\nown");
+        }
+    });
+    host.add_target("t1", target.address());
+    host.await_targets(1);
+    CHECK(host.send("/once/x", with_key, method, "").status == 503);
+    const reply later = host.send("/once/x", with_key, "POST", "");
+    CHECK(later.status == 200);
+    CHECK(later.body == "own");
+    CHECK(target.accepted() == 2);
+}
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -71,6 +71,8 @@
     bool accepts_close_delimited = false;
 };
 
+/// A connection is closed after a response with the status 408, 421, 429 or 503, so that a late
+/// second copy of it is never read as the response to another request.
 /// Must be used on the loop's thread only.
 class client {
 public:
--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -27,6 +27,9 @@
 
 constexpr int parse_incomplete = -2;
 
+/// Statuses with which a peer states that it did not run the request.
+constexpr std::array<int, 4> refusal_statuses = {408, 421, 429, 503};
+
 using parsed_headers = std::array<phr_header, max_headers>;
 
 std::string lower_case(std::string_view text)
@@ -399,15 +402,23 @@
     return true;
 }
 
+bool call_state::must_close_connection() const
+{
+    // A second copy of a refusal would be read as the response to the next request and state that
+    // it was not run.
+    return m_phase == phase::ended || std::find(refusal_statuses.begin(), refusal_statuses.end(),
+                                                m_head.status) != refusal_statuses.end();
+}
+
 void call_state::finish_without_body(bool is_valid, std::size_t head_length)
 {
-    if (!is_valid || m_h2o->sock->input->size > head_length) {
-        // Extra bytes after a response without a body would be read as the next response.
-        h2o_socket_close(h2o_http1client_steal_socket(m_h2o));
-    }
     if (is_valid && m_callbacks.on_head) {
         m_callbacks.on_head(m_head);
     }
+    if (must_close_connection() || m_h2o->sock->input->size > head_length) {
+        // Extra bytes after a response without a body would be read as the next response.
+        h2o_socket_close(h2o_http1client_steal_socket(m_h2o));
+    }
     m_is_in_h2o = false;
     release_connection();
     end(std::monostate{});
@@ -428,6 +439,9 @@
     self->deliver_body();
     self->m_is_in_h2o = false;
     if (failure == h2o_http1client_error_is_eos) {
+        if (self->must_close_connection()) {
+            h2o_socket_close(h2o_http1client_steal_socket(h2o));
+        }
         self->release_connection();
         self->finish_body(is_last_chunk_read);
         return 0;
--- a/src/http/internal/call_state.h
+++ b/src/http/internal/call_state.h
@@ -73,6 +73,8 @@
                    std::size_t head_length);
     bool read_framing(const header_list& headers);
     void finish_without_body(bool is_valid, std::size_t head_length);
+    /// Whether the connection must not be reused after the response.
+    bool must_close_connection() const;
     void deliver_body();
     void finish_body(bool is_last_chunk_read);
     void apply_pause();
--- a/src/http/tests/test_support.cpp
+++ b/src/http/tests/test_support.cpp
@@ -3,6 +3,7 @@
 #include "http/internal/loop_impl.h"
 #include "http/internal/socket_address.h"
 
+#include <fcntl.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -150,6 +151,42 @@
     }
 }
 
+parallel_raw_server::parallel_raw_server(std::function<void(int)> serve) : m_serve(std::move(serve))
+{
+    m_listener = std::make_unique<raw_server>([this](int accepted) {
+        const int descriptor = fcntl(accepted, F_DUPFD_CLOEXEC, 0);
+        m_descriptors.push_back(descriptor);
+        m_threads.emplace_back([this, descriptor] {
+            m_serve(descriptor);
+            shutdown(descriptor, SHUT_RDWR);
+        });
+    });
+}
+
+parallel_raw_server::~parallel_raw_server()
+{
+    m_listener.reset();
+    for (const int descriptor : m_descriptors) {
+        shutdown(descriptor, SHUT_RDWR);
+    }
+    for (std::thread& thread : m_threads) {
+        thread.join();
+    }
+    for (const int descriptor : m_descriptors) {
+        close(descriptor);
+    }
+}
+
+std::string parallel_raw_server::address() const
+{
+    return m_listener->address();
+}
+
+int parallel_raw_server::accepted() const
+{
+    return m_listener->accepted();
+}
+
 int connect_to(const std::string& address)
 {
     auto parsed = parse_address(address);
--- a/src/http/tests/test_support.h
+++ b/src/http/tests/test_support.h
@@ -62,6 +62,27 @@
     std::thread m_thread;
 };
 
+/// As `raw_server`, but serves each connection on a thread of its own. Its destructor ends the
+/// connections that are still open.
+class parallel_raw_server {
+public:
+    explicit parallel_raw_server(std::function<void(int)> serve);
+    ~parallel_raw_server();
+    parallel_raw_server(const parallel_raw_server&) = delete;
+    parallel_raw_server& operator=(const parallel_raw_server&) = delete;
+    parallel_raw_server(parallel_raw_server&&) = delete;
+    parallel_raw_server& operator=(parallel_raw_server&&) = delete;
+
+    std::string address() const;
+    int accepted() const;
+
+private:
+    std::function<void(int)> m_serve;
+    std::vector<int> m_descriptors; ///< Used by the listener's thread until that has ended.
+    std::vector<std::thread> m_threads;
+    std::unique_ptr<raw_server> m_listener;
+};
+
 /// Connects a blocking socket and returns its descriptor.
 int connect_to(const std::string& address);
 
