Send requests without an id that must not run twice on new connections

Callers that sent no id were told "not run", or their request went to a second target, although the first was running it: a late copy of an earlier refusal on the kept connection was taken for the response.

Cause: without an id nothing shows to which request a response belongs, and the host accepted any. Now such a request has a connection of its own (client_request::needs_new_connection, a pool for one call), on which the first response can only be its own; and a response with an id is not that of a request without one.

Before: host_test, "a request without an id that must not run twice is never refused by an earlier response" failed in both cases (503 with not_run true, for a request that had run). http_test: such a call neither takes a connection from the pool nor leaves one there, and may end at any time.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -54,7 +54,7 @@
     const auto id = http::find_header(head.headers, names.request_id);
     // Targets echo the id in all responses; one without it may be the copy of an earlier response
     // on the same connection, whatever it says about having run.
-    if (!m_id.empty() && id.value_or("") != m_id) {
+    if (id.value_or("") != m_id) {
         return false;
     }
     const bool is_success =
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -258,6 +258,8 @@
     request.body = std::string(m_exchange->body());
     // A response that has started may continue until the caller's own deadline.
     request.deadline = m_caller_deadline;
+    // Without an id, only a connection of its own shows that a response belongs to the request.
+    request.needs_new_connection = !is_idempotent() && m_id.empty();
     m_call = m_context.client.send(std::move(request), make_callbacks());
     arm_timer(attempt_deadline(placement, now));
 }
--- a/src/apps/host/tests/host_test.cpp
+++ b/src/apps/host/tests/host_test.cpp
@@ -297,6 +297,47 @@
     CHECK(target.accepted() == 1);
 }
 
+// Guards against requests that are reported as not run, or run at a second target, because of the
+// copy of an earlier refusal: without an id nothing tells whose response it is.
+TEST_CASE("a request without an id that must not run twice is never refused by an earlier response")
+{
+    const std::string refusal = "HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-not-executed: 1\r\n";
+    const std::string own = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\nx-attempt-id: id-1\r\n"
+                            "x-response-seal: s\r\n\r\nown";
+    const std::string failure = "HTTP/1.1 500 Failed\r\ncontent-length: 6\r\n\r\nfailed";
+    std::string copy;
+    SUBCASE("which has no id either")
+    {
+        copy = refusal + "\r\n";
+    }
+    SUBCASE("which has the id of the earlier request")
+    {
+        copy = refusal + "x-attempt-id: id-1\r\n\r\n";
+    }
+    host_fixture host(plain_config);
+    std::atomic<int> runs{0};
+    http::tests::parallel_raw_server target([&](int connection) {
+        std::string request;
+        for (bool is_first = true;; is_first = false) {
+            request = http::tests::read_until(connection, "\r\n\r\n");
+            if (request.empty()) {
+                return;
+            }
+            ++runs;
+            const bool has_id = request.find("x-attempt-id") != std::string::npos;
+            http::tests::write_all(connection, !is_first ? copy : has_id ? own : failure);
+        }
+    });
+    host.add_target("t1", target.address());
+    host.await_targets(1);
+    CHECK(host.send("/once/x", with_key, "POST", "").status == 200);
+    const reply later = host.send("/once/x", {{"x-key", "key"}}, "POST", "");
+    CHECK(later.body.find("\"not_run\":true") == std::string::npos);
+    CHECK(later.status == 500);
+    CHECK(later.body == "failed");
+    CHECK(runs == 2);
+}
+
 // Guards against requests that are reported as not run although they run, for a caller that uses an
 // id again: the copy of the first refusal has it.
 TEST_CASE("a copy of a target's refusal does not answer a request with the same id")
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -215,6 +215,19 @@
     return m_peers.emplace(address, std::move(made)).first->second.get();
 }
 
+shared_pool client::impl::make_pool(const peer& to) const
+{
+    shared_pool pool(new h2o_socketpool_t{}, [](h2o_socketpool_t* unused) {
+        h2o_socketpool_dispose(unused);
+        delete unused;
+    });
+    sockaddr_storage address = to.pool.peer.sockaddr.bytes;
+    h2o_socketpool_init_by_address(pool.get(), reinterpret_cast<sockaddr*>(&address),
+                                   to.pool.peer.sockaddr.len, 0, SIZE_MAX);
+    h2o_socketpool_set_timeout(pool.get(), owner.internals().evloop, 0);
+    return pool;
+}
+
 void client::impl::limit_idle_time(const std::string& address, std::chrono::seconds announced)
 {
     const auto found = m_peers.find(address);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -22,6 +22,8 @@
     request_head head;
     std::string body;
     base::time_point deadline; ///< The response must be complete by then.
+    /// Opens a connection of its own, on which no response to another request can arrive.
+    bool needs_new_connection = false;
 };
 
 /// How a call ended.
--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -140,7 +140,12 @@
             }
         });
     const auto keep = shared_from_this();
-    h2o_http1client_connect_with_pool(&m_h2o, this, &m_owner->context, &to.pool, on_connect);
+    if (m_request.needs_new_connection) {
+        m_own_pool = m_owner->make_pool(to);
+    }
+    h2o_http1client_connect_with_pool(&m_h2o, this, &m_owner->context,
+                                      m_own_pool != nullptr ? m_own_pool.get() : &to.pool,
+                                      on_connect);
 }
 
 void call_state::fail_later(base::error failure)
@@ -574,10 +579,11 @@
         }
     }
     m_owner->release(*this);
-    if (m_owner->is_shut_down) {
-        // h2o closes the connection after its callback has returned; the pool has to exist until
-        // then.
-        m_owner->owner.schedule(base::boot_clock::now(), [last = m_owner] {});
+    if (m_owner->is_shut_down || m_own_pool != nullptr) {
+        // h2o closes the connection or returns it to its pool after its callback has returned; the
+        // pool has to exist until then.
+        m_owner->owner.schedule(base::boot_clock::now(),
+                                [last = m_owner, pool = std::move(m_own_pool)] {});
     }
     m_owner.reset();
 }
--- a/src/http/internal/call_state.h
+++ b/src/http/internal/call_state.h
@@ -93,6 +93,7 @@
     framing m_framing = framing::none;
     response_head m_head;
     h2o_http1client_t* m_h2o = nullptr;
+    std::shared_ptr<h2o_socketpool_t> m_own_pool; ///< Set if the call needs a new connection.
     h2o_iovec_t m_request_buffer{};
     std::string m_encoded_request;
     /// h2o's callbacks that `on_request_written`, `on_head_bytes` and `on_close_delimited_bytes`
--- a/src/http/internal/client_impl.h
+++ b/src/http/internal/client_impl.h
@@ -24,6 +24,8 @@
     bool is_dequeue_scheduled = false;
 };
 
+using shared_pool = std::shared_ptr<h2o_socketpool_t>;
+
 /// Outlives the `client` while a callback of one of its calls is running.
 struct client::impl : std::enable_shared_from_this<client::impl> {
     impl(loop& owner, client_settings settings);
@@ -38,6 +40,9 @@
     /// Removes the call. If it was active, queued calls are started in the next round of the loop.
     void release(call_state& call);
 
+    /// Makes an empty pool for one call, so that the call opens a connection.
+    shared_pool make_pool(const peer& to) const;
+
     /// Limits the idle timeout of the peer's connections, so that they are closed before the time
     /// that the peer has announced.
     void limit_idle_time(const std::string& address, std::chrono::seconds announced);
--- a/src/http/tests/late_copy_test.cpp
+++ b/src/http/tests/late_copy_test.cpp
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace snipeshore::http::tests {
 
@@ -110,4 +111,85 @@
     REQUIRE(run_until(event_loop, [&] { return peer.accepted() == 2; }));
 }
 
+// Guards against a connection on which the response to an earlier request may still arrive.
+TEST_CASE("a call that needs a new connection neither takes one from the pool nor leaves one there")
+{
+    loop event_loop;
+    std::vector<std::size_t> connections;
+    server http_server(event_loop, [&](const std::shared_ptr<exchange>& from) {
+        connections.push_back(http_server.open_connections());
+        from->respond({}, "x");
+    });
+    server_settings settings;
+    settings.address = "127.0.0.1:0";
+    REQUIRE(base::is_ok(http_server.listen(settings)));
+    client http_client(event_loop, {});
+    const auto send = [&](bool needs_new_connection) {
+        client_request request = get(http_server.bound_address(), "/");
+        request.needs_new_connection = needs_new_connection;
+        call_record seen;
+        const auto call = record(http_client, request, seen);
+        REQUIRE(run_until(event_loop, [&] { return seen.end.has_value(); }));
+        CHECK(base::is_ok(seen.end->outcome));
+    };
+    send(false);
+    for (int i = 0; i < 3; ++i) {
+        send(true);
+        CHECK(run_until(event_loop, [&] { return http_server.open_connections() == 1; }));
+    }
+    send(false);
+    CHECK(connections == std::vector<std::size_t>{1, 2, 2, 2, 1});
+}
+
+// Guards against the use of a pool after its end: a call with its own connection outlives neither
+// its client nor a peer that does not answer.
+TEST_CASE("a call that needs a new connection can end at any time")
+{
+    loop event_loop;
+    auto http_client = std::make_unique<client>(event_loop, client_settings{});
+    client_request request;
+    call_record seen;
+    SUBCASE("the connection is refused")
+    {
+        std::string address;
+        {
+            const raw_server stopped([](int) {});
+            address = stopped.address();
+        }
+        request = get(address, "/");
+        request.needs_new_connection = true;
+        const auto call = record(*http_client, request, seen);
+        REQUIRE(run_until(event_loop, [&] { return seen.end.has_value(); }));
+        CHECK_FALSE(seen.end->request_sent);
+    }
+    SUBCASE("the peer closes without a response")
+    {
+        raw_server peer([](int descriptor) { read_until(descriptor, "\r\n\r\n"); });
+        request = get(peer.address(), "/");
+        request.needs_new_connection = true;
+        const auto call = record(*http_client, request, seen);
+        REQUIRE(run_until(event_loop, [&] { return seen.end.has_value(); }));
+        CHECK(seen.end->request_sent);
+    }
+    SUBCASE("the call is cancelled while it connects")
+    {
+        raw_server peer([](int descriptor) { read_all(descriptor); });
+        request = get(peer.address(), "/");
+        request.needs_new_connection = true;
+        record(*http_client, request, seen).reset();
+        CHECK(run_until(event_loop, [&] { return peer.closed() == 1; }));
+        CHECK_FALSE(seen.end);
+    }
+    SUBCASE("the client is destroyed before the response")
+    {
+        raw_server peer([](int descriptor) { read_all(descriptor); });
+        request = get(peer.address(), "/");
+        request.needs_new_connection = true;
+        const auto call = record(*http_client, request, seen);
+        REQUIRE(run_until(event_loop, [&] { return peer.accepted() == 1; }));
+        http_client.reset();
+        CHECK(run_until(event_loop, [&] { return peer.closed() == 1; }));
+    }
+}
+
 } // namespace snipeshore::http::tests
