Tell responses apart by an attempt id on snipeshore-entry's link to targets

Callers of snipeshore-entry got the late copy of another caller's response as their own: a success, or a refusal of a request that was running. The entry had no means to tell whose response arrived.

Cause: the request id that targets get is the caller's, may be used again, and was not compared. Now each attempt has an id of its own, Snipeshore-Attempt-Id, which targets echo. A response with another id is an error, and so is one without an id if the target echoed ids when the request was sent. Targets that do not echo go on working: their non-idempotent requests have a connection each, so that no copy can arrive there.

--- a/src/apps/common/request_headers.cpp
+++ b/src/apps/common/request_headers.cpp
@@ -19,6 +19,7 @@
 using base::error_kind;
 
 constexpr std::size_t max_request_id_length = 64;
+constexpr std::size_t random_id_bytes = 12;
 constexpr std::int64_t max_deadline_ms = 86'400'000;
 
 std::string random_hex(std::size_t bytes)
@@ -60,7 +61,12 @@
     const bool usable = given.has_value() && !given->empty() &&
                         given->size() <= max_request_id_length &&
                         std::all_of(given->begin(), given->end(), is_id_char);
-    return usable ? std::string(*given) : random_hex(12);
+    return usable ? std::string(*given) : random_hex(random_id_bytes);
+}
+
+std::string make_attempt_id()
+{
+    return random_hex(random_id_bytes);
 }
 
 base::result<base::account_id> authenticate(const fleet_state& fleet, std::string_view secret,
--- a/src/apps/common/request_headers.h
+++ b/src/apps/common/request_headers.h
@@ -21,6 +21,9 @@
 /// The caller's `Snipeshore-Request-Id` if it is well formed, otherwise a new random id.
 std::string request_id_of(const http::request_head& head);
 
+/// Random id of one attempt to send a request to a target.
+std::string make_attempt_id();
+
 /// Returns the client account of the key in the request. Errors: `key_missing`, `key_unknown`,
 /// `key_stale`.
 base::result<base::account_id> authenticate(const fleet_state& fleet, std::string_view secret,
--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -322,11 +322,15 @@
 
     http::client_request request;
     request.address = m_pool->addresses[target];
+    const std::string id = make_attempt_id();
     request.head = targets::make_forwarded_head(
-        m_exchange->head(), {m_account, m_request_id, m_deadline, now, m_traceparent});
+        m_exchange->head(), {m_account, m_request_id, m_deadline, now, m_traceparent, id});
     request.body = std::string(m_exchange->body());
     request.deadline = m_deadline;
-    m_open_attempts.push_back({number, target, now, nullptr});
+    // Without the echo, only a connection of its own shows that a response belongs to the request.
+    const bool expects_echo = m_pool->echoes_attempts[target];
+    request.needs_new_connection = is_non_idempotent() && !expects_echo;
+    m_open_attempts.push_back({number, target, now, id, expects_echo, nullptr});
     m_open_attempts.back().call =
         m_services.client.send(std::move(request), make_callbacks(number));
     consider_hedge();
@@ -396,6 +400,12 @@
     if (current == nullptr || m_winner != 0) {
         return;
     }
+    if (!is_own_response(*current, head)) {
+        end_attempt(number, balancing::outcome::failure);
+        decide_after_failure(
+            {error_kind::answer_invalid, "the target's response belongs to another request"});
+        return;
+    }
     const targets::response_signals signals = targets::read_signals(head);
     if (signals.is_draining) {
         set_announced_leaving(*m_pool, current->target, true);
@@ -429,6 +439,15 @@
     m_stream->start(std::move(passed_on));
 }
 
+bool request_task::is_own_response(const attempt& current, const http::response_head& head)
+{
+    const targets::response_origin origin = targets::origin_of(head, current.id);
+    // After a change of version a target may no longer echo ids; its later attempts expect none.
+    m_pool->echoes_attempts[current.target] = origin != targets::response_origin::unknown;
+    return origin == targets::response_origin::own ||
+           (origin == targets::response_origin::unknown && !current.expects_echo);
+}
+
 bool request_task::retry_after_shed(unsigned number, const http::response_head& shed)
 {
     if (is_non_idempotent()) {
--- a/src/apps/entry/request_task.h
+++ b/src/apps/entry/request_task.h
@@ -67,6 +67,8 @@
         unsigned number = 0;
         std::uint32_t target = 0;
         base::time_point started;
+        std::string id;            ///< Echoed by targets in their responses.
+        bool expects_echo = false; ///< The target echoed ids before the attempt.
         std::unique_ptr<http::client_call> call;
     };
 
@@ -85,6 +87,8 @@
     void end_all_attempts();
     void consider_hedge();
     void decide_after_failure(const base::error& cause);
+    /// Whether the response belongs to the attempt, as far as its id shows it.
+    bool is_own_response(const attempt& current, const http::response_head& head);
     bool retry_after_shed(unsigned number, const http::response_head& shed);
 
     void on_caller_disconnected();
--- a/src/apps/entry/service_pool.cpp
+++ b/src/apps/entry/service_pool.cpp
@@ -77,6 +77,7 @@
     pool.running_fingerprints.resize(count);
     pool.drained.resize(count);
     pool.announced_leaving.resize(count);
+    pool.echoes_attempts.resize(count);
     for (const config::target& target : service.targets) {
         const auto index = balancing::find_target(pool.balancer, target.id);
         if (!index.has_value()) {
--- a/src/apps/entry/service_pool.h
+++ b/src/apps/entry/service_pool.h
@@ -42,6 +42,7 @@
     std::vector<std::vector<std::uint64_t>> running_fingerprints;
     std::vector<bool> drained;           ///< Drained by an operator.
     std::vector<bool> announced_leaving; ///< The target announced that it is draining.
+    std::vector<bool> echoes_attempts;   ///< The target's last response had the attempt's id.
     std::string health_path;
     std::string load_path;
     retries::retry_budget budget;
--- /dev/null
+++ b/src/apps/entry/tests/request_task_test.cpp
@@ -0,0 +1,261 @@
+#include "apps/entry/request_task.h"
+
+#include "apps/common/fleet_state.h"
+#include "apps/entry/crash_monitor.h"
+#include "apps/entry/entry_services.h"
+#include "apps/entry/share_manager.h"
+#include "apps/entry/ticket_service.h"
+#include "http/exchange.h"
+#include "http/server.h"
+#include "http/tests/test_support.h"
+#include "inner/node.h"
+#include "telemetry/metrics.h"
+#include "tickets/ticket_encoding.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace snipeshore;
+using namespace snipeshore::http::tests;
+
+namespace {
+
+const base::incarnation incarnation(1);
+const apps::entry_identity identity{base::host_id("h1"), base::failure_domain_id("z1"), "secret"};
+
+struct reply {
+    int status = 0; ///< 0: the connection ended without a complete response.
+    http::header_list headers;
+    std::string body;
+
+    std::string header(std::string_view name) const
+    {
+        return std::string(http::find_header(headers, name).value_or(""));
+    }
+};
+
+config::route make_route(const std::string& prefix, const std::string& method,
+                         config::repeat repeats)
+{
+    config::route route;
+    route.path_prefix = prefix;
+    route.methods = {method};
+    route.who = config::access::open;
+    route.repeats = repeats;
+    return route;
+}
+
+std::shared_ptr<const config::document> make_config(const std::string& target_address)
+{
+    auto document = std::make_shared<config::document>();
+    config::host host;
+    host.id = identity.host;
+    host.failure_domain = identity.failure_domain;
+    document->hosts.push_back(host);
+    config::service service;
+    service.id = base::service_id("svc");
+    service.host_names = {"test"};
+    service.routes = {make_route("/once", "POST", config::repeat::once),
+                      make_route("/safe", "GET", config::repeat::idempotent)};
+    service.targets = {{base::target_id("t1"), identity.failure_domain, target_address, 4, 4}};
+    document->services.push_back(service);
+    return document;
+}
+
+/// The part of an entry process that forwards requests, with one target.
+class entry_fixture {
+public:
+    explicit entry_fixture(const std::string& target_address)
+        : server(loop, [this](std::shared_ptr<http::exchange> exchange) {
+              apps::request_task::start(services, std::move(exchange));
+          })
+    {
+        fleet.config = make_config(target_address);
+        const config::service& service = fleet.config->services.front();
+        const base::time_point now = base::boot_clock::now();
+        apps::service_pool& pool =
+            services.pools.emplace(service.id, apps::make_pool(service, now)).first->second;
+        apps::update_pool(pool, service, fleet, identity.host, identity.failure_domain, now);
+        http::server_settings settings;
+        settings.address = "127.0.0.1:0";
+        REQUIRE(base::is_ok(server.listen(settings)));
+    }
+
+    reply send_once()
+    {
+        tickets::ticket fields;
+        fields.id = tickets::random_ticket_id();
+        fields.owner = identity.host;
+        fields.owner_incarnation = incarnation;
+        fields.epoch = tickets.epoch();
+        http::client_request request = get(server.bound_address(), "/once");
+        request.head.method = "POST";
+        request.head.headers = {
+            {"snipeshore-ticket", base::value_of(tickets::mint(fields, secret))}};
+        return send(request);
+    }
+
+    reply send_safe()
+    {
+        return send(get(server.bound_address(), "/safe"));
+    }
+
+private:
+    reply send(const http::client_request& request)
+    {
+        std::optional<reply> got;
+        const auto call = caller.fetch(
+            request, 1U << 20U,
+            [&](const base::result<std::pair<http::response_head, std::string>>& outcome, bool) {
+                got = reply{};
+                if (base::is_ok(outcome)) {
+                    const auto& [head, body] = base::value_of(outcome);
+                    got = reply{head.status, head.headers, body};
+                }
+            });
+        REQUIRE(run_until(loop, [&] { return got.has_value(); }));
+        return *got;
+    }
+
+    http::loop loop;
+    http::client client{loop, {}};
+    http::client caller{loop, {}};
+    inner::node node{{}};
+    telemetry::metrics metrics;
+    apps::fleet_state fleet;
+    tickets::fleet_secret secret = tickets::derive_fleet_secret(identity.fleet_secret);
+    apps::share_manager shares{loop, node, identity.host, incarnation};
+    apps::ticket_service tickets{node, fleet, identity.host, incarnation, secret};
+    apps::crash_monitor crashes{loop, client, node, fleet, identity.host};
+    apps::entry_services services{identity, loop,    client, metrics, fleet, shares,
+                                  tickets,  crashes, {},     {},      {}};
+    http::server server;
+};
+
+/// The line of a request head with this header, which a target that echoes it sends back.
+std::string echoed_line(const std::string& request, const std::string& name)
+{
+    const std::size_t start = request.find(name + ": ");
+    return start == std::string::npos
+               ? std::string()
+               : request.substr(start, request.find("\r\n", start) + 2 - start);
+}
+
+std::string response(const std::string& status, const std::string& headers, const std::string& body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + headers +
+           "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+// Guards against a late copy of an earlier response that a caller gets as its own: with a refusal
+// it was told that a request was not run that was running.
+TEST_CASE("a copy of an earlier response of a target that echoes ids answers no later request")
+{
+    std::string status = "200 OK";
+    bool has_id = false;
+    const auto check = [&] {
+        std::atomic<int> runs{0};
+        parallel_raw_server target([&](int connection) {
+            const std::string id =
+                echoed_line(read_until(connection, "\r\n\r\n"), "snipeshore-attempt-id");
+            write_all(connection, response("200 OK", id, "own"));
+            ++runs;
+            while (!read_until(connection, "\r\n\r\n").empty()) {
+                ++runs;
+                write_all(connection,
+                          response(status, (has_id ? id : "") + "retry-after: 1\r\n", "copy"));
+            }
+        });
+        entry_fixture entry(target.address());
+        SUBCASE("a non-idempotent request has no known outcome")
+        {
+            REQUIRE(entry.send_safe().body == "own");
+            const reply later = entry.send_once();
+            CHECK(later.status == 502);
+            CHECK(later.header("snipeshore-error") == "outcome_unknown");
+            CHECK(later.header("snipeshore-not-run").empty());
+        }
+        SUBCASE("an idempotent request fails")
+        {
+            REQUIRE(entry.send_safe().body == "own");
+            CHECK(entry.send_safe().status == 502);
+        }
+        CHECK(runs == 2);
+    };
+    SUBCASE("of a success")
+    {
+        has_id = true;
+        check();
+    }
+    SUBCASE("of a success without the id")
+    {
+        check();
+    }
+    SUBCASE("of a refusal")
+    {
+        status = "503 Full";
+        has_id = true;
+        check();
+    }
+    SUBCASE("of a refusal without the id")
+    {
+        status = "503 Full";
+        check();
+    }
+}
+
+// Guards against the same with targets that do not echo ids, and against such targets no longer
+// being usable.
+TEST_CASE(
+    "non-idempotent requests to a target that does not echo ids have connections of their own")
+{
+    parallel_raw_server target([](int connection) {
+        bool is_first = true;
+        for (std::string request = read_until(connection, "\r\n\r\n"); !request.empty();
+             request = read_until(connection, "\r\n\r\n")) {
+            const bool is_copy = !is_first && request.starts_with("POST");
+            write_all(connection, is_copy ? response("503 Full", "retry-after: 1\r\n", "copy")
+                                          : response("200 OK", "", "own"));
+            is_first = false;
+        }
+    });
+    entry_fixture entry(target.address());
+    CHECK(entry.send_safe().body == "own");
+    CHECK(entry.send_safe().body == "own");
+    CHECK(target.accepted() == 1);
+    CHECK(entry.send_once().body == "own");
+    CHECK(entry.send_once().body == "own");
+    CHECK(entry.send_safe().body == "own");
+    CHECK(target.accepted() == 3);
+}
+
+// Guards against a target that stays unusable after a change to a version that does not echo ids.
+TEST_CASE("a target that no longer echoes ids fails one request")
+{
+    std::atomic<bool> echoes{true};
+    parallel_raw_server target([&](int connection) {
+        for (std::string request = read_until(connection, "\r\n\r\n"); !request.empty();
+             request = read_until(connection, "\r\n\r\n")) {
+            write_all(connection,
+                      response("200 OK",
+                               echoes ? echoed_line(request, "snipeshore-attempt-id") : "", "own"));
+        }
+    });
+    entry_fixture entry(target.address());
+    REQUIRE(entry.send_safe().status == 200);
+    REQUIRE(entry.send_once().status == 200);
+    CHECK(target.accepted() == 1);
+    echoes = false;
+    CHECK(entry.send_once().status == 502);
+    CHECK(entry.send_once().status == 200);
+    CHECK(entry.send_safe().status == 200);
+    echoes = true;
+    CHECK(entry.send_once().status == 200);
+    CHECK(entry.send_once().status == 200);
+}
--- a/src/targets/forwarded_head.cpp
+++ b/src/targets/forwarded_head.cpp
@@ -1,5 +1,7 @@
 #include "targets/forwarded_head.h"
 
+#include "targets/response_signals.h"
+
 #include <algorithm>
 #include <cstdio>
 #include <iterator>
@@ -148,6 +150,9 @@
     }
     out.headers.push_back({"snipeshore-request-id", context.request_id});
     out.headers.push_back({"snipeshore-deadline-ms", std::to_string(remaining_ms(context))});
+    if (!context.attempt_id.empty()) {
+        out.headers.push_back({std::string(attempt_id_header), context.attempt_id});
+    }
     if (!context.traceparent.empty()) {
         out.headers.push_back({"traceparent", context.traceparent});
     }
--- a/src/targets/forwarded_head.h
+++ b/src/targets/forwarded_head.h
@@ -19,6 +19,7 @@
     base::time_point deadline;
     base::time_point now;
     std::string traceparent; ///< For this attempt; empty: no trace header.
+    std::string attempt_id;  ///< Echoed by the target; empty: not sent.
 };
 
 /// Builds the head of the request to the target. It never contains the caller's key or ticket,
--- a/src/targets/response_signals.cpp
+++ b/src/targets/response_signals.cpp
@@ -74,6 +74,15 @@
     return out;
 }
 
+response_origin origin_of(const http::response_head& head, std::string_view attempt_id)
+{
+    const auto echoed = http::find_header(head.headers, attempt_id_header);
+    if (!echoed.has_value()) {
+        return response_origin::unknown;
+    }
+    return *echoed == attempt_id ? response_origin::own : response_origin::other;
+}
+
 health_state read_health(const http::response_head& head, std::string_view body)
 {
     const auto parsed = parse_object(body);
--- a/src/targets/response_signals.h
+++ b/src/targets/response_signals.h
@@ -5,6 +5,7 @@
 #include "targets/types/report.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -20,6 +21,18 @@
 /// counts as load shedding. A 503 without Retry-After does not, because the request may have run.
 response_signals read_signals(const http::response_head& head);
 
+/// Sent to targets with a new value for each attempt; targets echo it in all responses.
+inline constexpr std::string_view attempt_id_header = "snipeshore-attempt-id";
+
+/// Whether a response belongs to the attempt after which it arrived on the connection.
+enum class response_origin : std::uint8_t {
+    own,
+    unknown, ///< The response has no id.
+    other,   ///< The response has the id of another attempt: it is a late copy.
+};
+
+response_origin origin_of(const http::response_head& head, std::string_view attempt_id);
+
 /// Returns the state that a response of the health endpoint reports.
 health_state read_health(const http::response_head& head, std::string_view body);
 
