Treat a reset during a paused close-delimited response as an error

Callers who read slowly got the first part of a response without a length as the whole one: the target's connection was reset while reading from it was paused, which h2o takes for the end of the response.

Cause: the check for resets was installed by a timer after the head, and not if the first bytes had paused the call by then. Now it is installed when h2o has read the head, also in place of a paused reader; it no longer depends on the order of timers and socket events.

Before: http_test, "a reset while reading is paused is not the end of a response without a length" failed (the outcome was complete).

--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -254,6 +254,7 @@
         }
     }
     self->m_head_reader(socket, failure);
+    self->install_reset_check();
 }
 
 std::string_view call_state::head_error(std::string_view bytes) const
@@ -317,22 +318,17 @@
         self->release_connection();
         return nullptr;
     }
-    if (self->m_framing == framing::until_close) {
-        self->m_owner->owner.schedule(base::boot_clock::now(), [weak = self->weak_from_this()] {
-            if (const auto waiting = weak.lock()) {
-                waiting->install_reset_check();
-            }
-        });
-    }
     return on_body;
 }
 
 void call_state::install_reset_check()
 {
-    if (m_phase == phase::reading_body && m_h2o != nullptr && m_h2o->sock != nullptr &&
-        m_h2o->sock->_cb.read != nullptr) {
-        m_close_delimited_reader = std::exchange(m_h2o->sock->_cb.read, on_close_delimited_bytes);
+    if (m_phase != phase::reading_body || m_framing != framing::until_close || m_h2o == nullptr) {
+        return;
     }
+    // If the callbacks have paused the call, h2o's reader is the one to resume with.
+    h2o_socket_cb& reader = m_paused_reader != nullptr ? m_paused_reader : m_h2o->sock->_cb.read;
+    m_close_delimited_reader = std::exchange(reader, on_close_delimited_bytes);
 }
 
 void call_state::on_close_delimited_bytes(h2o_socket_t* socket, const char* failure)
--- a/src/http/tests/connection_close_test.cpp
+++ b/src/http/tests/connection_close_test.cpp
@@ -59,6 +59,45 @@
     }
 }
 
+// Guards against the same while the caller reads slowly: reading was paused before the check for
+// resets was installed, and so the reset was the end of the response.
+TEST_CASE("a reset while reading is paused is not the end of a response without a length")
+{
+    loop event_loop;
+    std::atomic<bool> is_paused{false};
+    raw_server peer([&](int descriptor) {
+        read_until(descriptor, "\r\n\r\n");
+        write_all(descriptor, "HTTP/1.1 200 OK\r\n\r\n12345");
+        while (!is_paused) {
+            std::this_thread::yield();
+        }
+        write_and_end(descriptor, "", connection_end::reset);
+    });
+    client http_client(event_loop, accepting_close_delimited());
+    std::unique_ptr<client_call> call;
+    std::string body;
+    std::optional<call_end> end;
+    call_callbacks callbacks;
+    callbacks.on_body = [&](std::string_view chunk) {
+        body += chunk;
+        call->pause();
+    };
+    callbacks.on_end = [&](const call_end& seen) {
+        end = seen;
+    };
+    call = http_client.send(get(peer.address(), "/"), std::move(callbacks));
+    REQUIRE(run_until(event_loop, [&] { return body == "12345"; }));
+    // The rest of the round installs what it has to.
+    bool has_passed_round = false;
+    event_loop.schedule(from_now(std::chrono::milliseconds(1)), [&] { has_passed_round = true; });
+    REQUIRE(run_until(event_loop, [&] { return has_passed_round; }));
+    is_paused = true;
+    REQUIRE(run_until(event_loop, [&] { return peer.closed() == 1; }));
+    call->resume();
+    REQUIRE(run_until(event_loop, [&] { return end.has_value(); }));
+    CHECK_FALSE(base::is_ok(end->outcome));
+}
+
 // Guards against sending a request on a connection that the target is closing: its outcome is
 // unknown.
 TEST_CASE("an idle connection is closed before the idle timeout announced by the peer")
--- a/src/http/tests/test_support.cpp
+++ b/src/http/tests/test_support.cpp
@@ -240,6 +240,19 @@
     }
 }
 
+void write_and_end(int descriptor, const std::string& text, connection_end how)
+{
+    if (how != connection_end::close_with_last_bytes) {
+        write_all(descriptor, text);
+    } else if (!text.empty()) {
+        send(descriptor, text.data(), text.size(), MSG_NOSIGNAL | MSG_MORE);
+    }
+    if (how == connection_end::reset) {
+        const linger reset{1, 0};
+        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+}
+
 client_request get(const std::string& address, const std::string& path)
 {
     client_request request;
--- a/src/http/tests/test_support.h
+++ b/src/http/tests/test_support.h
@@ -95,6 +95,15 @@
 
 void write_all(int descriptor, const std::string& text);
 
+enum class connection_end : std::uint8_t {
+    close,
+    close_with_last_bytes, ///< The last bytes and the end of the stream are in the same segment.
+    reset,
+};
+
+/// Writes the text to a connection that the caller closes next; determines how it ends then.
+void write_and_end(int descriptor, const std::string& text, connection_end how);
+
 /// Everything that the callbacks of a call reported.
 struct call_record {
     std::optional<response_head> head;
