Test responses that a target cuts off at any byte of their head

It cannot happen here: nothing is passed on before the head's empty line, and the end of the connection before it is an error with request_sent set.

--- a/src/apps/entry/tests/request_task_test.cpp
+++ b/src/apps/entry/tests/request_task_test.cpp
@@ -70,45 +70,45 @@
 class entry_fixture {
 public:
     explicit entry_fixture(const std::string& target_address)
-        : server(loop, [this](std::shared_ptr<http::exchange> exchange) {
-              apps::request_task::start(services, std::move(exchange));
+        : m_server(m_loop, [this](std::shared_ptr<http::exchange> exchange) {
+              apps::request_task::start(m_services, std::move(exchange));
           })
     {
-        fleet.config = make_config(target_address);
-        const config::service& service = fleet.config->services.front();
+        m_fleet.config = make_config(target_address);
+        const config::service& service = m_fleet.config->services.front();
         const base::time_point now = base::boot_clock::now();
         apps::service_pool& pool =
-            services.pools.emplace(service.id, apps::make_pool(service, now)).first->second;
-        apps::update_pool(pool, service, fleet, identity.host, identity.failure_domain, now);
+            m_services.pools.emplace(service.id, apps::make_pool(service, now)).first->second;
+        apps::update_pool(pool, service, m_fleet, identity.host, identity.failure_domain, now);
         http::server_settings settings;
         settings.address = "127.0.0.1:0";
-        REQUIRE(base::is_ok(server.listen(settings)));
+        REQUIRE(base::is_ok(m_server.listen(settings)));
     }
 
-    reply send_once()
+    reply send_once(const std::string& path = "/once")
     {
         tickets::ticket fields;
         fields.id = tickets::random_ticket_id();
         fields.owner = identity.host;
         fields.owner_incarnation = incarnation;
-        fields.epoch = tickets.epoch();
-        http::client_request request = get(server.bound_address(), "/once");
+        fields.epoch = m_tickets.epoch();
+        http::client_request request = get(m_server.bound_address(), path);
         request.head.method = "POST";
         request.head.headers = {
-            {"snipeshore-ticket", base::value_of(tickets::mint(fields, secret))}};
+            {"snipeshore-ticket", base::value_of(tickets::mint(fields, m_secret))}};
         return send(request);
     }
 
-    reply send_safe()
+    reply send_safe(const std::string& path = "/safe")
     {
-        return send(get(server.bound_address(), "/safe"));
+        return send(get(m_server.bound_address(), path));
     }
 
 private:
     reply send(const http::client_request& request)
     {
         std::optional<reply> got;
-        const auto call = caller.fetch(
+        const auto call = m_caller.fetch(
             request, 1U << 20U,
             [&](const base::result<std::pair<http::response_head, std::string>>& outcome, bool) {
                 got = reply{};
@@ -117,23 +117,23 @@
                     got = reply{head.status, head.headers, body};
                 }
             });
-        REQUIRE(run_until(loop, [&] { return got.has_value(); }));
+        REQUIRE(run_until(m_loop, [&] { return got.has_value(); }));
         return *got;
     }
 
-    http::loop loop;
-    http::client client{loop, {}};
-    http::client caller{loop, {}};
-    inner::node node{{}};
-    telemetry::metrics metrics;
-    apps::fleet_state fleet;
-    tickets::fleet_secret secret = tickets::derive_fleet_secret(identity.fleet_secret);
-    apps::share_manager shares{loop, node, identity.host, incarnation};
-    apps::ticket_service tickets{node, fleet, identity.host, incarnation, secret};
-    apps::crash_monitor crashes{loop, client, node, fleet, identity.host};
-    apps::entry_services services{identity, loop,    client, metrics, fleet, shares,
-                                  tickets,  crashes, {},     {},      {}};
-    http::server server;
+    http::loop m_loop;
+    http::client m_client{m_loop, {}};
+    http::client m_caller{m_loop, {}};
+    inner::node m_node{{}};
+    telemetry::metrics m_metrics;
+    apps::fleet_state m_fleet;
+    tickets::fleet_secret m_secret = tickets::derive_fleet_secret(identity.fleet_secret);
+    apps::share_manager m_shares{m_loop, m_node, identity.host, incarnation};
+    apps::ticket_service m_tickets{m_node, m_fleet, identity.host, incarnation, m_secret};
+    apps::crash_monitor m_crashes{m_loop, m_client, m_node, m_fleet, identity.host};
+    apps::entry_services m_services{identity,  m_loop,    m_client, m_metrics, m_fleet, m_shares,
+                                    m_tickets, m_crashes, {},       {},        {}};
+    http::server m_server;
 };
 
 /// The line of a request head with this header, which a target that echoes it sends back.
@@ -259,3 +259,51 @@
     CHECK(entry.send_once().status == 200);
     CHECK(entry.send_once().status == 200);
 }
+
+// Guards against a response whose head was cut off and that callers get as complete, with an empty
+// or short body, or as a statement that the request was not run.
+TEST_CASE("a response that a target cuts off at any byte is an error for the caller")
+{
+    const std::string status = "HTTP/1.1 200 OK\r\nconnection: close\r\n";
+    std::string head;
+    std::string body = "whole answer";
+    SUBCASE("with a length")
+    {
+        head = status + "content-length: 12\r\n\r\n";
+    }
+    SUBCASE("in chunks")
+    {
+        head = status + "transfer-encoding: chunked\r\n\r\n";
+        body = "c\r\nwhole answer\r\n0\r\n\r\n";
+    }
+    SUBCASE("after an interim response")
+    {
+        head = "HTTP/1.1 100 Continue\r\n\r\n" + status + "content-length: 12\r\n\r\n";
+    }
+    const std::string whole = head + body;
+    for (const connection_end how : {connection_end::close, connection_end::reset}) {
+        raw_server target([&](int connection) {
+            const std::string request = read_until(connection, "\r\n\r\n");
+            const std::size_t at = request.find("/cut/");
+            if (at == std::string::npos) {
+                write_all(connection, whole);
+                return;
+            }
+            write_and_end(connection, whole.substr(0, std::stoul(request.substr(at + 5))), how);
+        });
+        entry_fixture entry(target.address());
+        for (std::size_t size = 0; size < whole.size(); ++size) {
+            const std::string cut = "/cut/" + std::to_string(size);
+            CAPTURE(whole.substr(0, size));
+            const reply once = entry.send_once("/once" + cut);
+            CHECK((once.status == 502 || (once.status == 0 && size >= head.size()) ||
+                   once.body == "whole answer"));
+            CHECK(once.header("snipeshore-not-run").empty());
+            CHECK(entry.send_once().body == "whole answer");
+            const reply safe = entry.send_safe("/safe" + cut);
+            CHECK((safe.status == 502 || (safe.status == 0 && size >= head.size()) ||
+                   safe.body == "whole answer"));
+            CHECK(entry.send_safe().body == "whole answer");
+        }
+    }
+}
--- a/src/http/tests/test_support.cpp
+++ b/src/http/tests/test_support.cpp
@@ -155,10 +155,15 @@
 {
     m_listener = std::make_unique<raw_server>([this](int accepted) {
         const int descriptor = fcntl(accepted, F_DUPFD_CLOEXEC, 0);
-        m_descriptors.push_back(descriptor);
+        {
+            const std::lock_guard lock(m_mutex);
+            m_open.insert(descriptor);
+        }
         m_threads.emplace_back([this, descriptor] {
             m_serve(descriptor);
-            shutdown(descriptor, SHUT_RDWR);
+            const std::lock_guard lock(m_mutex);
+            m_open.erase(descriptor);
+            close(descriptor);
         });
     });
 }
@@ -166,15 +171,15 @@
 parallel_raw_server::~parallel_raw_server()
 {
     m_listener.reset();
-    for (const int descriptor : m_descriptors) {
-        shutdown(descriptor, SHUT_RDWR);
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const int descriptor : m_open) {
+            shutdown(descriptor, SHUT_RDWR);
+        }
     }
     for (std::thread& thread : m_threads) {
         thread.join();
     }
-    for (const int descriptor : m_descriptors) {
-        close(descriptor);
-    }
 }
 
 std::string parallel_raw_server::address() const
--- a/src/http/tests/test_support.h
+++ b/src/http/tests/test_support.h
@@ -12,7 +12,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -78,7 +80,8 @@
 
 private:
     std::function<void(int)> m_serve;
-    std::vector<int> m_descriptors; ///< Used by the listener's thread until that has ended.
+    std::mutex m_mutex;
+    std::set<int> m_open; ///< Guarded by the mutex.
     std::vector<std::thread> m_threads;
     std::unique_ptr<raw_server> m_listener;
 };
