--- a/src/http/client.h
+++ b/src/http/client.h
@@ -22,6 +22,8 @@
     request_head head;
     std::string body;
     base::time_point deadline; ///< The response must be complete by then.
+    /// Opens a connection of its own, on which no response to another request can arrive.
+    bool needs_new_connection = false;
 };
 
 /// How a call ended.
@@ -71,6 +73,8 @@
     bool accepts_close_delimited = false;
 };
 
+/// A connection is closed after a response with the status 408, 421, 429 or 503, so that a late
+/// second copy of it is never read as the response to another request.
 /// Must be used on the loop's thread only.
 class client {
 public:
--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -28,6 +28,9 @@
 
 constexpr int parse_incomplete = -2;
 
+/// Statuses with which a peer states that it did not run the request.
+constexpr std::array<int, 4> refusal_statuses = {408, 421, 429, 503};
+
 using parsed_headers = std::array<phr_header, max_headers>;
 
 std::string lower_case(std::string_view text)
@@ -138,7 +141,12 @@
             }
         });
     const auto keep = shared_from_this();
-    h2o_http1client_connect_with_pool(&m_h2o, this, &m_owner->context, &to.pool, on_connect);
+    if (m_request.needs_new_connection) {
+        m_own_pool = m_owner->make_pool(to);
+    }
+    h2o_http1client_connect_with_pool(&m_h2o, this, &m_owner->context,
+                                      m_own_pool != nullptr ? m_own_pool.get() : &to.pool,
+                                      on_connect);
 }
 
 void call_state::fail_later(base::error failure)
@@ -247,6 +255,7 @@
         }
     }
     self->m_head_reader(socket, failure);
+    self->install_reset_check();
 }
 
 std::string_view call_state::head_error(std::string_view bytes) const
@@ -310,22 +319,17 @@
         self->release_connection();
         return nullptr;
     }
-    if (self->m_framing == framing::until_close) {
-        self->m_owner->owner.internals().run_before_wait([weak = self->weak_from_this()] {
-            if (const auto waiting = weak.lock()) {
-                waiting->install_reset_check();
-            }
-        });
-    }
     return on_body;
 }
 
 void call_state::install_reset_check()
 {
-    if (m_phase == phase::reading_body && m_h2o != nullptr && m_h2o->sock != nullptr &&
-        m_h2o->sock->_cb.read != nullptr) {
-        m_close_delimited_reader = std::exchange(m_h2o->sock->_cb.read, on_close_delimited_bytes);
+    if (m_phase != phase::reading_body || m_framing != framing::until_close || m_h2o == nullptr) {
+        return;
     }
+    // If the callbacks have paused the call, h2o's reader is the one to resume with.
+    h2o_socket_cb& reader = m_paused_reader != nullptr ? m_paused_reader : m_h2o->sock->_cb.read;
+    m_close_delimited_reader = std::exchange(reader, on_close_delimited_bytes);
 }
 
 void call_state::on_close_delimited_bytes(h2o_socket_t* socket, const char* failure)
@@ -400,15 +404,23 @@
     return true;
 }
 
+bool call_state::must_close_connection() const
+{
+    // A second copy of a refusal would be read as the response to the next request and state that
+    // it was not run.
+    return m_phase == phase::ended || std::find(refusal_statuses.begin(), refusal_statuses.end(),
+                                                m_head.status) != refusal_statuses.end();
+}
+
 void call_state::finish_without_body(bool is_valid, std::size_t head_length)
 {
-    if (!is_valid || m_h2o->sock->input->size > head_length) {
-        // Extra bytes after a response without a body would be read as the next response.
-        h2o_socket_close(h2o_http1client_steal_socket(m_h2o));
-    }
     if (is_valid && m_callbacks.on_head) {
         m_callbacks.on_head(m_head);
     }
+    if (must_close_connection() || m_h2o->sock->input->size > head_length) {
+        // Extra bytes after a response without a body would be read as the next response.
+        h2o_socket_close(h2o_http1client_steal_socket(m_h2o));
+    }
     m_is_in_h2o = false;
     release_connection();
     end(std::monostate{});
@@ -429,6 +441,9 @@
     self->deliver_body();
     self->m_is_in_h2o = false;
     if (failure == h2o_http1client_error_is_eos) {
+        if (self->must_close_connection()) {
+            h2o_socket_close(h2o_http1client_steal_socket(h2o));
+        }
         self->release_connection();
         self->finish_body(is_last_chunk_read);
         return 0;
@@ -561,10 +576,11 @@
         }
     }
     m_owner->release(*this);
-    if (m_owner->is_shut_down) {
-        // h2o closes the connection after its callback has returned; the pool has to exist until
-        // then.
-        m_owner->owner.schedule(base::boot_clock::now(), [last = m_owner] {});
+    if (m_owner->is_shut_down || m_own_pool != nullptr) {
+        // h2o closes the connection or returns it to its pool after its callback has returned; the
+        // pool has to exist until then.
+        m_owner->owner.schedule(base::boot_clock::now(),
+                                [last = m_owner, pool = std::move(m_own_pool)] {});
     }
     m_owner.reset();
 }
