Log the era of the store and reads that are discarded as older

After a restoration of the store no table was read for four seconds, and no line said why. Pages now carry the era from the store's header, table_read and table_read_older log it. No decision changes.

--- a/src/rows/table_follower.cpp
+++ b/src/rows/table_follower.cpp
@@ -74,6 +74,11 @@
     on_success();
     if (m_partial_version < m_replica.version) {
         // The response is older than the replica, for example from a lagging store.
+        telemetry::log_event(severity::warning, "table_read_older",
+                             {{"table", m_settings.table},
+                              {"version", m_partial_version},
+                              {"era", current.era},
+                              {"known", m_replica.version}});
         schedule_next(m_settings.initial_backoff);
         return;
     }
@@ -84,6 +89,7 @@
     telemetry::log_event(severity::info, "table_read",
                          {{"table", m_settings.table},
                           {"version", m_replica.version},
+                          {"era", current.era},
                           {"rows", static_cast<std::uint64_t>(m_replica.rows.size())}});
     m_on_change(changes);
     schedule_next(m_settings.pause);
--- a/src/rows/types/row.h
+++ b/src/rows/types/row.h
@@ -22,6 +22,9 @@
     std::uint64_t version = 0; ///< Newest version in the store at the time of the response.
     /// The source delivers changes as they arrive, so the next call is made without a pause.
     bool is_pushed = false;
+    /// Rises each time the store is restored to an earlier state. From then on it gives out
+    /// versions again, so versions of different eras cannot be compared. 0: the store has no eras.
+    std::uint64_t era = 0;
 };
 
 } // namespace snipeshore::rows
