Compare versions of the store within one era only

Cause: the replica of a table kept the highest version that it had seen and compared it with versions that the restored store gave out again. The whole table was discarded until the store's version had passed the lost one (no table_read from 17.05 to 21.57 s), and then its rows were dropped one by one, as their versions were not newer than those of lost rows.

Change: versions belong to an era, which the store names in all its answers. A table of a later era replaces the replica whatever its versions; the application's own order (version of the configuration, sequence of a target) decides what a restored row may change. Changes after a version are applied only within the era in which the version was read, since a version that was given out again gets a normal response. The first page of a later era makes all tables be read at once. Hosts tell each other the era of each table and take only whole tables across eras; a reader that does not know the era yet is bypassed. Stores and hosts without eras count as era 0.

Tests: rows_test (5 cases of table_follower_test failed before: the rows of the later era were not taken) and host_test, "a store that was restored to an earlier state".

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -97,7 +97,13 @@
                    rows::row_store& store)
     : m_loop(loop), m_settings(std::move(settings)), m_formats(std::move(formats)), m_store(store),
       m_client(loop, target_client_settings()), m_context{m_settings, loop, m_client, m_metrics},
-      m_self(make_member(m_settings)), m_relay(m_context, m_self, store),
+      m_self(make_member(m_settings)),
+      m_relay(m_context, m_self, store,
+              [this](std::uint64_t era) {
+                  for (auto* table : {&m_operator_rows, &m_target_rows, &m_host_rows}) {
+                      table->on_era(era);
+                  }
+              }),
       m_operator_rows(loop, m_relay, {m_formats.operator_table, operator_poll_wait, {}},
                       [this](const std::vector<rows::row>& changes) { on_operator_rows(changes); }),
       m_target_rows(loop, m_relay,
--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -22,6 +22,13 @@
     all["closing"] = m_context.is_closing;
     all["config_version"] = config_version();
     all["requests"] = m_context.tasks.size();
+    for (const auto& [table, follower] : {std::pair(m_formats.operator_table, &m_operator_rows),
+                                          std::pair(m_formats.target_table, &m_target_rows),
+                                          std::pair(m_formats.host_table, &m_host_rows)}) {
+        all["tables"][table] = {{"era", follower->replica().era},
+                                {"version", follower->replica().version},
+                                {"store_reachable", follower->is_store_reachable()}};
+    }
     for (const auto& [id, known] : m_context.members.members) {
         all["hosts"][id.value()] = {
             {"state", static_cast<int>(known.info.state)},
--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -312,6 +312,9 @@
     message.from = m_self;
     for (const auto& [table, follower] : m_tables) {
         message.versions[table] = follower->replica().version;
+        if (follower->replica().era > 0) {
+            message.eras[table] = follower->replica().era;
+        }
     }
     const base::time_point now = base::boot_clock::now();
     message.crashes = recent_reports(m_context.crashes, now);
@@ -369,7 +372,10 @@
 {
     for (const auto& [table, version] : message.versions) {
         const auto follower = m_tables.find(table);
-        if (follower == m_tables.end() || version <= follower->second->replica().version) {
+        const auto found_era = message.eras.find(table);
+        const std::uint64_t era = found_era == message.eras.end() ? 0 : found_era->second;
+        if (follower == m_tables.end() ||
+            !rows::is_newer(era, version, follower->second->replica())) {
             continue;
         }
         // If the table changes rarely, a newer version at a peer means that this host's own call no
@@ -377,17 +383,21 @@
         if (follower->second->is_expected_current(base::boot_clock::now())) {
             continue;
         }
-        fetch_rows(message.from.control_address, table);
+        // The peer has no changes that continue from a version of another era.
+        const bool continues = era == follower->second->replica().era;
+        fetch_rows(message.from.control_address, table,
+                   continues ? follower->second->replica().version : 0);
     }
 }
 
-void peer_exchange::fetch_rows(const std::string& address, const std::string& table)
+void peer_exchange::fetch_rows(const std::string& address, const std::string& table,
+                               std::uint64_t after)
 {
     if (m_fetches.contains(table)) {
         return;
     }
     rows::table_follower* follower = m_tables.at(table);
-    const std::string path = rows_path(table, follower->replica().version, {});
+    const std::string path = rows_path(table, after, {});
     m_fetches[table] = m_context.client.fetch(
         make_peer_request(address, "GET", path, fetch_timeout), max_update_bytes,
         [this, follower, table, address](
@@ -398,7 +408,8 @@
                     telemetry::log_event(severity::info, "rows_from_peer",
                                          {{"table", table},
                                           {"peer", address},
-                                          {"version", base::value_of(update).version}});
+                                          {"version", base::value_of(update).version},
+                                          {"era", base::value_of(update).era}});
                     follower->apply_peer_update(base::value_of(update));
                 }
             }
--- a/src/apps/host/peer_exchange.h
+++ b/src/apps/host/peer_exchange.h
@@ -87,7 +87,8 @@
     fleet::exchange_message make_message(bool includes_demand);
     void process_message(const fleet::exchange_message& message);
     void compare_versions(const fleet::exchange_message& message);
-    void fetch_rows(const std::string& address, const std::string& table);
+    /// Requests the changes after a version from a peer; the whole table if it is 0.
+    void fetch_rows(const std::string& address, const std::string& table, std::uint64_t after);
 
     host_context& m_context;
     fleet::member& m_self;
--- a/src/apps/host/relay_store.cpp
+++ b/src/apps/host/relay_store.cpp
@@ -4,6 +4,7 @@
 #include "apps/host/peer_calls.h"
 #include "fleet/exchange_encoding.h"
 #include "fleet/members.h"
+#include "http/loop.h"
 #include "telemetry/event_log.h"
 
 #include <algorithm>
@@ -66,13 +67,15 @@
         return base::error{base::error_kind::stale,
                            "the reader does not have all changes after the requested version"};
     }
-    return rows::page{base::value_of(update).rows, false, base::value_of(update).version, true};
+    return rows::page{base::value_of(update).rows, false, base::value_of(update).version, true,
+                      base::value_of(update).era};
 }
 
 } // namespace
 
-relay_store::relay_store(host_context& context, const fleet::member& self, rows::row_store& store)
-    : m_context(context), m_self(self), m_store(store)
+relay_store::relay_store(host_context& context, const fleet::member& self, rows::row_store& store,
+                         std::function<void(std::uint64_t)> on_era)
+    : m_context(context), m_self(self), m_store(store), m_on_era(std::move(on_era))
 {}
 
 relay_store::~relay_store() = default;
@@ -80,7 +83,7 @@
 std::unique_ptr<rows::store_call> relay_store::read(const std::string& table,
                                                     const std::string& from, page_callback done)
 {
-    return m_store.read(table, from, std::move(done));
+    return m_store.read(table, from, note_era(std::move(done)));
 }
 
 std::unique_ptr<rows::store_call> relay_store::read_changes(const std::string& table,
@@ -90,6 +93,7 @@
 {
     const base::time_point now = base::boot_clock::now();
     const auto reader = fleet::store_reader(m_context.members, m_self, now);
+    done = note_era(std::move(done));
     if (!reader.has_value() || now < m_avoid_reader_until) {
         return m_store.read_changes(table, after, wait, std::move(done));
     }
@@ -105,7 +109,11 @@
         [this, call = call.get(), reader = reader->id.value(), table, after, wait,
          done = std::move(done)](
             const base::result<std::pair<http::response_head, std::string>>& reply, bool /*sent*/) {
-            const base::result<rows::page> page = parse_reply(reply);
+            base::result<rows::page> page = parse_reply(reply);
+            if (base::is_ok(page) && base::value_of(page).era < m_era) {
+                page = base::error{base::error_kind::store_unavailable,
+                                   "the reader does not know that the store was restored"};
+            }
             if (base::is_ok(page) || base::error_of(page).kind == base::error_kind::stale) {
                 done(page);
                 return;
@@ -118,6 +126,17 @@
     return call;
 }
 
+relay_store::page_callback relay_store::note_era(page_callback done)
+{
+    return [this, done = std::move(done)](base::result<rows::page> page) {
+        if (base::is_ok(page) && base::value_of(page).era > m_era) {
+            m_era = base::value_of(page).era;
+            m_context.loop.schedule(base::boot_clock::now(), [this] { m_on_era(m_era); });
+        }
+        done(std::move(page));
+    };
+}
+
 void relay_store::avoid_reader(const std::string& reader, const base::error& cause)
 {
     m_avoid_reader_until = base::boot_clock::now() + avoid_reader_time;
--- a/src/apps/host/relay_store.h
+++ b/src/apps/host/relay_store.h
@@ -8,6 +8,8 @@
 #include "http/client.h"
 #include "rows/row_store.h"
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -20,7 +22,9 @@
 /// the reader, or the reader fails, the call goes to the store.
 class relay_store final : public rows::row_store {
 public:
-    relay_store(host_context& context, const fleet::member& self, rows::row_store& store);
+    /// `on_era` is called later when a page is the first one of a later era of the store.
+    relay_store(host_context& context, const fleet::member& self, rows::row_store& store,
+                std::function<void(std::uint64_t era)> on_era);
     ~relay_store() override;
     relay_store(const relay_store&) = delete;
     relay_store& operator=(const relay_store&) = delete;
@@ -37,13 +41,17 @@
                                             status_callback done) override;
 
 private:
+    /// Records the era of a page before it is delivered.
+    page_callback note_era(page_callback done);
     void avoid_reader(const std::string& reader, const base::error& cause);
 
     host_context& m_context;
     const fleet::member& m_self;
     rows::row_store& m_store;
+    std::function<void(std::uint64_t)> m_on_era;
     /// Until then the store is read directly, because the reader failed.
     base::time_point m_avoid_reader_until{};
+    std::uint64_t m_era = 0; ///< Latest era seen, see `rows::page::era`.
 };
 
 } // namespace snipeshore::apps
--- a/src/apps/host/tests/host_fixture.cpp
+++ b/src/apps/host/tests/host_fixture.cpp
@@ -8,7 +8,6 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 namespace snipeshore::apps::tests {
 
@@ -29,9 +28,12 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
+    // Stays bound until the process ends, so that no other process gets the port meanwhile; servers
+    // can bind to it, as they allow reuse as well.
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
     getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    close(descriptor);
     return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
@@ -88,11 +90,11 @@
     return http::tests::run_until(loop, condition);
 }
 
-void host_fixture::add_target(const std::string& id, const std::string& address)
+void host_fixture::add_target(const std::string& id, const std::string& address, int sequence)
 {
     store.set("servers", id,
-              R"({"service":"svc","zone":"z1","slots":4,"state":"ready","sequence":1,"address":")" +
-                  address + "\"}");
+              R"({"service":"svc","zone":"z1","slots":4,"state":"ready","sequence":)" +
+                  std::to_string(sequence) + R"(,"address":")" + address + "\"}");
 }
 
 void host_fixture::await_targets(std::size_t count)
@@ -124,6 +126,15 @@
     return *got;
 }
 
+reply host_fixture::post(const std::string& address, const std::string& path,
+                         const std::string& body)
+{
+    std::optional<reply> got;
+    const auto call = start(address, {"POST", path, address, {}}, body, got);
+    REQUIRE(run_until([&] { return got.has_value(); }));
+    return *got;
+}
+
 std::unique_ptr<http::client_call> host_fixture::start(const std::string& address,
                                                        http::request_head head,
                                                        const std::string& body,
--- a/src/apps/host/tests/host_fixture.h
+++ b/src/apps/host/tests/host_fixture.h
@@ -51,7 +51,7 @@
     explicit host_fixture(const std::string& config);
 
     /// Registers a target with 4 slots for service "svc".
-    void add_target(const std::string& id, const std::string& address);
+    void add_target(const std::string& id, const std::string& address, int sequence = 1);
 
     /// Waits until the host is ready and knows this number of targets.
     void await_targets(std::size_t count);
@@ -64,6 +64,7 @@
                std::optional<reply>& into);
 
     reply get(const std::string& address, const std::string& path);
+    reply post(const std::string& address, const std::string& path, const std::string& body);
 
     bool run_until(const std::function<bool()>& condition);
 
--- a/src/apps/host/tests/memory_store.cpp
+++ b/src/apps/host/tests/memory_store.cpp
@@ -35,6 +35,35 @@
     complete_waiting();
 }
 
+std::optional<std::string> memory_store::get(const std::string& table, const std::string& key) const
+{
+    const auto found = m_tables.find(table);
+    if (found == m_tables.end() || !found->second.contains(key) || found->second.at(key).removed) {
+        return std::nullopt;
+    }
+    return found->second.at(key).value;
+}
+
+void memory_store::save()
+{
+    m_saved_tables = m_tables;
+    m_saved_version = m_version;
+}
+
+void memory_store::restore()
+{
+    m_tables = m_saved_tables;
+    m_version = m_saved_version;
+    ++m_era;
+    for (const auto& weak : std::exchange(m_waiting, {})) {
+        m_loop.schedule(base::boot_clock::now(), [weak] {
+            if (const auto held = weak.lock()) {
+                held->done(base::error{base::error_kind::store_unavailable, "restored"});
+            }
+        });
+    }
+}
+
 std::vector<rows::row> memory_store::changes_after(const std::string& table,
                                                    std::uint64_t after) const
 {
@@ -73,7 +102,8 @@
 std::unique_ptr<rows::store_call>
 memory_store::read(const std::string& table, const std::string& /*from*/, page_callback done)
 {
-    return complete_later(rows::page{changes_after(table, 0), false, m_version}, std::move(done));
+    return complete_later(rows::page{changes_after(table, 0), false, m_version, false, m_era},
+                          std::move(done));
 }
 
 std::unique_ptr<rows::store_call> memory_store::read_changes(const std::string& table,
@@ -81,9 +111,13 @@
                                                              std::chrono::milliseconds wait,
                                                              page_callback done)
 {
+    if (after > m_version) {
+        return complete_later(base::error{base::error_kind::stale, "no such version"},
+                              std::move(done));
+    }
     const std::vector<rows::row> changes = changes_after(table, after);
     if (!changes.empty() || wait.count() == 0 || is_down) {
-        return complete_later(rows::page{changes, false, m_version}, std::move(done));
+        return complete_later(rows::page{changes, false, m_version, false, m_era}, std::move(done));
     }
     ++calls;
     auto waiting = std::make_shared<waiting_call>(waiting_call{table, after, std::move(done)});
@@ -121,7 +155,7 @@
             continue;
         }
         m_loop.schedule(base::boot_clock::now(),
-                        [weak, page = rows::page{changes, false, m_version}] {
+                        [weak, page = rows::page{changes, false, m_version, false, m_era}] {
                             if (const auto held = weak.lock()) {
                                 held->done(page);
                             }
--- a/src/apps/host/tests/memory_store.h
+++ b/src/apps/host/tests/memory_store.h
@@ -24,6 +24,8 @@
     void set(const std::string& table, const std::string& key,
              const std::optional<std::string>& value);
 
+    std::optional<std::string> get(const std::string& table, const std::string& key) const;
+
     std::unique_ptr<rows::store_call> read(const std::string& table, const std::string& from,
                                            page_callback done) override;
     std::unique_ptr<rows::store_call> read_changes(const std::string& table, std::uint64_t after,
@@ -33,6 +35,13 @@
                                             const std::optional<std::string>& value,
                                             status_callback done) override;
 
+    /// Keeps a copy of all tables, from which `restore` returns to this state.
+    void save();
+
+    /// Returns to the saved state, with the versions of that time, and begins a new era. Waiting
+    /// calls fail.
+    void restore();
+
     bool is_down = false;
     int calls = 0;
 
@@ -45,8 +54,13 @@
     void complete_waiting();
 
     http::loop& m_loop;
-    std::map<std::string, std::map<std::string, rows::row>> m_tables;
+    using tables = std::map<std::string, std::map<std::string, rows::row>>;
+
+    tables m_tables;
     std::uint64_t m_version = 1;
+    std::uint64_t m_era = 1;
+    tables m_saved_tables;
+    std::uint64_t m_saved_version = 1;
     std::vector<std::weak_ptr<waiting_call>> m_waiting;
 };
 
--- a/src/apps/host/tests/relay_store_test.cpp
+++ b/src/apps/host/tests/relay_store_test.cpp
@@ -33,7 +33,7 @@
     REQUIRE(fleet::record_contact(context.members, reader, base::boot_clock::now()));
     // A leaving host does not read the store, so the other host is the reader.
     self.state = fleet::member_state::leaving;
-    apps::relay_store relay(context, self, store);
+    apps::relay_store relay(context, self, store, [](std::uint64_t) {});
     store.set("servers", "t1", "{}");
 
     std::vector<base::result<rows::page>> results;
--- a/src/fleet/exchange_encoding.cpp
+++ b/src/fleet/exchange_encoding.cpp
@@ -95,6 +95,9 @@
 std::string encode(const exchange_message& message)
 {
     json made{{"m", member_json(message.from)}, {"v", message.versions}};
+    if (!message.eras.empty()) {
+        made["e"] = message.eras;
+    }
     if (!message.wanted.empty()) {
         made["w"] = amounts_json(message.wanted);
     }
@@ -116,6 +119,7 @@
         exchange_message message;
         message.from = read_member(from.at("m"));
         message.versions = from.at("v").get<std::map<std::string, std::uint64_t>>();
+        message.eras = from.value("e", std::map<std::string, std::uint64_t>());
         message.wanted = read_amounts<base::account_id>(from.value("w", json::object()));
         message.granted = read_amounts<base::account_id>(from.value("g", json::object()));
         message.crashes = read_crashes(from.value("c", json::array()));
@@ -140,7 +144,10 @@
     for (const rows::row& change : update.rows) {
         changes.push_back(json::array({change.key, change.version, change.removed, change.value}));
     }
-    const json made{{"v", update.version}, {"full", update.is_full}, {"rows", changes}};
+    json made{{"v", update.version}, {"full", update.is_full}, {"rows", changes}};
+    if (update.era > 0) {
+        made["e"] = update.era;
+    }
     return made.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -150,6 +157,7 @@
         rows::replica_update update;
         update.version = from.at("v").get<std::uint64_t>();
         update.is_full = from.at("full").get<bool>();
+        update.era = from.value("e", std::uint64_t{0});
         for (const json& one : from.at("rows")) {
             update.rows.push_back({one.at(0).get<std::string>(), one.at(3).get<std::string>(),
                                    one.at(1).get<std::uint64_t>(), one.at(2).get<bool>()});
--- a/src/fleet/tests/exchange_encoding_test.cpp
+++ b/src/fleet/tests/exchange_encoding_test.cpp
@@ -10,6 +10,7 @@
     message.from = {base::host_id("h1"), base::failure_domain_id("d1"), "1.2.3.4:80",
                     "1.2.3.4:90",        base::incarnation(7),          fleet::member_state::ready};
     message.versions = {{"op", 12}};
+    message.eras = {{"op", 3}};
     message.wanted[base::account_id("coop")] = 2.5;
     message.crashes.push_back({3, base::target_id("t1"), {~0ULL, 7}});
     message.granted[base::account_id("coop")] = 1.999;
@@ -20,6 +21,7 @@
     CHECK(copy.from.control_address == "1.2.3.4:90");
     CHECK(copy.from.state == fleet::member_state::ready);
     CHECK(copy.versions.at("op") == 12);
+    CHECK(copy.eras.at("op") == 3);
     CHECK(copy.wanted.at(base::account_id("coop")) == doctest::Approx(2.5));
     CHECK(copy.loads.at(base::service_id("desk")) == doctest::Approx(0.75));
     REQUIRE(copy.crashes.size() == 1);
@@ -44,5 +46,13 @@
         CHECK(base::value_of(read_back).is_full);
         CHECK(base::value_of(read_back).rows[0].value == "v");
         CHECK(base::value_of(read_back).rows[1].removed);
+        CHECK(base::value_of(read_back).era == 0);
+    }
+    SUBCASE("rows keep the era of the store")
+    {
+        const rows::replica_update update{10, true, {}, 4};
+        const auto read_back = fleet::parse_update(fleet::encode(update));
+        REQUIRE(base::is_ok(read_back));
+        CHECK(base::value_of(read_back).era == 4);
     }
 }
--- a/src/fleet/types/exchange.h
+++ b/src/fleet/types/exchange.h
@@ -22,6 +22,8 @@
     member from;
     /// Newest version that the sender knows of each shared table.
     std::map<std::string, std::uint64_t> versions;
+    /// Era of each version, see `rows::page::era`; tables without eras are missing.
+    std::map<std::string, std::uint64_t> eras;
     /// Tokens that the sender requests in addition to its own share, by account.
     std::map<base::account_id, double> wanted;
     /// Tokens that the sender grants the receiver from its own share, by account.
--- a/src/rows/table_follower.cpp
+++ b/src/rows/table_follower.cpp
@@ -4,6 +4,7 @@
 #include "telemetry/event_log.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace snipeshore::rows {
@@ -35,6 +36,14 @@
     schedule_next(std::chrono::milliseconds{0});
 }
 
+void table_follower::on_era(std::uint64_t era)
+{
+    if (m_is_loaded && !m_needs_all && era > m_replica.era) {
+        m_needs_all = true;
+        restart();
+    }
+}
+
 void table_follower::schedule_next(std::chrono::milliseconds pause)
 {
     m_loop.cancel(m_timer);
@@ -62,6 +71,12 @@
         return;
     }
     page& current = base::value_of(response);
+    if (!m_partial.empty() && current.era != m_partial_era) {
+        m_partial.clear(); // The pages are of different eras.
+        schedule_next(m_settings.initial_backoff);
+        return;
+    }
+    m_partial_era = current.era;
     // Changes made between two pages are read again as changes after the lowest version of the
     // pages.
     m_partial_version =
@@ -72,24 +87,26 @@
         return;
     }
     on_success();
-    if (m_partial_version < m_replica.version) {
+    if (std::tie(m_partial_era, m_partial_version) < std::tie(m_replica.era, m_replica.version)) {
         // The response is older than the replica, for example from a lagging store.
         telemetry::log_event(severity::warning, "table_read_older",
                              {{"table", m_settings.table},
                               {"version", m_partial_version},
-                              {"era", current.era},
-                              {"known", m_replica.version}});
+                              {"era", m_partial_era},
+                              {"known", m_replica.version},
+                              {"known_era", m_replica.era}});
         schedule_next(m_settings.initial_backoff);
         return;
     }
-    const std::vector<row> changes = replace(m_replica, m_partial, m_partial_version);
+    const std::vector<row> changes = update_replica(
+        [this] { return replace(m_replica, m_partial, m_partial_version, m_partial_era); });
     m_partial.clear();
     m_needs_all = false;
     m_is_loaded = true;
     telemetry::log_event(severity::info, "table_read",
                          {{"table", m_settings.table},
                           {"version", m_replica.version},
-                          {"era", current.era},
+                          {"era", m_replica.era},
                           {"rows", static_cast<std::uint64_t>(m_replica.rows.size())}});
     m_on_change(changes);
     schedule_next(m_settings.pause);
@@ -109,7 +126,9 @@
         if (failure.kind == base::error_kind::stale) {
             m_needs_all = true;
             telemetry::log_event(severity::warning, "table_history_gone",
-                                 {{"table", m_settings.table}, {"version", m_replica.version}});
+                                 {{"table", m_settings.table},
+                                  {"version", m_replica.version},
+                                  {"era", m_replica.era}});
             schedule_next(std::chrono::milliseconds{0});
             return;
         }
@@ -118,6 +137,17 @@
     }
     on_success();
     const page& current = base::value_of(response);
+    if (current.era > m_replica.era) {
+        // The store may have given out the requested version again, so the changes after it do not
+        // continue from the replica.
+        m_needs_all = true;
+        schedule_next(std::chrono::milliseconds{0});
+        return;
+    }
+    if (current.era < m_replica.era) {
+        schedule_next(m_settings.initial_backoff);
+        return;
+    }
     const std::vector<row> changes = merge(m_replica, current.rows);
     m_replica.version = std::max(m_replica.version, current.version);
     if (!changes.empty()) {
@@ -126,6 +156,25 @@
     schedule_next(current.is_pushed ? std::chrono::milliseconds{0} : m_settings.pause);
 }
 
+template <typename Change>
+std::vector<row> table_follower::update_replica(const Change& change)
+{
+    const std::uint64_t era = m_replica.era;
+    const std::uint64_t version = m_replica.version;
+    const std::vector<row> changes = change();
+    if (m_replica.era != era && m_is_loaded) {
+        m_store_reachable_since = base::boot_clock::now();
+        telemetry::log_event(severity::warning, "store_restored",
+                             {{"table", m_settings.table},
+                              {"era", m_replica.era},
+                              {"era_before", era},
+                              {"version", m_replica.version},
+                              {"version_before", version},
+                              {"changes", static_cast<std::uint64_t>(changes.size())}});
+    }
+    return changes;
+}
+
 void table_follower::on_failure(const base::error& failure)
 {
     if (m_is_store_reachable || m_retry == m_settings.initial_backoff) {
@@ -146,15 +195,17 @@
     }
     m_is_store_reachable = true;
     m_store_reachable_since = base::boot_clock::now();
-    telemetry::log_event(severity::info, "store_in_touch",
-                         {{"table", m_settings.table}, {"version", m_replica.version}});
+    telemetry::log_event(
+        severity::info, "store_in_touch",
+        {{"table", m_settings.table}, {"version", m_replica.version}, {"era", m_replica.era}});
 }
 
 void table_follower::apply_peer_update(const replica_update& update)
 {
-    const std::vector<row> changes = apply(m_replica, update);
+    const std::uint64_t era = m_replica.era;
+    const std::vector<row> changes = update_replica([&] { return apply(m_replica, update); });
     m_is_loaded = m_is_loaded || update.version > 0;
-    if (!changes.empty()) {
+    if (!changes.empty() || m_replica.era != era) {
         m_on_change(changes);
     }
 }
--- a/src/rows/table_follower.h
+++ b/src/rows/table_follower.h
@@ -31,7 +31,7 @@
 };
 
 /// To be used on the loop's thread only. Reads the whole table once and then its changes; reads the
-/// whole table again when the store no longer has the history.
+/// whole table again when the store no longer has the history or was restored to an earlier state.
 class table_follower {
 public:
     using change_callback = std::function<void(const std::vector<row>& changes)>;
@@ -50,6 +50,10 @@
     /// answered.
     void restart();
 
+    /// Reads the whole table at once if the store is known to have begun a later era, because the
+    /// call in flight may wait for a change after a version of an earlier one.
+    void on_era(std::uint64_t era);
+
     /// Applies rows that a peer has read.
     void apply_peer_update(const replica_update& update);
 
@@ -65,8 +69,9 @@
     /// need not be asked.
     bool is_expected_current(base::time_point now) const;
 
-    /// Time of the first successful call after the last failure, or of the first successful call;
-    /// before that, the time of construction.
+    /// Time of the first successful call after the last failure or restoration of the store, or of
+    /// the first successful call; before that, the time of construction. Rows that are missing soon
+    /// after it may be written again.
     base::time_point store_reachable_since() const;
 
 private:
@@ -76,6 +81,9 @@
     void on_changes(base::result<page> response);
     void on_failure(const base::error& failure);
     void on_success();
+    /// Applies `change` to the replica and records whether that began a new era.
+    template <typename Change>
+    std::vector<row> update_replica(const Change& change);
     void schedule_next(std::chrono::milliseconds pause);
 
     http::loop& m_loop;
@@ -85,6 +93,7 @@
     table_replica m_replica;
     std::vector<row> m_partial; ///< Rows of an unfinished full read over several pages.
     std::uint64_t m_partial_version = 0;
+    std::uint64_t m_partial_era = 0;
     bool m_is_loaded = false;
     bool m_is_store_reachable = false;
     bool m_needs_all = true;
--- a/src/rows/tests/table_follower_test.cpp
+++ b/src/rows/tests/table_follower_test.cpp
@@ -115,6 +115,70 @@
         loop.run();
         CHECK(seen == std::vector<std::string>{"+a"});
     }
+    // Guards against confirmed changes that are never in force: a store that was restored to an
+    // earlier state gives out versions again, and its rows counted as older than the lost ones.
+    SUBCASE("a store that was restored to an earlier state is read again, whatever its versions")
+    {
+        store.answers = {rows::page{{{"a", "1", 3}, {"lost", "1", 54}}, false, 54, false, 1},
+                         base::error{base::error_kind::stale, "gone"},
+                         rows::page{{{"a", "0", 2}}, false, 45, false, 2},
+                         rows::page{{{"a", "2", 53}}, false, 53, false, 2}};
+        follower.start();
+        const base::time_point before = base::boot_clock::now();
+        loop.run();
+        CHECK(store.calls ==
+              std::vector<std::string>{"read ", "changes 54", "read ", "changes 45", "changes 53"});
+        CHECK(seen == std::vector<std::string>{"+a", "+lost", "+a", "-lost", "+a"});
+        CHECK(follower.replica().rows.at("a").value == "2");
+        CHECK(follower.store_reachable_since() >= before);
+    }
+    SUBCASE("changes after a version that was given out again are not applied to the lost rows")
+    {
+        store.answers = {
+            rows::page{{{"a", "1", 3}, {"lost", "1", 54}}, false, 54, false, 1},
+            rows::page{{{"b", "1", 55}}, false, 55, false, 2},
+            rows::page{{{"a", "1", 3}, {"c", "1", 50}, {"b", "1", 55}}, false, 55, false, 2}};
+        follower.start();
+        loop.run();
+        CHECK(store.calls.back() == "changes 55");
+        CHECK(follower.replica().rows.at("c").value == "1");
+        CHECK(follower.replica().rows.at("lost").removed);
+    }
+    SUBCASE("an era that is known from another table makes it read the whole table again")
+    {
+        store.answers = {rows::page{{{"a", "1", 3}}, false, 5, false, 1}};
+        follower.start();
+        loop.run();
+        store.answers = {rows::page{{{"a", "0", 2}}, false, 5, false, 2}};
+        follower.on_era(1);
+        follower.on_era(2);
+        loop.run();
+        CHECK(store.calls == std::vector<std::string>{"read ", "changes 5", "read ", "changes 5"});
+        CHECK(follower.replica().rows.at("a").value == "0");
+    }
+    SUBCASE("pages of different eras are not joined to one table")
+    {
+        store.answers = {rows::page{{{"a", "1", 3}}, true, 5, false, 1},
+                         rows::page{{{"b", "1", 4}}, false, 4, false, 2},
+                         rows::page{{{"b", "1", 4}}, false, 4, false, 2}};
+        follower.start();
+        loop.run();
+        CHECK(seen == std::vector<std::string>{"+b"});
+    }
+    SUBCASE("a peer's whole table of a later era replaces the rows, one of an earlier era does not")
+    {
+        store.answers = {rows::page{{{"a", "1", 50}}, false, 54, false, 1},
+                         base::error{base::error_kind::store_unavailable, "down"}};
+        follower.start();
+        loop.run();
+        follower.apply_peer_update({45, true, {{"a", "0", 44}}, 2});
+        CHECK(follower.replica().rows.at("a").value == "0");
+        CHECK(follower.replica().version == 45);
+        follower.apply_peer_update({60, true, {{"a", "1", 50}}, 1});
+        follower.apply_peer_update({61, false, {{"a", "3", 61}}, 1});
+        CHECK(follower.replica().rows.at("a").value == "0");
+        CHECK(follower.replica().version == 45);
+    }
     SUBCASE("a source that pushes changes is called again without the pause of the follower")
     {
         rows::follow_settings paused = settings;
--- a/src/rows/types/row.h
+++ b/src/rows/types/row.h
@@ -10,7 +10,7 @@
 struct row {
     std::string key;
     std::string value;
-    std::uint64_t version = 0; ///< Increases with every change in the store.
+    std::uint64_t version = 0; ///< Increases with every change within an era of the store.
     bool removed = false;
     std::uint64_t changed = 0; ///< Version of the last change that did not only repeat the row.
 };
