--- a/src/fleet/exchange_encoding.cpp
+++ b/src/fleet/exchange_encoding.cpp
@@ -32,6 +32,15 @@
     return base::read_count(from, std::numeric_limits<std::uint64_t>::max());
 }
 
+std::map<std::string, std::uint64_t> read_numbers(const json& from)
+{
+    std::map<std::string, std::uint64_t> numbers;
+    for (const auto& [name, number] : from.get_ref<const json::object_t&>()) {
+        numbers[name] = read_number(number);
+    }
+    return numbers;
+}
+
 member read_member(const json& from)
 {
     member host;
@@ -133,6 +142,9 @@
 std::string encode(const exchange_message& message)
 {
     json made{{"m", member_json(message.from)}, {"v", message.versions}};
+    if (!message.eras.empty()) {
+        made["e"] = message.eras;
+    }
     if (!message.wanted.empty()) {
         made["w"] = amounts_json(message.wanted);
     }
@@ -153,9 +165,8 @@
     return parse_with(text, [](const json& from) {
         exchange_message message;
         message.from = read_member(from.at("m"));
-        for (const auto& [table, version] : from.at("v").get_ref<const json::object_t&>()) {
-            message.versions[table] = read_number(version);
-        }
+        message.versions = read_numbers(from.at("v"));
+        message.eras = read_numbers(from.value("e", json::object()));
         message.wanted = read_amounts<base::account_id>(from.value("w", json::object()));
         message.granted = read_amounts<base::account_id>(from.value("g", json::object()));
         message.crashes = read_crashes(from.value("c", json::array()));
@@ -178,6 +189,9 @@
 {
     json made{
         {"v", update.version}, {"full", update.is_full}, {"rows", rows_json(update.rows, false)}};
+    if (update.era > 0) {
+        made["e"] = update.era;
+    }
     try {
         return made.dump();
     } catch (const json::exception&) {
@@ -193,6 +207,7 @@
         rows::replica_update update;
         update.version = read_number(from.at("v"));
         update.is_full = from.at("full").get<bool>();
+        update.era = from.contains("e") ? read_number(from.at("e")) : 0;
         for (const json& one : from.at("rows")) {
             update.rows.push_back({one.at(0).get<std::string>(), one.at(3).get<std::string>(),
                                    read_number(one.at(1)), one.at(2).get<bool>()});
--- a/src/rows/types/row.h
+++ b/src/rows/types/row.h
@@ -10,7 +10,7 @@
 struct row {
     std::string key;
     std::string value;
-    std::uint64_t version = 0; ///< Increases with every change in the store.
+    std::uint64_t version = 0; ///< Increases with every change within an era of the store.
     bool removed = false;
     std::uint64_t changed = 0; ///< Version of the last change that did not only repeat the row.
 };
@@ -22,6 +22,9 @@
     std::uint64_t version = 0; ///< Newest version in the store at the time of the response.
     /// The source delivers changes as they arrive, so the next call is made without a pause.
     bool is_pushed = false;
+    /// Rises each time the store is restored to an earlier state. From then on it gives out
+    /// versions again, so versions of different eras cannot be compared. 0: the store has no eras.
+    std::uint64_t era = 0;
 };
 
 } // namespace snipeshore::rows
