Make a publication conditional on the store's era

Seen by operators: when the store came back from an older copy during a publication, snipeshorectl could replace another operator's publication without a conflict, or put a version in force whose objects were lost, which no agent could fetch.

Cause: the row's write was conditional on the row's version alone. A restored store gives out row versions again for other content, and the objects, written before the row, may be gone.

Change: rows carry the store's era (header Store-Era, 0 if it is not sent) and a write names the era of its read. In another era the publisher reads again. It goes on if the row holds its base or an earlier publication, writing the objects again, and otherwise reports a conflict, or an unknown outcome if its own write may have been in force before. A store that ignores the condition is noticed by the era of its reply; a publication that it replaced is then not recovered.

--- a/src/apps/agent/tests/fake_store.h
+++ b/src/apps/agent/tests/fake_store.h
@@ -29,7 +29,7 @@
         });
     }
 
-    void write_row(const std::string& key, std::uint64_t /*expected_version*/,
+    void write_row(const std::string& key, const store::row_condition& /*expected*/,
                    const std::string& value, row_callback done) override
     {
         auto& row = rows[key];
--- a/src/apps/ctl/publication.cpp
+++ b/src/apps/ctl/publication.cpp
@@ -31,6 +31,7 @@
 base::result<documents::published_row> parse_row(const store::row& row)
 {
     documents::published_row state;
+    state.store_era = row.era;
     if (row.version == 0) {
         return state;
     }
@@ -78,6 +79,8 @@
         return write_result::in_force;
     case documents::publish_step::write_row:
         return write_result::not_written;
+    case documents::publish_step::plan_again:
+        return write_result::restored;
     default:
         break;
     }
--- a/src/apps/ctl/publication.h
+++ b/src/apps/ctl/publication.h
@@ -29,7 +29,9 @@
     in_force,     ///< The publication took effect.
     not_written,  ///< The row is unchanged. The write may still take effect; it can be sent again.
     superseded,   ///< Another publication was written instead; this one was never in force.
-    undetermined, ///< The store was restored; this publication may have been in force before.
+    restored,     ///< The store was restored; the publication has to be planned again.
+    undetermined, ///< The store was restored but does not report its era; this publication may have
+                  ///< been in force before.
 };
 
 /// Determines the result of a write without a reply from the row that was read afterwards.
--- a/src/apps/ctl/publisher.cpp
+++ b/src/apps/ctl/publisher.cpp
@@ -75,7 +75,10 @@
             const documents::publish_plan& plan = std::get<documents::publish_plan>(planned);
             const base::status written = write_objects(plan);
             if (base::is_ok(written)) {
-                return write_row(plan);
+                if (auto report = write_row(plan)) {
+                    return *report;
+                }
+                continue;
             }
             const base::error& failure = base::error_of(written);
             if (failure.kind != error_kind::version_conflict) {
@@ -89,6 +92,12 @@
             if (!base::is_ok(state)) {
                 return report_failure(base::error_of(state));
             }
+            if (base::value_of(state).store_era != plan.store_era) {
+                if (auto report = start_again(plan)) {
+                    return *report;
+                }
+                continue;
+            }
             if (base::value_of(state).row_version != m_base.state.row_version) {
                 return report_superseded(base::value_of(state), plan, publish_outcome::conflict);
             }
@@ -137,6 +146,33 @@
         return std::monostate{};
     }
 
+    /// Reads the row and text again after a restoration of the store, which may have lost objects
+    /// and given the row's version to another publication. Empty if the publication can be planned
+    /// again.
+    std::optional<publish_report> start_again(const documents::publish_plan& plan)
+    {
+        const documents::published_row before = m_base.state;
+        const base::status read = read_base();
+        if (!base::is_ok(read)) {
+            return report_failure(base::error_of(read));
+        }
+        if (documents::is_same_or_earlier(before, m_base.state)) {
+            return std::nullopt;
+        }
+        return report_superseded(m_base.state, plan, outcome_without_effect_now());
+    }
+
+    /// Outcome of a publication that is not in the row.
+    publish_outcome outcome_without_effect_now() const
+    {
+        return m_may_have_effect ? publish_outcome::unknown : publish_outcome::conflict;
+    }
+
+    publish_outcome outcome_while_unavailable() const
+    {
+        return m_may_have_effect ? publish_outcome::unknown : publish_outcome::unavailable;
+    }
+
     base::status write_object_with_retries(const std::string& name, const std::string& content)
     {
         return with_retries([&] { return m_store.write_object(name, content); });
@@ -155,15 +191,15 @@
     }
 
     /// Repeats the write until its outcome is known. This is safe because the condition on the
-    /// row's version ensures that it takes effect at most once.
-    publish_report write_row(const documents::publish_plan& plan)
+    /// row's version and the store's era ensures that it takes effect at most once. Empty if the
+    /// store was restored and the publication has to be planned again.
+    std::optional<publish_report> write_row(const documents::publish_plan& plan)
     {
-        bool may_have_effect = false;
         std::string cause;
         do {
-            const auto outcome =
-                m_store.write_row(documents::row_key(m_request.document), plan.expected_row_version,
-                                  documents::encode(plan.record));
+            const auto outcome = m_store.write_row(documents::row_key(m_request.document),
+                                                   {plan.expected_row_version, plan.store_era},
+                                                   documents::encode(plan.record));
             if (base::is_ok(outcome)) {
                 return report_published(plan);
             }
@@ -171,44 +207,48 @@
             if (!is_transient(failure) && failure.kind != error_kind::version_conflict) {
                 return report_failure(failure);
             }
-            may_have_effect = may_have_effect || failure.kind == error_kind::store_unknown;
+            m_may_have_effect = m_may_have_effect || failure.kind == error_kind::store_unknown;
             cause = failure.detail;
-            if (auto report = read_outcome(plan, may_have_effect)) {
-                return *report;
+            const auto row = m_store.read_row(documents::row_key(m_request.document));
+            if (!base::is_ok(row)) {
+                continue;
+            }
+            const auto state = parse_row(base::value_of(row));
+            if (!base::is_ok(state)) {
+                return report_failure(base::error_of(state));
+            }
+            const write_result result = check_write_result(base::value_of(state), plan);
+            if (result == write_result::restored) {
+                return start_again(plan);
+            }
+            if (result != write_result::not_written) {
+                return report_result(result, base::value_of(state), plan);
             }
         } while (wait_before_retry());
         publish_report report;
-        report.outcome = may_have_effect ? publish_outcome::unknown : publish_outcome::unavailable;
+        report.outcome = outcome_while_unavailable();
         report.in_force = m_base.state.record.value_or(documents::publication{});
         report.detail = cause;
         return report;
     }
 
-    /// Reads the row to determine the outcome; empty if it is still open.
-    std::optional<publish_report> read_outcome(const documents::publish_plan& plan,
-                                               bool may_have_effect)
+    publish_report report_result(write_result result, const documents::published_row& state,
+                                 const documents::publish_plan& plan)
     {
-        const auto row = m_store.read_row(documents::row_key(m_request.document));
-        if (!base::is_ok(row)) {
-            return std::nullopt;
-        }
-        const auto state = parse_row(base::value_of(row));
-        if (!base::is_ok(state)) {
-            return report_failure(base::error_of(state));
+        if (result != write_result::in_force) {
+            return report_superseded(state, plan,
+                                     result == write_result::undetermined
+                                         ? outcome_without_effect_now()
+                                         : publish_outcome::conflict);
         }
-        switch (check_write_result(base::value_of(state), plan)) {
-        case write_result::in_force:
-            return report_published(plan);
-        case write_result::not_written:
-            return std::nullopt;
-        case write_result::superseded:
-            return report_superseded(base::value_of(state), plan, publish_outcome::conflict);
-        case write_result::undetermined:
-            break;
+        // Without a reply to the write it is not known whether the objects were lost before it.
+        if (state.store_era != plan.store_era) {
+            const base::status written = write_objects(plan);
+            if (!base::is_ok(written)) {
+                return report_failure(base::error_of(written));
+            }
         }
-        return report_superseded(base::value_of(state), plan,
-                                 may_have_effect ? publish_outcome::unknown
-                                                 : publish_outcome::conflict);
+        return report_published(plan);
     }
 
     publish_report report_published(const documents::publish_plan& plan) const
@@ -270,7 +310,7 @@
     {
         publish_report report;
         report.outcome =
-            is_transient(failure) ? publish_outcome::unavailable : publish_outcome::malformed;
+            is_transient(failure) ? outcome_while_unavailable() : publish_outcome::malformed;
         report.in_force = m_base.state.record.value_or(documents::publication{});
         report.detail = failure.detail;
         return report;
@@ -283,6 +323,7 @@
     std::string m_publication_id;
     stored_document m_base;
     std::uint64_t m_taken_version = 0;
+    bool m_may_have_effect = false; ///< A write of the row ended with an unknown outcome.
 };
 
 } // namespace
--- a/src/apps/ctl/store_session.cpp
+++ b/src/apps/ctl/store_session.cpp
@@ -64,12 +64,11 @@
 }
 
 base::result<store::row> store_session::write_row(const std::string& key,
-                                                  std::uint64_t expected_version,
+                                                  const store::row_condition& expected,
                                                   const std::string& value)
 {
-    return m_impl->wait_for<base::result<store::row>>([&](auto done) {
-        m_impl->store->write_row(key, expected_version, value, std::move(done));
-    });
+    return m_impl->wait_for<base::result<store::row>>(
+        [&](auto done) { m_impl->store->write_row(key, expected, value, std::move(done)); });
 }
 
 base::result<std::string> store_session::read_object(const std::string& name)
--- a/src/apps/ctl/store_session.h
+++ b/src/apps/ctl/store_session.h
@@ -22,7 +22,7 @@
     store_session& operator=(store_session&&) = delete;
 
     base::result<store::row> read_row(const std::string& key);
-    base::result<store::row> write_row(const std::string& key, std::uint64_t expected_version,
+    base::result<store::row> write_row(const std::string& key, const store::row_condition& expected,
                                        const std::string& value);
     base::result<std::string> read_object(const std::string& name);
     base::status write_object(const std::string& name, const std::string& content);
--- a/src/apps/ctl/tests/publication_test.cpp
+++ b/src/apps/ctl/tests/publication_test.cpp
@@ -127,6 +127,13 @@
     CHECK(check_write_result({13, next}, plan) == write_result::in_force);
     CHECK(check_write_result({5, publication_of(1, "1", "restored")}, plan) ==
           write_result::undetermined);
+    // After a restoration the row versions and document versions say nothing.
+    CHECK(check_write_result({11, publication_of(1, "{}", "earlier"), 1}, plan) ==
+          write_result::restored);
+    CHECK(check_write_result({12, publication_of(2, "1", "theirs"), 1}, plan) ==
+          write_result::restored);
+    CHECK(check_write_result({12, plan.record, 1}, plan) == write_result::in_force);
+    CHECK(check_write_result({13, next, 1}, plan) == write_result::in_force);
 }
 
 TEST_CASE("the row's value is parsed, and malformed values are rejected")
--- a/src/apps/ctl/tests/publisher_test.cpp
+++ b/src/apps/ctl/tests/publisher_test.cpp
@@ -15,6 +15,7 @@
 const std::string text_a = R"({"a":1})";
 const std::string text_b = R"({"a":1,"b":2})";
 const std::string text_c = R"({"a":3})";
+const std::string text_d = R"({"d":4})";
 
 publication_request request_of(const std::string& text)
 {
@@ -43,6 +44,23 @@
         return base::value_of(stored);
     }
 
+    /// Request to publish `text`. The store is restored after the row was read, and another
+    /// operator publishes `other`.
+    publication_request request_before_restoration(const std::string& text,
+                                                   const std::string& other)
+    {
+        auto request = concurrent_request(text, other);
+        request.make_text = [this, make_text = request.make_text,
+                             is_restored = false](std::uint64_t version) mutable {
+            if (!is_restored) {
+                is_restored = true;
+                platform.with_server([](auto& server) { server.restore_snapshot(); });
+            }
+            return make_text(version);
+        };
+        return request;
+    }
+
     /// Request to publish `text`. Another operator publishes `other` after the row was read.
     publication_request concurrent_request(const std::string& text, const std::string& other)
     {
@@ -190,6 +208,27 @@
         CHECK(report.outcome == publish_outcome::published);
         CHECK(report.in_force.version.value() == 3);
     }
+    SUBCASE("does not overwrite another publication that got the same row version after a "
+            "restoration")
+    {
+        REQUIRE(test.publish_text(text_a).outcome == publish_outcome::published);
+        test.platform.with_server([](auto& server) { server.take_snapshot(); });
+        REQUIRE(test.publish_text(text_b).outcome == publish_outcome::published);
+        const publish_report report =
+            publish(test.store, test.request_before_restoration(text_c, text_d), test.settings);
+        CHECK(report.outcome == publish_outcome::conflict);
+        CHECK(test.in_force().text == text_d);
+    }
+    SUBCASE("writes lost objects again if the store is restored before the row's write")
+    {
+        REQUIRE(test.publish_text(text_a).outcome == publish_outcome::published);
+        test.platform.with_server([](auto& server) {
+            server.take_snapshot();
+            server.faults().restore_after_writes = 1;
+        });
+        CHECK(test.publish_text(text_b).outcome == publish_outcome::published);
+        CHECK(test.in_force().text == text_b);
+    }
     SUBCASE("does not overwrite a row that it cannot read")
     {
         test.platform.with_server([](auto& server) {
--- a/src/documents/publishing.cpp
+++ b/src/documents/publishing.cpp
@@ -97,6 +97,7 @@
     }
     publish_plan plan;
     plan.expected_row_version = row.row_version;
+    plan.store_era = row.store_era;
     plan.text = std::move(base::value_of(text));
     plan.record.version = base::document_version(request.edited_from.value() + 1 + skip);
     plan.record.digest = digest_of(plan.text);
@@ -144,12 +145,26 @@
             return publish_step::published;
         }
     }
+    // Row versions of two eras cannot be compared.
+    if (row.store_era != plan.store_era) {
+        return publish_step::plan_again;
+    }
     // A write without a reply may still reach the store. It and its retry expect the same row
     // version, so at most one of them takes effect.
     return row.row_version == plan.expected_row_version ? publish_step::write_row
                                                         : publish_step::conflict;
 }
 
+bool is_same_or_earlier(const published_row& before, const published_row& now)
+{
+    if (!now.record || !before.record) {
+        return !now.record;
+    }
+    const auto& earlier = before.record->previous_ids;
+    return now.record->id == before.record->id ||
+           std::find(earlier.begin(), earlier.end(), now.record->id) != earlier.end();
+}
+
 publish_conflict describe_conflict(base::document_version in_force, std::string_view edited_from,
                                    std::string_view in_force_text, std::string_view wanted)
 {
--- a/src/documents/publishing.h
+++ b/src/documents/publishing.h
@@ -41,6 +41,10 @@
 /// outcome.
 publish_step after_read(const publish_plan& plan, const published_row& row);
 
+/// Whether `now` holds the publication in `before` or one that came before it, as right after a
+/// restoration of the store. Otherwise another publication was written.
+bool is_same_or_earlier(const published_row& before, const published_row& now);
+
 /// Describes the conflict for an operator whose edit is based on a text that is no longer in force.
 publish_conflict describe_conflict(base::document_version in_force, std::string_view edited_from,
                                    std::string_view in_force_text, std::string_view wanted);
--- a/src/documents/types/publication.h
+++ b/src/documents/types/publication.h
@@ -24,6 +24,7 @@
 struct published_row {
     std::uint64_t row_version = 0;
     std::optional<publication> record;
+    std::uint64_t store_era = 0; ///< Number of restorations of the store before the row was read.
 };
 
 /// An operator's request to publish a document.
@@ -36,6 +37,7 @@
 /// What a publication writes: the objects first, then the row.
 struct publish_plan {
     std::uint64_t expected_row_version = 0;
+    std::uint64_t store_era = 0; ///< The write must have no effect in another era.
     publication record;
     std::string text;
     std::string patch; ///< From the previous version; empty if its text is unknown or its number is
@@ -51,10 +53,11 @@
 
 enum class publish_step : std::uint8_t {
     published,
-    read_row,  ///< The outcome of the write is unknown: read the row and compare.
-    write_row, ///< The write had no effect so far; the same conditional write is safe to repeat.
-    conflict,  ///< Another publication came first.
-    failed,    ///< The write had no effect because of an error, such as an unavailable store.
+    read_row,   ///< The outcome of the write is unknown: read the row and compare.
+    write_row,  ///< The write had no effect so far; the same conditional write is safe to repeat.
+    plan_again, ///< The store was restored after the row was read for the plan.
+    conflict,   ///< Another publication came first.
+    failed,     ///< The write had no effect because of an error, such as an unavailable store.
 };
 
 enum class store_state : std::uint8_t {
--- a/src/store/document_store.h
+++ b/src/store/document_store.h
@@ -14,6 +14,9 @@
 /// Asynchronous; callbacks are called on the owner's thread. Errors: `store_unavailable` (the call
 /// had no effect), `store_unknown` (a write may have taken effect), `version_conflict`,
 /// `not_found`.
+///
+/// The store's era rises by one each time the store is restored from an older copy. A store that
+/// does not report its era is always in era 0.
 class document_store {
 public:
     document_store() = default;
@@ -30,9 +33,8 @@
 
     virtual void read_row(const std::string& key, row_callback done) = 0;
 
-    /// Writes only if the row's version is `expected_version` (0: the row must not exist). Returns
-    /// the new row.
-    virtual void write_row(const std::string& key, std::uint64_t expected_version,
+    /// Writes only if the row's version and the store's era are as expected. Returns the new row.
+    virtual void write_row(const std::string& key, const row_condition& expected,
                            const std::string& value, row_callback done) = 0;
 
     virtual void read_object(const std::string& name, text_callback done) = 0;
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -40,6 +40,38 @@
     return body;
 }
 
+/// Row of a successful reply with the store's era, or the error to report for the call.
+base::result<row> row_of(call_kind kind, const std::string& key, const reply& outcome,
+                         bool request_sent)
+{
+    const auto body = body_of(kind, outcome, request_sent);
+    const bool is_missing = kind == call_kind::read && !base::is_ok(body) &&
+                            base::error_of(body).kind == base::error_kind::not_found;
+    if (!base::is_ok(body) && !is_missing) {
+        return base::error_of(body);
+    }
+    const auto era = internal::read_era(kind, base::value_of(outcome).first.headers);
+    if (!base::is_ok(era)) {
+        return base::error_of(era);
+    }
+    base::result<row> read =
+        is_missing ? row{key, "", 0} : internal::read_row_body(kind, key, base::value_of(body));
+    if (base::is_ok(read)) {
+        base::value_of(read).era = base::value_of(era);
+    }
+    return read;
+}
+
+/// A store that ignores the condition on its era may have applied the write to other content.
+base::result<row> checked_write(base::result<row> written, const row_condition& expected)
+{
+    if (base::is_ok(written) && base::value_of(written).era != expected.era) {
+        return base::error{base::error_kind::store_unknown,
+                           "platform store, restored before the write"};
+    }
+    return written;
+}
+
 } // namespace
 
 struct http_store::impl : std::enable_shared_from_this<http_store::impl> {
@@ -114,33 +146,23 @@
 {
     m_impl->call("GET", "/table", key, {}, "", max_row_bytes,
                  [key, done = std::move(done)](const reply& outcome, bool request_sent) {
-                     const auto body = body_of(call_kind::read, outcome, request_sent);
-                     if (base::is_ok(body)) {
-                         done(internal::read_row_body(call_kind::read, key, base::value_of(body)));
-                     } else if (base::error_of(body).kind == base::error_kind::not_found) {
-                         done(row{key, "", 0});
-                     } else {
-                         done(base::error_of(body));
-                     }
+                     done(row_of(call_kind::read, key, outcome, request_sent));
                  });
 }
 
-void http_store::write_row(const std::string& key, std::uint64_t expected_version,
+void http_store::write_row(const std::string& key, const row_condition& expected,
                            const std::string& value, row_callback done)
 {
     http::header condition{"if-none-match", "*"};
-    if (expected_version != 0) {
-        condition = {"if-match", std::to_string(expected_version)};
+    if (expected.version != 0) {
+        condition = {"if-match", std::to_string(expected.version)};
     }
-    m_impl->call("PUT", "/table", key, {condition}, value, max_row_bytes,
-                 [key, done = std::move(done)](const reply& outcome, bool request_sent) {
-                     const auto body = body_of(call_kind::write, outcome, request_sent);
-                     if (base::is_ok(body)) {
-                         done(internal::read_row_body(call_kind::write, key, base::value_of(body)));
-                     } else {
-                         done(base::error_of(body));
-                     }
-                 });
+    m_impl->call(
+        "PUT", "/table", key, {condition, {"store-era", std::to_string(expected.era)}}, value,
+        max_row_bytes,
+        [key, expected, done = std::move(done)](const reply& outcome, bool request_sent) {
+            done(checked_write(row_of(call_kind::write, key, outcome, request_sent), expected));
+        });
 }
 
 void http_store::read_object(const std::string& name, text_callback done)
--- a/src/store/http_store.h
+++ b/src/store/http_store.h
@@ -38,7 +38,7 @@
     http_store& operator=(http_store&&) = delete;
 
     void read_row(const std::string& key, row_callback done) override;
-    void write_row(const std::string& key, std::uint64_t expected_version, const std::string& value,
+    void write_row(const std::string& key, const row_condition& expected, const std::string& value,
                    row_callback done) override;
     void read_object(const std::string& name, text_callback done) override;
     void write_object(const std::string& name, const std::string& content,
--- a/src/store/replies.cpp
+++ b/src/store/replies.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 
 namespace snipeshore::store::internal {
 
@@ -50,7 +51,22 @@
 
 base::error malformed_body_error(call_kind kind)
 {
-    return {unconfirmed_kind(kind), "platform store, malformed reply body"};
+    return {unconfirmed_kind(kind), "platform store, malformed reply"};
+}
+
+base::result<std::uint64_t> read_era(call_kind kind, const http::header_list& headers)
+{
+    const auto text = http::find_header(headers, "store-era");
+    if (!text) {
+        return std::uint64_t{0};
+    }
+    std::uint64_t era = 0;
+    const char* end = text->data() + text->size();
+    const auto [stop, failure] = std::from_chars(text->data(), end, era);
+    if (failure != std::errc() || stop != end) {
+        return malformed_body_error(kind);
+    }
+    return era;
 }
 
 base::result<row> read_row_body(call_kind kind, const std::string& key, const std::string& body)
--- a/src/store/tests/http_store_test.cpp
+++ b/src/store/tests/http_store_test.cpp
@@ -68,10 +68,11 @@
     }
 
     base::result<row> write_row(const std::string& key, std::uint64_t version,
-                                const std::string& value)
+                                const std::string& value, std::uint64_t era = 0)
     {
-        return wait_for<base::result<row>>(
-            [&](auto done) { client->write_row(key, version, value, done); });
+        return wait_for<base::result<row>>([&](auto done) {
+            client->write_row(key, {version, era}, value, done);
+        });
     }
 
     base::result<std::string> read_object(const std::string& name)
@@ -214,6 +215,20 @@
         CHECK(base::value_of(test.read_row("k")).value == "old");
         CHECK(base::value_of(test.read_row("k")).version == 1);
     }
+    SUBCASE("a row version that was given out again after a restoration is not the expected one")
+    {
+        fixture test;
+        REQUIRE(base::is_ok(test.write_row("k", 0, "old")));
+        test.server.take_snapshot();
+        REQUIRE(base::value_of(test.write_row("k", 1, "lost")).version == 2);
+        test.server.restore_snapshot();
+        CHECK(base::value_of(test.read_row("k")).era == 1);
+        CHECK(base::value_of(test.read_row("missing")).era == 1);
+        REQUIRE(base::value_of(test.write_row("k", 1, "other", 1)).version == 2);
+        CHECK(kind_of(test.write_row("k", 2, "late")) == base::error_kind::version_conflict);
+        CHECK(base::value_of(test.read_row("k")).value == "other");
+        CHECK(base::value_of(test.write_row("k", 2, "new", 1)).era == 1);
+    }
     SUBCASE("calls above the limit are rejected and later calls are served")
     {
         fixture test(std::chrono::seconds(20), 2);
@@ -276,4 +291,8 @@
           base::error_kind::store_unavailable);
     CHECK(kind_of(read_hosts_body(R"({"hosts":[{"host_id":1}]})")) ==
           base::error_kind::store_unavailable);
+    CHECK(base::value_of(read_era(call_kind::read, {})) == 0);
+    CHECK(base::value_of(read_era(call_kind::read, {{"store-era", "7"}})) == 7);
+    CHECK(kind_of(read_era(call_kind::read, {{"store-era", "7x"}})) ==
+          base::error_kind::store_unavailable);
 }
--- a/tests/standins/platform/platform_server.cpp
+++ b/tests/standins/platform/platform_server.cpp
@@ -18,14 +18,6 @@
 constexpr std::size_t max_object_bytes = 256U << 20U;
 constexpr std::uint64_t all_responses = std::numeric_limits<std::uint64_t>::max();
 
-void send_json(const std::shared_ptr<http::exchange>& to, int status, const std::string& body)
-{
-    http::response_head head;
-    head.status = status;
-    head.headers.push_back({"content-type", "application/json"});
-    to->respond(std::move(head), body);
-}
-
 std::string row_json(const std::string& key, const table_row& row)
 {
     return json{{"key", key}, {"value", row.value}, {"version", row.version}}.dump();
@@ -73,6 +65,8 @@
     faults.slow_ms = std::chrono::milliseconds(switches.value("slow_ms", faults.slow_ms.count()));
     faults.down = switches.value("down", faults.down);
     faults.down_after_writes = switches.value("down_after_writes", faults.down_after_writes);
+    faults.restore_after_writes =
+        switches.value("restore_after_writes", faults.restore_after_writes);
     faults.host_list_lag_ms = std::chrono::milliseconds(
         switches.value("host_list_lag_ms", faults.host_list_lag_ms.count()));
     if (switches.contains("lose_replies")) {
@@ -126,6 +120,16 @@
 void platform_server::restore_snapshot()
 {
     m_state = m_snapshot;
+    ++m_era;
+}
+
+void platform_server::send_json(const exchange_ptr& to, int status, const std::string& body) const
+{
+    http::response_head head;
+    head.status = status;
+    head.headers.push_back({"content-type", "application/json"});
+    head.headers.push_back({"store-era", std::to_string(m_era)});
+    to->respond(std::move(head), body);
 }
 
 void platform_server::handle(const exchange_ptr& from)
@@ -206,6 +210,11 @@
         send_json(from, 428, "{}");
         return;
     }
+    const std::string era = header_of(*from, "store-era");
+    if (!era.empty() && era != std::to_string(m_era)) {
+        respond_to_write(from, 412, "{}");
+        return;
+    }
     const auto outcome = standins::put_row(m_state, key, *expected, std::string(from->body()));
     if (outcome == write_outcome::conflict) {
         respond_to_write(from, 412, "{}");
@@ -291,8 +300,14 @@
 void platform_server::respond_to_write(const exchange_ptr& from, int status,
                                        const std::string& body)
 {
-    if (!consume_lost_response()) {
+    const bool is_lost = consume_lost_response();
+    if (!is_lost) {
         send_json(from, status, body);
+    }
+    if (m_faults.restore_after_writes != 0 && --m_faults.restore_after_writes == 0) {
+        restore_snapshot();
+    }
+    if (!is_lost) {
         return;
     }
     ++m_stats.lost_replies;
--- a/tests/standins/platform/platform_server.h
+++ b/tests/standins/platform/platform_server.h
@@ -11,6 +11,9 @@
 /// | `POST /switch` | sets faults, see `fault_switches`; `{"restore":true}` restores the snapshot |
 /// | `POST /snapshot` | saves a copy of the state |
 /// | `GET /stats` | `{"reads","writes","broken_off","lost_replies"}` |
+///
+/// All responses have the header `Store-Era`, which rises by one with each restoration. `PUT
+/// /table` with this header is answered 412 in another era.
 #pragma once
 
 #include "base/result.h"
@@ -40,6 +43,8 @@
     /// After this many writes have taken effect, the response to the last one is lost and `down` is
     /// set; 0 disables this fault.
     std::uint64_t down_after_writes = 0;
+    /// After this many writes have taken effect, the snapshot is restored; 0 disables this fault.
+    std::uint64_t restore_after_writes = 0;
     std::set<std::string> cut; ///< Clients (header `Snipeshore-Client`) handled as with `down`.
     std::chrono::milliseconds host_list_lag_ms{0};
 };
@@ -68,6 +73,7 @@
 private:
     using exchange_ptr = std::shared_ptr<http::exchange>;
 
+    void send_json(const exchange_ptr& to, int status, const std::string& body) const;
     void handle(const exchange_ptr& from);
     void handle_control(const exchange_ptr& from);
     void handle_data(const exchange_ptr& from);
@@ -86,6 +92,7 @@
     http::server m_server;
     platform_state m_state;
     platform_state m_snapshot;
+    std::uint64_t m_era = 0; ///< Number of restorations.
     fault_switches m_faults;
     platform_stats m_stats;
 };
