Publish above all versions that a restored store may have lost

Seen by operators: after the store was restored to an older copy, what they published did not come into force on the hosts that had a lost version, until the version numbers had grown past it.

Cause: versions count on from the row, so a restored store gives a number out twice, and every program compares versions only (agents, their exchange, entries, lookups, the share ledger).

Change: the versions of each era of the store begin at era * 1,000,000,000 + 1. So a version means one text, and what is published after a restoration is above all that was lost. Nothing else has to know of eras: messages, cursors and ledgers go on comparing one number, and object names are never reused, so that an immutable object cannot block a publication. The first version of an era has no patch. What a restored store still holds is below the version in force and is ignored as before.

--- a/src/apps/agent/tests/agent_core_test.cpp
+++ b/src/apps/agent/tests/agent_core_test.cpp
@@ -195,6 +195,14 @@
                        [&](const auto& name) { return fleet.version(name) == version; });
 }
 
+bool all_have_text(test_fleet& fleet, const std::string& text)
+{
+    const auto canonical = base::value_of(documents::canonical_text(text));
+    return std::all_of(all_hosts.begin(), all_hosts.end(), [&](const auto& name) {
+        return fleet.core(name).documents().get("config").text == canonical;
+    });
+}
+
 } // namespace
 
 // Guards against document versions that do not reach some host, or that revert to older ones.
@@ -258,6 +266,30 @@
         fleet.run(5s);
         CHECK(all_have(fleet, 2));
     }
+    SUBCASE("what is published after a restoration reaches hosts with lost versions and hosts that "
+            "know only the restored one")
+    {
+        const auto older = fleet.store.copy();
+        fleet.is_blocked = [](const std::string& from, const std::string& to) {
+            return from.front() != to.front();
+        };
+        fleet.host("b1").frozen = true;
+        fleet.host("b2").frozen = true;
+        fleet.store.publish("config", config_text(2));
+        fleet.run(2s);
+        REQUIRE(fleet.version("a1") == 2);
+        REQUIRE(fleet.version("b1") == 1);
+        fleet.store.restore(older);
+        fleet.store.publish("config", config_text(3));
+        fleet.host("b1").frozen = false;
+        fleet.host("b2").frozen = false;
+        fleet.is_blocked = nullptr;
+        fleet.run(10s);
+        CHECK(all_have_text(fleet, config_text(3)));
+        fleet.store.publish("config", config_text(4));
+        fleet.run(5s);
+        CHECK(all_have_text(fleet, config_text(4)));
+    }
 }
 
 // Guards against dead hosts that stay in use, and live hosts that are excluded.
--- a/src/apps/agent/tests/fake_store.h
+++ b/src/apps/agent/tests/fake_store.h
@@ -25,7 +25,9 @@
                 return;
             }
             const auto found = rows.find(key);
-            done(found == rows.end() ? store::row{key, "", 0} : found->second);
+            store::row row = found == rows.end() ? store::row{key, "", 0} : found->second;
+            row.era = era;
+            done(row);
         });
     }
 
@@ -78,7 +80,7 @@
         const auto version = documents::highest_version(before, {});
         std::string old_text;
         if (version.value() > 0) {
-            old_text = objects.at(documents::text_object_name(name, version));
+            old_text = objects.at(documents::text_object_name(name, before.record->version));
         }
         const auto plan = base::value_of(documents::plan_publish(
             {"id" + std::to_string(++m_publications), version, text}, before, {}, old_text));
@@ -89,6 +91,25 @@
         rows[key] = {key, documents::encode(plan.record), before.row_version + 1};
     }
 
+    /// Content of the store. A copy can be restored later.
+    struct content {
+        std::map<std::string, store::row> rows;
+        std::map<std::string, std::string> objects;
+    };
+
+    content copy() const
+    {
+        return {rows, objects};
+    }
+
+    /// Restores an older copy, which begins a new era.
+    void restore(const content& older)
+    {
+        rows = older.rows;
+        objects = older.objects;
+        ++era;
+    }
+
     /// Replies to the calls that were deferred.
     void run_deferred()
     {
@@ -99,6 +120,7 @@
 
     bool down = false;
     bool defer = false;
+    std::uint64_t era = 0;
     std::size_t row_reads = 0;
     std::deque<std::string> read_objects;
     std::map<std::string, store::row> rows;
@@ -115,9 +137,9 @@
     {
         const auto found = rows.find(key);
         if (found == rows.end()) {
-            return {};
+            return {0, {}, era};
         }
-        return {found->second.version, base::value_of(documents::decode(found->second.value))};
+        return {found->second.version, base::value_of(documents::decode(found->second.value)), era};
     }
 
     void reply(std::function<void()> call)
--- a/src/apps/agent/tests/store_poller_test.cpp
+++ b/src/apps/agent/tests/store_poller_test.cpp
@@ -105,6 +105,32 @@
         CHECK(scenario.poller.state_of("config") == documents::store_state::older);
         CHECK(scenario.installed == 2);
     }
+    SUBCASE("what is published after a restoration replaces the lost versions")
+    {
+        const auto older = scenario.store.copy();
+        SUBCASE("when one version was lost, whose number would be the next")
+        {
+            scenario.store.publish("config", text(2));
+        }
+        SUBCASE("when several versions were lost")
+        {
+            scenario.store.publish("config", text(2));
+            scenario.store.publish("config", text(3));
+            scenario.store.publish("config", text(4));
+        }
+        scenario.poll();
+        const std::string lost = scenario.documents.get("config").text;
+        scenario.store.restore(older);
+        scenario.poll();
+        CHECK(scenario.documents.get("config").text == lost);
+        scenario.store.publish("config", text(5));
+        scenario.poll();
+        CHECK(scenario.documents.get("config").text == text(5));
+        CHECK(scenario.poller.state_of("config") == documents::store_state::same);
+        scenario.store.publish("config", text(6));
+        scenario.poll();
+        CHECK(scenario.documents.get("config").text == text(6));
+    }
     SUBCASE("the version is kept during a store outage, and polling continues after it")
     {
         scenario.store.publish("config", text(2));
--- a/src/apps/ctl/publication.cpp
+++ b/src/apps/ctl/publication.cpp
@@ -59,7 +59,8 @@
     const base::document_version highest = documents::highest_version(row, fleet);
     const std::uint64_t skip = std::max(highest.value(), taken_version) - highest.value();
     const documents::publish_request document_request{
-        publication_id, highest, request.make_text(highest.value() + 1 + skip)};
+        publication_id, highest,
+        request.make_text(documents::next_version(row, fleet, skip).value())};
     // If the fleet has a higher version, its text is not the text in force and no patch can be
     // made.
     const bool is_base_of_patch = version_of(row) == highest.value();
--- a/src/apps/ctl/tests/publisher_test.cpp
+++ b/src/apps/ctl/tests/publisher_test.cpp
@@ -3,6 +3,7 @@
 #include "apps/ctl/publication.h"
 #include "apps/ctl/store_session.h"
 #include "apps/ctl/tests/platform_thread.h"
+#include "documents/publishing.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -196,8 +197,27 @@
         CHECK(test.publish_text(text_b).outcome == publish_outcome::published);
         CHECK(test.in_force().text == text_b);
     }
-    SUBCASE("publishes above the fleet's version after the store was restored")
+    SUBCASE("publishes above all lost versions after the store was restored")
     {
+        REQUIRE(test.publish_text(text_a).outcome == publish_outcome::published);
+        test.platform.with_server([](auto& server) { server.take_snapshot(); });
+        REQUIRE(test.publish_text(text_b).outcome == publish_outcome::published);
+        REQUIRE(test.publish_text(text_c).outcome == publish_outcome::published);
+        test.platform.with_server([](auto& server) { server.restore_snapshot(); });
+        const publish_report report = test.publish_text(text_d);
+        CHECK(report.outcome == publish_outcome::published);
+        CHECK(report.in_force.version.value() > 3);
+        CHECK(test.in_force().text == text_d);
+        CHECK_FALSE(base::is_ok(test.store.read_object(
+            documents::patch_object_name("config", report.in_force.version))));
+        const publish_report next = test.publish_text(text_b);
+        CHECK(next.in_force.version.value() == report.in_force.version.value() + 1);
+        CHECK(base::is_ok(
+            test.store.read_object(documents::patch_object_name("config", next.in_force.version))));
+    }
+    SUBCASE("publishes above the fleet's version after a store without eras was restored")
+    {
+        test.platform.with_server([](auto& server) { server.faults().hide_era = true; });
         REQUIRE(test.publish_text(text_a).outcome == publish_outcome::published);
         test.platform.with_server([](auto& server) { server.take_snapshot(); });
         REQUIRE(test.publish_text(text_b).outcome == publish_outcome::published);
--- a/src/documents/publishing.cpp
+++ b/src/documents/publishing.cpp
@@ -14,6 +14,11 @@
 // Upper bound on the publications that may follow before a publisher reads the row again.
 constexpr std::size_t max_previous_ids = 16;
 
+// A power of ten, so that era and count can be read from a version. At 2,500 publications a day an
+// era has versions for a thousand years, and JSON readers that use doubles are exact for nine
+// million eras.
+constexpr std::uint64_t versions_per_era = 1'000'000'000;
+
 bool is_under(const std::string& path, const std::string& parent)
 {
     return path.starts_with(parent) && (path.size() == parent.size() || path[parent.size()] == '/');
@@ -70,11 +75,23 @@
     }
 }
 
+base::document_version first_version(std::uint64_t store_era)
+{
+    return base::document_version(store_era * versions_per_era + 1);
+}
+
 base::document_version highest_version(const published_row& row, base::document_version fleet)
 {
     return row.record ? std::max(row.record->version, fleet) : fleet;
 }
 
+base::document_version next_version(const published_row& row, base::document_version fleet,
+                                    std::uint64_t skip)
+{
+    const base::document_version next(highest_version(row, fleet).value() + 1 + skip);
+    return std::max(next, first_version(row.store_era));
+}
+
 bool is_up_to_date(const publish_request& request, const published_row& row,
                    base::document_version fleet)
 {
@@ -99,7 +116,7 @@
     plan.expected_row_version = row.row_version;
     plan.store_era = row.store_era;
     plan.text = std::move(base::value_of(text));
-    plan.record.version = base::document_version(request.edited_from.value() + 1 + skip);
+    plan.record.version = next_version(row, fleet, skip);
     plan.record.digest = digest_of(plan.text);
     plan.record.id = request.id;
     if (row.record) {
@@ -109,7 +126,8 @@
             plan.record.previous_ids.resize(max_previous_ids);
         }
     }
-    if (!current_text.empty() && skip == 0) {
+    const bool is_consecutive = plan.record.version.value() == request.edited_from.value() + 1;
+    if (!current_text.empty() && is_consecutive) {
         auto patch = patch_between(current_text, plan.text);
         if (base::is_ok(patch)) {
             plan.patch = std::move(base::value_of(patch));
--- a/src/documents/publishing.h
+++ b/src/documents/publishing.h
@@ -18,18 +18,27 @@
 std::string encode(const publication& record);
 base::result<publication> decode(std::string_view row_value);
 
+/// First version that is published in an era of the store. It is above all versions of the eras
+/// before, which a restored store no longer knows but hosts may hold, so no version number is used
+/// for two texts.
+base::document_version first_version(std::uint64_t store_era);
+
 /// Highest known version. The fleet's version can be above the row's after the store was restored
 /// to an older state.
 base::document_version highest_version(const published_row& row, base::document_version fleet);
 
+/// Version of the next publication; `skip` as in `plan_publish`.
+base::document_version next_version(const published_row& row, base::document_version fleet,
+                                    std::uint64_t skip = 0);
+
 /// Whether the operator edited the highest version. Otherwise the publication is a conflict.
 bool is_up_to_date(const publish_request& request, const published_row& row,
                    base::document_version fleet);
 
-/// Plans a publication with the highest version plus one. `current_text` is the text that the
-/// operator edited; if it is empty (unknown), the plan has no patch. `skip` is the number of
-/// versions to skip because their objects were written by a publisher that crashed before it wrote
-/// the row.
+/// Plans a publication with the highest version plus one, or the first one of the store's era.
+/// `current_text` is the text that the operator edited; if it is empty (unknown), the plan has no
+/// patch. `skip` is the number of versions to skip because their objects were written by a
+/// publisher that crashed before it wrote the row.
 base::result<publish_plan> plan_publish(const publish_request& request, const published_row& row,
                                         base::document_version fleet, std::string_view current_text,
                                         std::uint64_t skip = 0);
--- a/src/documents/tests/publishing_test.cpp
+++ b/src/documents/tests/publishing_test.cpp
@@ -1,4 +1,5 @@
 #include "documents/publishing.h"
+#include "documents/replica.h"
 #include "documents/text.h"
 
 #include <doctest/doctest.h>
@@ -23,10 +24,11 @@
 struct table_model {
     std::uint64_t row_version = 0;
     std::string value;
+    std::uint64_t era = 0;
 
     published_row read() const
     {
-        published_row row{row_version, std::nullopt};
+        published_row row{row_version, std::nullopt, era};
         if (row_version > 0) {
             row.record = base::value_of(decode(value));
         }
@@ -189,6 +191,49 @@
     }
 }
 
+// Guards against a document that goes back, or one that is published after a restoration of the
+// store and never comes into force on a host that has a lost version. The reference model is the
+// last text that the host has seen in the row when it was published.
+TEST_CASE("publications and restorations of the store")
+{
+    CHECK(rc::check("a host has the last publication and never an earlier one", []() {
+        table_model table;
+        std::vector<table_model> copies{table};
+        replica host;
+        std::map<std::uint64_t, std::string> texts;
+        std::string last_text;
+        const int turns = *rc::gen::inRange(1, 40);
+        for (int turn = 0; turn < turns; ++turn) {
+            if (*rc::gen::inRange(0, 4) == 0) {
+                const auto era = table.era + 1;
+                table = *rc::gen::elementOf(copies);
+                table.era = era;
+            } else {
+                last_text = "[" + std::to_string(turn) + "]";
+                const auto row = table.read();
+                const auto plan = base::value_of(plan_publish(
+                    {std::to_string(turn), highest_version(row, version_of(0)), last_text}, row,
+                    version_of(0), ""));
+                RC_ASSERT(texts.emplace(plan.record.version.value(), last_text).second);
+                table.write(plan.expected_row_version, encode(plan.record));
+                copies.push_back(table);
+            }
+            const auto row = table.read();
+            if (row.record &&
+                compare(*row.record, host.version, host.digest) == store_state::newer) {
+                install(host,
+                        {row.record->version,
+                         {},
+                         row.record->digest,
+                         texts.at(row.record->version.value()),
+                         {}},
+                        replica_limits{});
+            }
+            RC_ASSERT(host.text == last_text);
+        }
+    }));
+}
+
 // Guards against agents that cannot read what snipeshorectl publishes.
 TEST_CASE("a row without the ids of earlier publications is decoded")
 {
--- a/tests/standins/platform/platform_server.cpp
+++ b/tests/standins/platform/platform_server.cpp
@@ -65,6 +65,7 @@
     faults.slow_ms = std::chrono::milliseconds(switches.value("slow_ms", faults.slow_ms.count()));
     faults.down = switches.value("down", faults.down);
     faults.down_after_writes = switches.value("down_after_writes", faults.down_after_writes);
+    faults.hide_era = switches.value("hide_era", faults.hide_era);
     faults.restore_after_writes =
         switches.value("restore_after_writes", faults.restore_after_writes);
     faults.host_list_lag_ms = std::chrono::milliseconds(
@@ -128,7 +129,9 @@
     http::response_head head;
     head.status = status;
     head.headers.push_back({"content-type", "application/json"});
-    head.headers.push_back({"store-era", std::to_string(m_era)});
+    if (!m_faults.hide_era) {
+        head.headers.push_back({"store-era", std::to_string(m_era)});
+    }
     to->respond(std::move(head), body);
 }
 
@@ -211,7 +214,7 @@
         return;
     }
     const std::string era = header_of(*from, "store-era");
-    if (!era.empty() && era != std::to_string(m_era)) {
+    if (!m_faults.hide_era && !era.empty() && era != std::to_string(m_era)) {
         respond_to_write(from, 412, "{}");
         return;
     }
--- a/tests/standins/platform/platform_server.h
+++ b/tests/standins/platform/platform_server.h
@@ -45,6 +45,7 @@
     std::uint64_t down_after_writes = 0;
     /// After this many writes have taken effect, the snapshot is restored; 0 disables this fault.
     std::uint64_t restore_after_writes = 0;
+    bool hide_era = false;     ///< Responses have no header `Store-Era`.
     std::set<std::string> cut; ///< Clients (header `Snipeshore-Client`) handled as with `down`.
     std::chrono::milliseconds host_list_lag_ms{0};
 };
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -39,6 +39,20 @@
     return true;
 }
 
+/// Whether every agent has the configuration with this digest and its entry uses the same version.
+bool has_digest_everywhere(fleet& fleet, const std::string& digest)
+{
+    for (const std::string& host : fleet.host_ids()) {
+        const json agent = fleet.agent_dump(host);
+        const json entry = fleet.entry_dump(host);
+        if (!agent.is_object() || agent["documents"]["config"]["digest"] != digest ||
+            !entry.is_object() || entry["versions"]["config"] != agent["versions"]["config"]) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool is_accepted_everywhere(fleet& fleet, const std::string& key)
 {
     for (const std::string& host : fleet.host_ids()) {
@@ -59,6 +73,13 @@
     return true;
 }
 
+void take_snapshot(fleet& fleet)
+{
+    REQUIRE(fleet.session()
+                .send({.address = fleet.platform_address(), .method = "POST", .path = "/snapshot"})
+                .status < 300);
+}
+
 } // namespace
 
 // Guards against a configuration change that does not reach every host, a withdrawn key that is
@@ -105,10 +126,7 @@
     }
     SUBCASE("after the store is restored to an older state, no host reverts its configuration")
     {
-        REQUIRE(
-            fleet.session()
-                .send({.address = fleet.platform_address(), .method = "POST", .path = "/snapshot"})
-                .status < 300);
+        take_snapshot(fleet);
         fleet.document()["accounts"][0]["rate"] = 7;
         REQUIRE(fleet.publish().status == 0);
         REQUIRE(fleet.session().run_until([&] { return is_in_force(fleet, "config", 2); },
@@ -128,6 +146,30 @@
             base::boot_clock::now() + config_bound));
         CHECK(is_in_force(fleet, "config", 2));
     }
+    SUBCASE("what is published after a restoration of the store is in force on every host, and a "
+            "withdrawn key stays withdrawn")
+    {
+        take_snapshot(fleet);
+        fleet.document()["accounts"][0]["rate"] = 7;
+        REQUIRE(fleet.publish().status == 0);
+        REQUIRE(fleet.withdraw_key(key).status == 0);
+        REQUIRE(fleet.session().run_until(
+            [&] { return is_in_force(fleet, "config", 2) && is_rejected_everywhere(fleet, key); },
+            base::boot_clock::now() + config_bound));
+        fleet.set_platform_faults({{"restore", true}});
+        // A restarted agent knows only what the store and its peers tell it.
+        host_processes& restarted = fleet.host(fleet.host_ids().front());
+        restarted.agent->send_signal(SIGKILL);
+        restarted.agent->wait_exit(base::boot_clock::now() + 5s);
+        fleet.start_agent(restarted);
+        fleet.document()["accounts"][0]["rate"] = 9;
+        REQUIRE(fleet.publish().status == 0);
+        const json published = json::parse(fleet.ctl({"show", "config", "--json"}).output);
+        CHECK(fleet.session().run_until(
+            [&] { return has_digest_everywhere(fleet, published["digest"]); },
+            base::boot_clock::now() + config_bound));
+        CHECK(is_rejected_everywhere(fleet, key));
+    }
     SUBCASE("an agent that is suspended while a key is withdrawn rejects the key after it resumes")
     {
         const std::string suspended = fleet.host_ids().back();
