Publish a text again that was in force before the store was restored

Seen by operators: to go back to the document that a restored store shows, they published it and were told "already in force", while the hosts kept the lost version.

Cause: the row's text was taken for the one in force. After a restoration it may be older than the hosts'.

Change: a version from an earlier era of the store does not count as in force, so the same text is published once with the first version of the era.

publisher_test, "publishes the restored text again", failed before (outcome already_in_force, version 1).

--- a/src/apps/ctl/publication.cpp
+++ b/src/apps/ctl/publication.cpp
@@ -13,8 +13,10 @@
 bool is_in_force(const documents::published_row& row, const publication_request& request)
 {
     // The fleet ignores a version at or below `above_version`, so the text has to be published
-    // again.
-    if (!row.record || version_of(row) <= request.above_version) {
+    // again. So does a text that was published before the store was restored: hosts may have a
+    // lost version in force.
+    if (!row.record || version_of(row) <= request.above_version ||
+        row.record->version < documents::first_version(row.store_era)) {
         return false;
     }
     const auto text = documents::canonical_text(request.make_text(version_of(row)));
--- a/src/apps/ctl/tests/publisher_test.cpp
+++ b/src/apps/ctl/tests/publisher_test.cpp
@@ -215,6 +215,17 @@
         CHECK(base::is_ok(
             test.store.read_object(documents::patch_object_name("config", next.in_force.version))));
     }
+    SUBCASE("publishes the restored text again, because hosts may have a lost one in force")
+    {
+        REQUIRE(test.publish_text(text_a).outcome == publish_outcome::published);
+        test.platform.with_server([](auto& server) { server.take_snapshot(); });
+        REQUIRE(test.publish_text(text_b).outcome == publish_outcome::published);
+        test.platform.with_server([](auto& server) { server.restore_snapshot(); });
+        const publish_report report = test.publish_text(text_a);
+        CHECK(report.outcome == publish_outcome::published);
+        CHECK(report.in_force.version.value() > 2);
+        CHECK(test.publish_text(text_a).outcome == publish_outcome::already_in_force);
+    }
     SUBCASE("publishes above the fleet's version after a store without eras was restored")
     {
         test.platform.with_server([](auto& server) { server.faults().hide_era = true; });
