Write a version that a restored store has lost to it again

Seen by operators: after a restoration a lost change stayed in force on the hosts that had it, but the store kept the document from before. A host that started and reached no peer took that one (a withdrawn key worked there again), a lost key could not be withdrawn ("no key with hash"), and every later edit was based on the old text and so undid the lost change everywhere.

Cause: nobody wrote again what the hosts had accepted from the store.

Change: the agent that polls the rows of its failure domain writes the object and the row again if the store's era is later than the one of the version in force and the row is lower. The version keeps its number, so agents with different lost versions agree on the highest. The write has the row's version and the era as its condition, so it never replaces what an operator published since. In the same era, and with a store without eras, nothing is written. Cost: two writes a document and restoration that lost it, from at most one agent per failure domain.

Not covered: an edit between the store's return and the next poll (1 s) is based on the restored text.

Failed before: store_poller_test "a version that a restored store has lost is written to it again" (three cases), agent_core_test "a host that starts after a restoration and reaches only the store gets the version that was lost" (version 1). publishing_test has the conditions. control_test now grants a key after the rewrite and checks that the withdrawn one stays rejected; this part was not run on the code before.

--- a/src/apps/agent/store_poller.cpp
+++ b/src/apps/agent/store_poller.cpp
@@ -84,32 +84,65 @@
 void store_poller::on_row(const std::string& name, const base::result<store::row>& row)
 {
     const documents::replica& current = m_documents.get(name);
-    const bool missing = base::is_ok(row) ? base::value_of(row).version == 0
-                                          : base::error_of(row).kind == base::error_kind::not_found;
-    if (missing) {
-        set_state(name, current.version.value() > 0 ? documents::store_state::older
-                                                    : documents::store_state::same);
-        finish(name, false);
-        return;
-    }
     if (!base::is_ok(row)) {
         finish(name, false);
         return;
     }
-    auto record = documents::decode(base::value_of(row).value);
-    if (!base::is_ok(record)) {
-        telemetry::log_event(telemetry::severity::error, "row_invalid",
-                             {{"name", name}, {"cause", base::error_of(record).detail}});
-        finish(name, false);
-        return;
+    documents::published_row published{base::value_of(row).version, {}, base::value_of(row).era};
+    if (published.row_version != 0) {
+        auto record = documents::decode(base::value_of(row).value);
+        if (!base::is_ok(record)) {
+            telemetry::log_event(telemetry::severity::error, "row_invalid",
+                                 {{"name", name}, {"cause", base::error_of(record).detail}});
+            finish(name, false);
+            return;
+        }
+        published.record = std::move(base::value_of(record));
     }
-    const auto state = documents::compare(base::value_of(record), current.version, current.digest);
+    const auto state = documents::compare(published.record.value_or(documents::publication{}),
+                                          current.version, current.digest);
     set_state(name, state);
-    if (state != documents::store_state::newer) {
+    if (state == documents::store_state::newer) {
+        start_fetch(name, std::move(*published.record));
+    } else if (const auto plan = documents::plan_rewrite(published, current)) {
+        rewrite(name, *plan);
+    } else {
         finish(name, false);
-        return;
     }
-    start_fetch(name, std::move(base::value_of(record)));
+}
+
+void store_poller::rewrite(const std::string& name, const documents::publish_plan& plan)
+{
+    const auto write_row = while_alive([this, name, plan](const base::status& written) {
+        if (!base::is_ok(written)) {
+            on_rewritten(name, written);
+            return;
+        }
+        m_store.write_row(documents::row_key(name), {plan.expected_row_version, plan.store_era},
+                          documents::encode(plan.record),
+                          while_alive([this, name](const base::result<store::row>& row) {
+                              on_rewritten(name, base::is_ok(row)
+                                                     ? base::status{}
+                                                     : base::status{base::error_of(row)});
+                          }));
+    });
+    m_store.write_object(documents::text_object_name(name, plan.record.version), plan.text,
+                         write_row);
+}
+
+void store_poller::on_rewritten(const std::string& name, const base::status& outcome)
+{
+    const std::uint64_t version = m_documents.get(name).version.value();
+    if (base::is_ok(outcome)) {
+        telemetry::log_event(telemetry::severity::warning, "document_rewritten",
+                             {{"name", name}, {"in_force", version}});
+    } else {
+        // The next read of the row shows whether it is still needed.
+        telemetry::log_event(
+            telemetry::severity::warning, "document_not_rewritten",
+            {{"name", name}, {"in_force", version}, {"cause", base::error_of(outcome).detail}});
+    }
+    finish(name, false);
 }
 
 void store_poller::start_fetch(const std::string& name, documents::publication record)
--- a/src/apps/agent/store_poller.h
+++ b/src/apps/agent/store_poller.h
@@ -44,6 +44,7 @@
     store_poller& operator=(store_poller&&) = delete;
 
     /// Starts the reads that are due. Reads the document rows only if this host is `elected`.
+    /// Writes a document to the store again if the store was restored to a copy without it.
     void tick(base::time_point now, bool elected);
 
     /// The platform's host list, which may be outdated; empty until it has been read.
@@ -66,6 +67,8 @@
 
     void read_row(const std::string& name, base::time_point now);
     void on_row(const std::string& name, const base::result<store::row>& row);
+    void rewrite(const std::string& name, const documents::publish_plan& plan);
+    void on_rewritten(const std::string& name, const base::status& outcome);
     void start_fetch(const std::string& name, documents::publication record);
     void fetch_patch(const std::shared_ptr<fetch>& job);
     void fetch_text(const std::shared_ptr<fetch>& job);
--- a/src/apps/agent/tests/agent_core_test.cpp
+++ b/src/apps/agent/tests/agent_core_test.cpp
@@ -266,6 +266,21 @@
         fleet.run(5s);
         CHECK(all_have(fleet, 2));
     }
+    SUBCASE("a host that starts after a restoration and reaches only the store gets the version "
+            "that was lost")
+    {
+        const auto older = fleet.store.copy();
+        fleet.store.publish("config", config_text(2));
+        fleet.run(3s);
+        fleet.store.restore(older);
+        fleet.run(3s);
+        fleet.is_blocked = [](const std::string&, const std::string&) {
+            return true;
+        };
+        fleet.add("b1", "tunis-b", 2000);
+        fleet.run(5s);
+        CHECK(fleet.version("b1") == 2);
+    }
     SUBCASE("what is published after a restoration reaches hosts with lost versions and hosts that "
             "know only the restored one")
     {
--- a/src/apps/agent/tests/fake_store.h
+++ b/src/apps/agent/tests/fake_store.h
@@ -31,12 +31,21 @@
         });
     }
 
-    void write_row(const std::string& key, const store::row_condition& /*expected*/,
+    void write_row(const std::string& key, const store::row_condition& expected,
                    const std::string& value, row_callback done) override
     {
-        auto& row = rows[key];
-        row = {key, value, row.version + 1};
-        done(row);
+        reply([this, key, expected, value, done = std::move(done)] {
+            const auto found = rows.find(key);
+            const std::uint64_t version = found == rows.end() ? 0 : found->second.version;
+            if (down) {
+                done(unavailable());
+            } else if (version != expected.version || era != expected.era) {
+                done(base::error{base::error_kind::version_conflict, key});
+            } else {
+                rows[key] = {key, value, version + 1, era};
+                done(rows[key]);
+            }
+        });
     }
 
     void read_object(const std::string& name, text_callback done) override
@@ -57,8 +66,15 @@
     void write_object(const std::string& name, const std::string& content,
                       status_callback done) override
     {
-        objects[name] = content;
-        done(std::monostate{});
+        reply([this, name, content, done = std::move(done)] {
+            if (down) {
+                done(unavailable());
+            } else if (objects.try_emplace(name, content).first->second != content) {
+                done(base::error{base::error_kind::version_conflict, name});
+            } else {
+                done(std::monostate{});
+            }
+        });
     }
 
     void list_hosts(hosts_callback done) override
@@ -91,6 +107,11 @@
         rows[key] = {key, documents::encode(plan.record), before.row_version + 1};
     }
 
+    documents::published_row published(const std::string& name) const
+    {
+        return row_of(documents::row_key(name));
+    }
+
     /// Content of the store. A copy can be restored later.
     struct content {
         std::map<std::string, store::row> rows;
--- a/src/apps/agent/tests/store_poller_test.cpp
+++ b/src/apps/agent/tests/store_poller_test.cpp
@@ -103,6 +103,8 @@
         scenario.poll();
         CHECK(scenario.version() == 2);
         CHECK(scenario.poller.state_of("config") == documents::store_state::older);
+        // Without a new era of the store, the row may be an old reply.
+        CHECK(scenario.store.published("config").row_version < 2);
         CHECK(scenario.installed == 2);
     }
     SUBCASE("what is published after a restoration replaces the lost versions")
@@ -131,6 +133,55 @@
         scenario.poll();
         CHECK(scenario.documents.get("config").text == text(6));
     }
+    SUBCASE("a version that a restored store has lost is written to it again")
+    {
+        const auto older = scenario.store.copy();
+        scenario.store.publish("config", text(2));
+        scenario.poll();
+        REQUIRE(scenario.version() == 2);
+        SUBCASE("if the store has an older version")
+        {
+            scenario.store.restore(older);
+            scenario.poll();
+            CHECK(scenario.store.published("config").record->previous_ids ==
+                  std::vector<std::string>{"id1"});
+        }
+        SUBCASE("if the store has none")
+        {
+            scenario.store.restore({});
+            scenario.poll();
+        }
+        SUBCASE("after another outage")
+        {
+            scenario.store.restore(older);
+            scenario.store.down = true;
+            scenario.poll();
+            scenario.store.down = false;
+            scenario.poll();
+        }
+        CHECK(scenario.store.published("config").record->version.value() == 2);
+        CHECK(scenario.store.objects.at("documents/config/2") == text(2));
+        CHECK(scenario.version() == 2);
+        scenario.poll();
+        CHECK(scenario.poller.state_of("config") == documents::store_state::same);
+    }
+    SUBCASE("a lost version does not replace what an operator publishes after the restoration")
+    {
+        const auto older = scenario.store.copy();
+        scenario.store.publish("config", text(2));
+        scenario.poll();
+        scenario.store.restore(older);
+        scenario.store.defer = true;
+        scenario.poll();
+        scenario.store.run_deferred(); // The row is read.
+        scenario.store.run_deferred(); // The object is written.
+        scenario.store.publish("config", text(5));
+        scenario.store.run_deferred();
+        scenario.store.defer = false;
+        scenario.poll();
+        CHECK(scenario.store.published("config").record->digest == documents::digest_of(text(5)));
+        CHECK(scenario.documents.get("config").text == text(5));
+    }
     SUBCASE("the version is kept during a store outage, and polling continues after it")
     {
         scenario.store.publish("config", text(2));
--- a/src/documents/publishing.cpp
+++ b/src/documents/publishing.cpp
@@ -1,6 +1,7 @@
 #include "documents/publishing.h"
 
 #include "documents/text.h"
+#include "documents/types/replica.h"
 
 #include <nlohmann/json.hpp>
 
@@ -19,6 +20,20 @@
 // million eras.
 constexpr std::uint64_t versions_per_era = 1'000'000'000;
 
+/// Ids of the publications before the next one, newest first.
+std::vector<std::string> next_previous_ids(const published_row& row)
+{
+    if (!row.record) {
+        return {};
+    }
+    auto ids = row.record->previous_ids;
+    ids.insert(ids.begin(), row.record->id);
+    if (ids.size() > max_previous_ids) {
+        ids.resize(max_previous_ids);
+    }
+    return ids;
+}
+
 bool is_under(const std::string& path, const std::string& parent)
 {
     return path.starts_with(parent) && (path.size() == parent.size() || path[parent.size()] == '/');
@@ -119,13 +134,7 @@
     plan.record.version = next_version(row, fleet, skip);
     plan.record.digest = digest_of(plan.text);
     plan.record.id = request.id;
-    if (row.record) {
-        plan.record.previous_ids = row.record->previous_ids;
-        plan.record.previous_ids.insert(plan.record.previous_ids.begin(), row.record->id);
-        if (plan.record.previous_ids.size() > max_previous_ids) {
-            plan.record.previous_ids.resize(max_previous_ids);
-        }
-    }
+    plan.record.previous_ids = next_previous_ids(row);
     const bool is_consecutive = plan.record.version.value() == request.edited_from.value() + 1;
     if (!current_text.empty() && is_consecutive) {
         auto patch = patch_between(current_text, plan.text);
@@ -136,6 +145,23 @@
     return plan;
 }
 
+std::optional<publish_plan> plan_rewrite(const published_row& row, const replica& held)
+{
+    // In the same era a lower version in the row is an old reply, not a loss.
+    const bool was_restored = held.version < first_version(row.store_era);
+    if (!was_restored || held.version <= highest_version(row, {})) {
+        return std::nullopt;
+    }
+    publish_plan plan;
+    plan.expected_row_version = row.row_version;
+    plan.store_era = row.store_era;
+    plan.text = held.text;
+    // Hosts do not know the id of the publication. Its publisher compares the digest.
+    plan.record = {held.version, held.digest, "rewritten-" + std::to_string(held.version.value()),
+                   next_previous_ids(row)};
+    return plan;
+}
+
 publish_step after_write(const base::status& outcome)
 {
     if (base::is_ok(outcome)) {
@@ -179,7 +205,7 @@
         return !now.record;
     }
     const auto& earlier = before.record->previous_ids;
-    return now.record->id == before.record->id ||
+    return now.record->version == before.record->version || now.record->id == before.record->id ||
            std::find(earlier.begin(), earlier.end(), now.record->id) != earlier.end();
 }
 
--- a/src/documents/publishing.h
+++ b/src/documents/publishing.h
@@ -6,11 +6,14 @@
 #include "documents/types/publication.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace snipeshore::documents {
 
+struct replica;
+
 std::string row_key(std::string_view name);
 std::string text_object_name(std::string_view name, base::document_version version);
 std::string patch_object_name(std::string_view name, base::document_version version);
@@ -43,6 +46,11 @@
                                         base::document_version fleet, std::string_view current_text,
                                         std::uint64_t skip = 0);
 
+/// Plans to write the version that a host holds to the store again if the store was restored since
+/// and has lost it. The version keeps its number, so of hosts that hold different lost versions the
+/// one with the highest prevails. Empty if there is nothing to write.
+std::optional<publish_plan> plan_rewrite(const published_row& row, const replica& held);
+
 /// Next step after the conditional write of the row.
 publish_step after_write(const base::status& outcome);
 
--- a/src/documents/tests/publishing_test.cpp
+++ b/src/documents/tests/publishing_test.cpp
@@ -181,6 +181,48 @@
         CHECK(base::value_of(plan).record.version == version_of(8));
         CHECK(base::value_of(plan).expected_row_version == 3);
     }
+    SUBCASE("gets a lost version again, with its number")
+    {
+        const replica held{version_of(7), "[]", digest_of("[]"), {}, 0};
+        published_row row = restored;
+        row.store_era = 1;
+        const auto plan = plan_rewrite(row, held);
+        REQUIRE(plan);
+        CHECK(plan->record.version == version_of(7));
+        CHECK(plan->record.digest == held.digest);
+        CHECK(plan->record.previous_ids == std::vector<std::string>{"old"});
+        CHECK(plan->text == "[]");
+        CHECK(plan->expected_row_version == 3);
+        CHECK(plan->store_era == 1);
+        CHECK(plan_rewrite({0, std::nullopt, 1}, held));
+    }
+    SUBCASE("is not written by a host that holds no lost version")
+    {
+        const replica held{version_of(7), "[]", digest_of("[]"), {}, 0};
+        // The row is an old reply, or the store does not report its era.
+        CHECK_FALSE(plan_rewrite(restored, held));
+        published_row row = restored;
+        row.store_era = 1;
+        CHECK_FALSE(plan_rewrite(row, replica{}));
+        CHECK_FALSE(plan_rewrite(row, {version_of(5), "{}", digest_of("{}"), {}, 0}));
+        CHECK_FALSE(plan_rewrite(row, {first_version(1), "[]", digest_of("[]"), {}, 0}));
+        row.record->version = first_version(1);
+        CHECK_FALSE(plan_rewrite(row, held));
+    }
+    SUBCASE("is told from a store with another publication")
+    {
+        const published_row before{
+            4, publication{version_of(6), digest_of("[]"), "lost", {"old", "older"}}};
+        CHECK(is_same_or_earlier(before, restored));
+        CHECK(is_same_or_earlier(before, before));
+        CHECK(is_same_or_earlier(before, {}));
+        // Written again by a host.
+        CHECK(is_same_or_earlier(before,
+                                 {5, publication{version_of(6), digest_of("[]"), "host", {}}}));
+        CHECK_FALSE(is_same_or_earlier(
+            before, {4, publication{first_version(1), digest_of("1"), "other", {"old"}}}));
+        CHECK_FALSE(is_same_or_earlier({}, restored));
+    }
     SUBCASE("skips versions whose object names are taken, without a patch")
     {
         const auto plan =
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -169,6 +169,16 @@
             [&] { return has_digest_everywhere(fleet, published["digest"]); },
             base::boot_clock::now() + config_bound));
         CHECK(is_rejected_everywhere(fleet, key));
+        // Agents write the lost withdrawal to the store again, so later edits are based on it.
+        REQUIRE(fleet.session().run_until(
+            [&] {
+                return json::parse(fleet.ctl({"show", "keys", "--json"}).output)["version"] == 2;
+            },
+            base::boot_clock::now() + config_bound));
+        const std::string other = fleet.grant_key(fleet.document()["accounts"][0]["id"]);
+        CHECK(fleet.session().run_until([&] { return is_accepted_everywhere(fleet, other); },
+                                        base::boot_clock::now() + config_bound));
+        CHECK(is_rejected_everywhere(fleet, key));
     }
     SUBCASE("an agent that is suspended while a key is withdrawn rejects the key after it resumes")
     {
