Check the digest of a document that an entry or lookup makes from patches

Seen: nothing yet; found by going through the values that are compared as "same version". An entry or lookup that held a lost version, with an agent that had restarted with another text of that version, applied the next patch to the wrong text.

Cause: the version was taken as proof of the text. Agents have checked the digest of patched documents all along, entries and lookups have not.

Change: the digest is checked, and after a failure the cursor asks for the whole text once.

--- a/src/apps/common/snapshot_client.cpp
+++ b/src/apps/common/snapshot_client.cpp
@@ -26,15 +26,6 @@
     return name == "keys" ? state.keys_version : state.drains_version;
 }
 
-inner::cursor cursor_of(const fleet_state& state)
-{
-    return {{{"config", state.config_version},
-             {"keys", state.keys_version},
-             {"drains", state.drains_version}},
-            state.members_revision,
-            state.steering_revision};
-}
-
 template <typename T>
 const T* parsed_or_null(const std::string& name, const config::parsed<T>& outcome)
 {
@@ -89,7 +80,7 @@
         return;
     }
     const base::time_point sent = base::boot_clock::now();
-    m_node.watch(m_agent_address, cursor_of(m_state), m_report(), sent + watch_deadline,
+    m_node.watch(m_agent_address, cursor(), m_report(), sent + watch_deadline,
                  [weak = std::weak_ptr(m_alive), sent](base::result<inner::snapshot> reply) {
                      if (const auto self = weak.lock()) {
                          (*self)->on_reply(std::move(reply), sent);
@@ -154,6 +145,17 @@
     return changes;
 }
 
+inner::cursor snapshot_client::cursor() const
+{
+    inner::cursor from{{}, m_state.members_revision, m_state.steering_revision};
+    for (const char* name : {"config", "keys", "drains"}) {
+        // To a process without the document the agent sends the whole text.
+        from.versions.push_back(
+            {name, m_needs_text.contains(name) ? 0 : current_version(m_state, name)});
+    }
+    return from;
+}
+
 base::result<std::string> snapshot_client::text_of(const inner::document& document) const
 {
     if (document.patches.empty()) {
@@ -165,12 +167,20 @@
         return base::error{base::error_kind::stale,
                            "the patches start from a version that this process does not have"};
     }
-    return documents::apply_patches(known->second,
-                                    {document.patches.begin(), document.patches.end()});
+    auto text =
+        documents::apply_patches(known->second, {document.patches.begin(), document.patches.end()});
+    // Only the digest reveals patches that were made from another text with the same version.
+    if (base::is_ok(text) && documents::digest_of(base::value_of(text)) != document.digest) {
+        return base::error{base::error_kind::stale, "the patches were made from another text"};
+    }
+    return text;
 }
 
 bool snapshot_client::apply_document(const inner::document& document, fleet_changes& changes)
 {
+    if (document.patches.empty()) {
+        m_needs_text.erase(document.name);
+    }
     // Never installs an older version: a restarted agent may have older documents than this
     // process.
     if (document.version <= current_version(m_state, document.name)) {
@@ -180,6 +190,7 @@
     if (!base::is_ok(text)) {
         telemetry::log_event(telemetry::severity::error, "document_rejected",
                              {{"name", document.name}, {"cause", base::error_of(text).detail}});
+        m_needs_text.insert(document.name);
         return false;
     }
     const std::string& content = base::value_of(text);
--- a/src/apps/common/snapshot_client.h
+++ b/src/apps/common/snapshot_client.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace snipeshore::http {
@@ -52,6 +53,7 @@
     fleet_changes apply(const inner::snapshot& snapshot);
     bool apply_document(const inner::document& document, fleet_changes& changes);
     base::result<std::string> text_of(const inner::document& document) const;
+    inner::cursor cursor() const;
 
     http::loop& m_loop;
     inner::node& m_node;
@@ -60,6 +62,7 @@
     change_callback m_on_change;
     fleet_state m_state;
     std::map<std::string, std::string> m_texts;
+    std::set<std::string> m_needs_text; ///< Documents whose patches could not be applied.
     base::time_point m_last_reply{};
     bool m_is_agent_unreachable = false;
     bool m_stopped = false;
