Let one reading of the host list not show that a host has left

Seen: nothing yet; found by going through what a restored store changes. A host that registered in the lost seconds is missing from the list until the platform has it again (about 2 s), but a list counted for 10 s. If that host was also marked dead (frozen or partitioned), its part of an account's rate could be given to others while it still used it.

Cause: the share ledger takes a host that is neither a member nor listed to have left, and the list was one reading's.

Change: a host counts as listed if it was in one of the last two readings, 10 s apart. New hosts count at once. A layout change that waits for a host that left takes up to 10 s more. Not covered: an agent whose first reading falls into the 2 s.

store_poller_test, "reading the host list", failed before in three of its four cases.

--- a/src/apps/agent/store_poller.cpp
+++ b/src/apps/agent/store_poller.cpp
@@ -5,6 +5,9 @@
 #include "documents/replica.h"
 #include "telemetry/event_log.h"
 
+#include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace snipeshore::apps {
@@ -246,11 +249,16 @@
 
 void store_poller::on_list(const base::result<std::vector<store::listed_host>>& hosts)
 {
-    m_seeds.clear();
+    const auto previous = std::exchange(m_last_list, {});
+    std::set<base::host_id> listed;
     for (const store::listed_host& host : base::value_of(hosts)) {
-        m_seeds.push_back({base::host_id(host.host_id),
-                           base::failure_domain_id(host.failure_domain), host.agent_address});
+        m_last_list.push_back({base::host_id(host.host_id),
+                               base::failure_domain_id(host.failure_domain), host.agent_address});
+        listed.insert(m_last_list.back().host);
     }
+    m_seeds = m_last_list;
+    std::copy_if(previous.begin(), previous.end(), std::back_inserter(m_seeds),
+                 [&](const membership::seed& host) { return !listed.contains(host.host); });
     m_listed_known = true;
     m_callbacks.on_list_read();
 }
--- a/src/apps/agent/store_poller.h
+++ b/src/apps/agent/store_poller.h
@@ -47,7 +47,9 @@
     /// Writes a document to the store again if the store was restored to a copy without it.
     void tick(base::time_point now, bool elected);
 
-    /// The platform's host list, which may be outdated; empty until it has been read.
+    /// Hosts that the platform listed in the last two readings of its host list; empty until it has
+    /// been read. One reading does not show that a host has left: a restored store may have lost an
+    /// entry until it is written again.
     const std::vector<membership::seed>& seeds() const
     {
         return m_seeds;
@@ -90,6 +92,7 @@
     std::map<std::string, documents::store_state> m_states;
     bool m_list_read_pending = false;
     bool m_listed_known = false;
+    std::vector<membership::seed> m_last_list; ///< Hosts of the last reading only.
     std::vector<membership::seed> m_seeds;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/apps/agent/tests/store_poller_test.cpp
+++ b/src/apps/agent/tests/store_poller_test.cpp
@@ -44,6 +44,69 @@
 
 } // namespace
 
+// Guards against a host that is taken to have left the fleet, so that its share goes to others,
+// because a restored store has lost its entry for a moment.
+TEST_CASE("reading the host list")
+{
+    poll_scenario scenario;
+    const auto listed = [&] {
+        std::vector<std::string> hosts;
+        for (const membership::seed& seed : scenario.poller.seeds()) {
+            hosts.push_back(seed.host.value());
+        }
+        std::sort(hosts.begin(), hosts.end());
+        return hosts;
+    };
+    const auto read_list = [&] {
+        scenario.now += poller_settings{}.list_interval;
+        scenario.poller.tick(scenario.now, false);
+    };
+    using hosts = std::vector<std::string>;
+    const store::listed_host first{"h1", "a", "h1:1", false};
+    const store::listed_host second{"h2", "a", "h2:1", false};
+    scenario.store.hosts = {first, second};
+    read_list();
+    REQUIRE(listed() == hosts{"h1", "h2"});
+
+    SUBCASE("a host that is missing from one reading only stays listed")
+    {
+        scenario.store.hosts = {first};
+        read_list();
+        CHECK(listed() == hosts{"h1", "h2"});
+        scenario.store.hosts = {first, {"h2", "a", "h2:2", false}};
+        read_list();
+        CHECK(listed() == hosts{"h1", "h2"});
+        REQUIRE(scenario.poller.seeds().size() == 2);
+        CHECK(scenario.poller.seeds().back().agent_address == "h2:2");
+    }
+    SUBCASE("a host that is missing from two readings is not listed")
+    {
+        scenario.store.hosts = {first};
+        read_list();
+        SUBCASE("one after the other")
+        {
+            read_list();
+        }
+        SUBCASE("with an outage between them")
+        {
+            scenario.store.down = true;
+            read_list();
+            CHECK(listed() == hosts{"h1", "h2"});
+            scenario.store.down = false;
+            read_list();
+        }
+        CHECK(listed() == hosts{"h1"});
+    }
+    SUBCASE("a host that replaced another one is listed at once")
+    {
+        scenario.store.hosts = {first, {"h3", "a", "h3:1", false}};
+        read_list();
+        CHECK(listed() == hosts{"h1", "h2", "h3"});
+        read_list();
+        CHECK(listed() == hosts{"h1", "h3"});
+    }
+}
+
 // Guards against a version that is not fetched, is fetched in full without need, or is reverted.
 TEST_CASE("polling the published rows")
 {
