Let an edit after a restoration wait for what agents write again

Seen by operators: right after the store came back from an older copy, "keys withdraw" of a key that was granted in the lost seconds ended with "no key with hash" while the hosts accepted the key, and any other edit of keys or drains took the restored text for its base and undid the lost changes on all hosts, such as a withdrawal.

Cause: agents write a lost version again at their next poll, up to a second after the store's return. An edit did not wait for it.

Change: if the document's version is from an earlier era of the store, an edit waits up to 3 s for another version to appear and then edits what is there. The first edit of each document after a restoration that lost nothing of it takes 3 s. Not covered: no agent that has the lost version reaches the store within that time. "publish FILE" does not wait; it has no base.

The stand-in can run a function after a row was read.

--- a/src/apps/ctl/document_access.cpp
+++ b/src/apps/ctl/document_access.cpp
@@ -2,10 +2,14 @@
 
 #include "apps/ctl/command_context.h"
 #include "apps/ctl/publication.h"
+#include "base/time.h"
 #include "config/parse.h"
+#include "documents/publishing.h"
 
+#include <chrono>
 #include <fstream>
 #include <iterator>
+#include <thread>
 #include <utility>
 
 namespace snipeshore::apps {
@@ -14,6 +18,33 @@
 
 constexpr int max_edit_attempts = 10;
 
+// After a restoration agents write lost versions again. They poll the rows each second; the rest is
+// for their calls.
+constexpr std::chrono::seconds rewrite_time{3};
+
+/// Reads a document to edit it. If the store was restored since the document was published, waits
+/// for a lost version that agents write again: an edit of the restored text would undo it.
+base::result<stored_document> read_for_edit(store_session& store, const std::string& document,
+                                            const publisher_settings& settings)
+{
+    const base::time_point give_up = base::boot_clock::now() + rewrite_time;
+    const auto first = read_document(store, document);
+    auto read = first;
+    while (base::is_ok(first) && base::is_ok(read)) {
+        const documents::published_row& state = base::value_of(read).state;
+        const std::uint64_t version = version_of(state);
+        const bool is_from_earlier_era =
+            state.store_era > 0 && version < documents::first_version(state.store_era).value();
+        if (!is_from_earlier_era || version != version_of(base::value_of(first).state) ||
+            base::boot_clock::now() >= give_up) {
+            break;
+        }
+        std::this_thread::sleep_for(settings.retry_interval);
+        read = read_document(store, document);
+    }
+    return read;
+}
+
 } // namespace
 
 std::unique_ptr<store_session> open_store(const command_context& context)
@@ -66,7 +97,7 @@
 {
     publish_report report;
     for (int attempt = 0; attempt < max_edit_attempts; ++attempt) {
-        const auto stored = read_document(store, document);
+        const auto stored = read_for_edit(store, document, publisher_settings_of(context));
         if (!base::is_ok(stored)) {
             return base::error_of(stored);
         }
--- a/src/apps/ctl/tests/commands_test.cpp
+++ b/src/apps/ctl/tests/commands_test.cpp
@@ -240,6 +240,35 @@
         }
         CHECK(run(options, {"keys", "list"}).value()["keys"].size() == operators * grants);
     }
+    SUBCASE("an edit after a restoration of the store is based on what the agents write again")
+    {
+        const run_result kept = run(options, {"keys", "grant", "craft-markets"});
+        platform.with_server([](auto& server) { server.take_snapshot(); });
+        const run_result lost = run(options, {"keys", "grant", "craft-markets"});
+        REQUIRE(lost.code == exit_code::success);
+        platform.with_server([](auto& server) {
+            const standins::platform_state before = server.state();
+            server.restore_snapshot();
+            server.faults().after_row_read = [&server, before] {
+                server.state().rows["documents/keys"] = before.rows.at("documents/keys");
+                server.state().objects = before.objects;
+            };
+        });
+        CHECK(run(options, {"keys", "withdraw", lost.value()["hash"]}).code == exit_code::success);
+        const run_result listed = run(options, {"keys", "list"});
+        REQUIRE(listed.value()["keys"].size() == 1);
+        CHECK(listed.value()["keys"][0]["hash"] == kept.value()["hash"]);
+    }
+    SUBCASE("an edit after a restoration that lost nothing takes effect")
+    {
+        const run_result kept = run(options, {"keys", "grant", "craft-markets"});
+        platform.with_server([](auto& server) {
+            server.take_snapshot();
+            server.restore_snapshot();
+        });
+        CHECK(run(options, {"keys", "withdraw", kept.value()["hash"]}).code == exit_code::success);
+        CHECK(run(options, {"keys", "list"}).value()["keys"].empty());
+    }
     SUBCASE("drains are started and ended")
     {
         CHECK(run(options, {"drain", "target", "order-desk-01"}).code == exit_code::success);
--- a/tests/standins/platform/platform_server.cpp
+++ b/tests/standins/platform/platform_server.cpp
@@ -201,9 +201,12 @@
     const auto found = m_state.rows.find(key);
     if (found == m_state.rows.end()) {
         send_json(from, 404, "{}");
-        return;
+    } else {
+        send_json(from, 200, row_json(key, found->second));
+    }
+    if (const auto work = std::exchange(m_faults.after_row_read, nullptr)) {
+        work();
     }
-    send_json(from, 200, row_json(key, found->second));
 }
 
 void platform_server::put_row(const exchange_ptr& from, const std::string& key)
--- a/tests/standins/platform/platform_server.h
+++ b/tests/standins/platform/platform_server.h
@@ -23,6 +23,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -48,6 +49,8 @@
     bool hide_era = false;     ///< Responses have no header `Store-Era`.
     std::set<std::string> cut; ///< Clients (header `Snipeshore-Client`) handled as with `down`.
     std::chrono::milliseconds host_list_lag_ms{0};
+    /// Runs once, after the response to the next read of a row. Not in the JSON.
+    std::function<void()> after_row_read;
 };
 
 struct platform_stats {
