Test a publication whose row's write was lost in a restoration after its reply

publisher_test: the row's write takes effect, its reply is lost and the store is restored. Without another publication it is published again in the new era; after one, the outcome is unknown and nothing is replaced.

--- a/src/apps/ctl/tests/publisher_test.cpp
+++ b/src/apps/ctl/tests/publisher_test.cpp
@@ -4,6 +4,7 @@
 #include "apps/ctl/store_session.h"
 #include "apps/ctl/tests/platform_thread.h"
 #include "documents/publishing.h"
+#include "documents/text.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -260,6 +261,45 @@
         CHECK(test.publish_text(text_b).outcome == publish_outcome::published);
         CHECK(test.in_force().text == text_b);
     }
+    SUBCASE("whose row's write took effect without a reply and was then lost in a restoration")
+    {
+        REQUIRE(test.publish_text(text_a).outcome == publish_outcome::published);
+        documents::publication other;
+        const auto lose_row = [&other](auto& server) {
+            server.take_snapshot();
+            server.faults().after_write = [&server, &other, writes = 0]() mutable {
+                ++writes;
+                // The text and the patch are written before the row.
+                server.faults().lose_replies = writes == 2 ? 1 : 0;
+                if (writes != 3) {
+                    return;
+                }
+                REQUIRE(server.state().rows.at("documents/config").version == 2);
+                server.restore_snapshot();
+                if (!other.id.empty()) {
+                    server.state().rows["documents/config"] = {documents::encode(other), 2};
+                    server.state().objects[documents::text_object_name("config", other.version)] =
+                        text_d;
+                }
+            };
+        };
+        SUBCASE("is published again")
+        {
+            test.platform.with_server(lose_row);
+            const publish_report report = test.publish_text(text_b);
+            CHECK(report.outcome == publish_outcome::published);
+            CHECK(report.in_force.version == documents::first_version(1));
+            CHECK(test.in_force().text == text_b);
+        }
+        SUBCASE("has an unknown outcome if another operator has published since")
+        {
+            other = {documents::first_version(1), documents::digest_of(text_d), "other", {}};
+            test.platform.with_server(lose_row);
+            CHECK(test.publish_text(text_b).outcome == publish_outcome::unknown);
+            CHECK(test.in_force().text == text_d);
+        }
+        test.platform.with_server([](auto& server) { server.faults().after_write = nullptr; });
+    }
     SUBCASE("does not overwrite a row that it cannot read")
     {
         test.platform.with_server([](auto& server) {
--- a/tests/standins/platform/platform_server.cpp
+++ b/tests/standins/platform/platform_server.cpp
@@ -313,6 +313,9 @@
     if (m_faults.restore_after_writes != 0 && --m_faults.restore_after_writes == 0) {
         restore_snapshot();
     }
+    if (m_faults.after_write) {
+        m_faults.after_write();
+    }
     if (!is_lost) {
         return;
     }
--- a/tests/standins/platform/platform_server.h
+++ b/tests/standins/platform/platform_server.h
@@ -51,6 +51,7 @@
     std::chrono::milliseconds host_list_lag_ms{0};
     /// Runs once, after the response to the next read of a row. Not in the JSON.
     std::function<void()> after_row_read;
+    std::function<void()> after_write; ///< Runs after the response to each write. Not in the JSON.
 };
 
 struct platform_stats {
