--- a/src/apps/ctl/publication.cpp
+++ b/src/apps/ctl/publication.cpp
@@ -13,8 +13,10 @@
 bool is_in_force(const documents::published_row& row, const publication_request& request)
 {
     // The fleet ignores a version at or below `above_version`, so the text has to be published
-    // again.
-    if (!row.record || version_of(row) <= request.above_version) {
+    // again. So does a text that was published before the store was restored: hosts may have a
+    // lost version in force.
+    if (!row.record || version_of(row) <= request.above_version ||
+        row.record->version < documents::first_version(row.store_era)) {
         return false;
     }
     const auto text = documents::canonical_text(request.make_text(version_of(row)));
@@ -31,6 +33,7 @@
 base::result<documents::published_row> parse_row(const store::row& row)
 {
     documents::published_row state;
+    state.store_era = row.era;
     if (row.version == 0) {
         return state;
     }
@@ -58,7 +61,8 @@
     const base::document_version highest = documents::highest_version(row, fleet);
     const std::uint64_t skip = std::max(highest.value(), taken_version) - highest.value();
     const documents::publish_request document_request{
-        publication_id, highest, request.make_text(highest.value() + 1 + skip)};
+        publication_id, highest,
+        request.make_text(documents::next_version(row, fleet, skip).value())};
     // If the fleet has a higher version, its text is not the text in force and no patch can be
     // made.
     const bool is_base_of_patch = version_of(row) == highest.value();
@@ -78,6 +82,8 @@
         return write_result::in_force;
     case documents::publish_step::write_row:
         return write_result::not_written;
+    case documents::publish_step::plan_again:
+        return write_result::restored;
     default:
         break;
     }
--- a/src/documents/publishing.cpp
+++ b/src/documents/publishing.cpp
@@ -2,6 +2,7 @@
 
 #include "base/json_reader.h"
 #include "documents/text.h"
+#include "documents/types/replica.h"
 
 #include <nlohmann/json.hpp>
 
@@ -15,6 +16,25 @@
 // Upper bound on the publications that may follow before a publisher reads the row again.
 constexpr std::size_t max_previous_ids = 16;
 
+// A power of ten, so that era and count can be read from a version. At 2,500 publications a day an
+// era has versions for a thousand years, and JSON readers that use doubles are exact for nine
+// million eras.
+constexpr std::uint64_t versions_per_era = 1'000'000'000;
+
+/// Ids of the publications before the next one, newest first.
+std::vector<std::string> next_previous_ids(const published_row& row)
+{
+    if (!row.record) {
+        return {};
+    }
+    auto ids = row.record->previous_ids;
+    ids.insert(ids.begin(), row.record->id);
+    if (ids.size() > max_previous_ids) {
+        ids.resize(max_previous_ids);
+    }
+    return ids;
+}
+
 bool is_under(const std::string& path, const std::string& parent)
 {
     return path.starts_with(parent) && (path.size() == parent.size() || path[parent.size()] == '/');
@@ -71,11 +91,23 @@
     }
 }
 
+base::document_version first_version(std::uint64_t store_era)
+{
+    return base::document_version(store_era * versions_per_era + 1);
+}
+
 base::document_version highest_version(const published_row& row, base::document_version fleet)
 {
     return row.record ? std::max(row.record->version, fleet) : fleet;
 }
 
+base::document_version next_version(const published_row& row, base::document_version fleet,
+                                    std::uint64_t skip)
+{
+    const base::document_version next(highest_version(row, fleet).value() + 1 + skip);
+    return std::max(next, first_version(row.store_era));
+}
+
 bool is_up_to_date(const publish_request& request, const published_row& row,
                    base::document_version fleet)
 {
@@ -98,18 +130,14 @@
     }
     publish_plan plan;
     plan.expected_row_version = row.row_version;
+    plan.store_era = row.store_era;
     plan.text = std::move(base::value_of(text));
-    plan.record.version = base::document_version(request.edited_from.value() + 1 + skip);
+    plan.record.version = next_version(row, fleet, skip);
     plan.record.digest = digest_of(plan.text);
     plan.record.id = request.id;
-    if (row.record) {
-        plan.record.previous_ids = row.record->previous_ids;
-        plan.record.previous_ids.insert(plan.record.previous_ids.begin(), row.record->id);
-        if (plan.record.previous_ids.size() > max_previous_ids) {
-            plan.record.previous_ids.resize(max_previous_ids);
-        }
-    }
-    if (!current_text.empty() && skip == 0) {
+    plan.record.previous_ids = next_previous_ids(row);
+    const bool is_consecutive = plan.record.version.value() == request.edited_from.value() + 1;
+    if (!current_text.empty() && is_consecutive) {
         auto patch = patch_between(current_text, plan.text);
         if (base::is_ok(patch)) {
             plan.patch = std::move(base::value_of(patch));
@@ -118,6 +146,23 @@
     return plan;
 }
 
+std::optional<publish_plan> plan_rewrite(const published_row& row, const replica& held)
+{
+    // In the same era a lower version in the row is an old reply, not a loss.
+    const bool was_restored = held.version < first_version(row.store_era);
+    if (!was_restored || held.version <= highest_version(row, {})) {
+        return std::nullopt;
+    }
+    publish_plan plan;
+    plan.expected_row_version = row.row_version;
+    plan.store_era = row.store_era;
+    plan.text = held.text;
+    // Hosts do not know the id of the publication. Its publisher compares the digest.
+    plan.record = {held.version, held.digest, "rewritten-" + std::to_string(held.version.value()),
+                   next_previous_ids(row)};
+    return plan;
+}
+
 publish_step after_write(const base::status& outcome)
 {
     if (base::is_ok(outcome)) {
@@ -145,12 +190,26 @@
             return publish_step::published;
         }
     }
+    // Row versions of two eras cannot be compared.
+    if (row.store_era != plan.store_era) {
+        return publish_step::plan_again;
+    }
     // A write without a reply may still reach the store. It and its retry expect the same row
     // version, so at most one of them takes effect.
     return row.row_version == plan.expected_row_version ? publish_step::write_row
                                                         : publish_step::conflict;
 }
 
+bool is_same_or_earlier(const published_row& before, const published_row& now)
+{
+    if (!now.record || !before.record) {
+        return !now.record;
+    }
+    const auto& earlier = before.record->previous_ids;
+    return now.record->version == before.record->version || now.record->id == before.record->id ||
+           std::find(earlier.begin(), earlier.end(), now.record->id) != earlier.end();
+}
+
 publish_conflict describe_conflict(base::document_version in_force, std::string_view edited_from,
                                    std::string_view in_force_text, std::string_view wanted)
 {
