Hold the entry of a target that has left until somebody renews it

Callers saw: after a restoration of the store a request could reach a target that had left: its old row was there again, until the store found that nobody renews it.

Cause: the registry forgot a target with its row, and so took any row of that id for a new target. A row that is restored is no proof of life, and its sequence may even be later than the last one that this host has seen, since plain liveness reports are not relayed.

Change: the registry remembers targets that have left for ten minutes. An entry of the same incarnation that is no later, or that comes within two seconds of the store's return, is held, and used once the target reports again, starts again, or the store has kept the row for longer than it keeps one that nobody renews.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -400,7 +400,8 @@
             severity::warning, "loop_delayed",
             {{"late_ms", std::chrono::duration<double, std::milli>(delay).count()}});
     }
-    if (remove_expired(m_registry, now)) {
+    const bool has_removed = remove_expired(m_registry, now);
+    if (use_held(m_registry, now) || has_removed) {
         update_targets();
     }
     remove_expired_hosts();
--- a/src/apps/host/target_registry.cpp
+++ b/src/apps/host/target_registry.cpp
@@ -12,6 +12,13 @@
 
 namespace {
 
+/// A target that is gone can have a row again when the store was restored to an earlier state. The
+/// store removes rows that are not renewed sooner than this.
+constexpr std::chrono::milliseconds hold_time{6000};
+
+/// Longer than any copy from which the store is restored is old.
+constexpr std::chrono::minutes departed_retention{10};
+
 auto stable_fields(const target_entry& entry)
 {
     return std::tie(entry.service, entry.failure_domain, entry.address, entry.slots,
@@ -23,13 +30,26 @@
     return std::tie(entry.started_ms, entry.sequence) < std::tie(known.started_ms, known.sequence);
 }
 
-bool apply_entry(target_registry& registry, const target_entry& entry)
+/// Whether the entry may be one that a target wrote before it left: its incarnation is known to
+/// have left, and the entry is no later one or comes from a store that has just returned.
+bool may_be_departed(const target_registry& registry, const target_entry& entry,
+                     const registry_view& view)
 {
-    registry.pending_removals.erase(entry.id);
-    const auto found = registry.targets.find(entry.id);
-    if (found != registry.targets.end() && is_older(entry, found->second)) {
+    const auto left = registry.departed.find(entry.id);
+    if (left == registry.departed.end() || entry.started_ms > left->second.started_ms) {
         return false;
     }
+    const auto held = registry.held.find(entry.id);
+    if (held != registry.held.end()) {
+        return entry.sequence <= held->second.entry.sequence;
+    }
+    const bool has_store_returned = view.now < view.store_reachable_since + view.reappear_time;
+    return has_store_returned || entry.sequence <= left->second.sequence;
+}
+
+bool use_entry(target_registry& registry, const target_entry& entry)
+{
+    const auto found = registry.targets.find(entry.id);
     const bool is_change = found == registry.targets.end() ||
                            stable_fields(entry) != stable_fields(found->second) ||
                            entry.cold_for.count() > 0;
@@ -43,21 +63,48 @@
                               {"cold_ms", static_cast<std::int64_t>(entry.cold_for.count())}});
     }
     registry.targets[entry.id] = entry;
+    registry.departed.erase(entry.id);
+    registry.held.erase(entry.id);
     return is_change;
 }
 
-bool remove_now(target_registry& registry, const base::target_id& id, std::string_view cause)
+bool apply_entry(target_registry& registry, const target_entry& entry, const registry_view& view)
+{
+    const auto found = registry.targets.find(entry.id);
+    if (found != registry.targets.end() && is_older(entry, found->second)) {
+        return false;
+    }
+    registry.pending_removals.erase(entry.id);
+    if (found == registry.targets.end() && may_be_departed(registry, entry, view)) {
+        const auto [held, is_new] =
+            registry.held.try_emplace(entry.id, held_entry{entry, view.now + hold_time});
+        if (is_new) {
+            telemetry::log_event(severity::info, "target_row_held",
+                                 {{"target", entry.id.value()}, {"sequence", entry.sequence}});
+        }
+        return false;
+    }
+    return use_entry(registry, entry);
+}
+
+bool remove_now(target_registry& registry, const base::target_id& id, base::time_point now,
+                std::string_view cause)
 {
     registry.pending_removals.erase(id);
-    if (registry.targets.erase(id) == 0) {
+    const auto found = registry.targets.find(id);
+    if (found == registry.targets.end()) {
         return false;
     }
     telemetry::log_event(severity::info, "target_gone", {{"target", id.value()}, {"cause", cause}});
+    registry.departed[id] = {found->second.started_ms, found->second.sequence,
+                             now + departed_retention};
+    registry.targets.erase(found);
     return true;
 }
 
 bool remove(target_registry& registry, const base::target_id& id, const registry_view& view)
 {
+    registry.held.erase(id);
     if (!registry.targets.contains(id)) {
         return false;
     }
@@ -66,7 +113,7 @@
         registry.pending_removals[id] = removal_time;
         return false;
     }
-    return remove_now(registry, id, "row removed");
+    return remove_now(registry, id, view.now, "row removed");
 }
 
 } // namespace
@@ -87,10 +134,11 @@
                                  {{"target", change.key}, {"cause", base::error_of(entry).detail}});
             // The row no longer says where the target is. A host that starts now does not learn the
             // target either. If the target is alive, its next report replaces the row.
-            is_changed = remove_now(registry, id, "row unreadable") || is_changed;
+            registry.held.erase(id);
+            is_changed = remove_now(registry, id, view.now, "row unreadable") || is_changed;
             continue;
         }
-        is_changed = apply_entry(registry, base::value_of(entry)) || is_changed;
+        is_changed = apply_entry(registry, base::value_of(entry), view) || is_changed;
     }
     return is_changed;
 }
@@ -108,18 +156,26 @@
 bool remove_expired(target_registry& registry, base::time_point now)
 {
     bool is_changed = false;
-    for (auto entry = registry.pending_removals.begin();
-         entry != registry.pending_removals.end();) {
-        if (now < entry->second) {
-            ++entry;
-            continue;
+    const auto pending = registry.pending_removals;
+    for (const auto& [id, removal_time] : pending) {
+        if (now >= removal_time) {
+            is_changed =
+                remove_now(registry, id, now, "row did not reappear in time") || is_changed;
+        }
+    }
+    std::erase_if(registry.departed,
+                  [now](const auto& one) { return now >= one.second.forget_at; });
+    return is_changed;
+}
+
+bool use_held(target_registry& registry, base::time_point now)
+{
+    bool is_changed = false;
+    const auto held = registry.held;
+    for (const auto& [id, entry] : held) {
+        if (now >= entry.use_at) {
+            is_changed = use_entry(registry, entry.entry) || is_changed;
         }
-        telemetry::log_event(
-            severity::info, "target_gone",
-            {{"target", entry->first.value()}, {"cause", "row did not reappear in time"}});
-        registry.targets.erase(entry->first);
-        entry = registry.pending_removals.erase(entry);
-        is_changed = true;
     }
     return is_changed;
 }
--- a/src/apps/host/target_registry.h
+++ b/src/apps/host/target_registry.h
@@ -14,8 +14,23 @@
 
 namespace snipeshore::apps {
 
+/// Last entry of a target that is no longer in use.
+struct departed_target {
+    std::int64_t started_ms = 0;
+    std::uint64_t sequence = 0;
+    base::time_point forget_at;
+};
+
+/// Entry that may be an old one, and the time at which it is used unless it was removed by then.
+struct held_entry {
+    target_entry entry;
+    base::time_point use_at;
+};
+
 struct target_registry {
     std::map<base::target_id, target_entry> targets;
+    std::map<base::target_id, departed_target> departed;
+    std::map<base::target_id, held_entry> held;
     /// Targets whose rows expired during an outage of the store, and the time at which their
     /// removal takes effect.
     std::map<base::target_id, base::time_point> pending_removals;
@@ -40,4 +55,7 @@
 /// Removes targets whose pending removal is due. Returns true if there were any.
 bool remove_expired(target_registry& registry, base::time_point now);
 
+/// Uses held entries that are due. Returns true if there were any.
+bool use_held(target_registry& registry, base::time_point now);
+
 } // namespace snipeshore::apps
--- a/src/apps/host/tests/restored_store_test.cpp
+++ b/src/apps/host/tests/restored_store_test.cpp
@@ -53,4 +53,21 @@
         host.store.set("op", "config", config_of_version("0000000c"));
         CHECK(host.run_until([&] { return host.app->config_version() == 12; }));
     }
+    SUBCASE("does not bring back a target that has left")
+    {
+        host.store.save();
+        host.store.set("servers", "t1", std::nullopt);
+        REQUIRE(host.run_until([&] { return host.app->known_targets() == 0; }));
+        restore();
+        REQUIRE(host.run_until([&] { return host.app->dump()["tables"]["servers"]["era"] == 2; }));
+        CHECK(host.app->known_targets() == 0);
+        const int before = target.requests;
+        CHECK(host.send("/safe/x", with_key).status == 503);
+        CHECK(target.requests == before);
+        SUBCASE("until the target itself writes its entry again")
+        {
+            host.add_target("t1", target.address(), 2);
+            CHECK(host.run_until([&] { return host.app->known_targets() == 1; }));
+        }
+    }
 }
--- a/src/apps/host/tests/target_registry_test.cpp
+++ b/src/apps/host/tests/target_registry_test.cpp
@@ -54,6 +54,38 @@
         CHECK_FALSE(apps::is_liveness_report(formats, {"t", "5 1 a:1 0 0"}, {"t", "5 2 a:1 0 1"}));
         CHECK_FALSE(apps::is_liveness_report(formats, {"t", "5 1 a:1 0 0"}, {"t", "5 2 a:1 9 0"}));
     }
+    // Guards against requests to targets that have left: a store that was restored to an earlier
+    // state has their rows again until it finds that nobody renews them.
+    SUBCASE("a target that has left is not used because of an old row")
+    {
+        const std::vector<rows::row> removal{{"t", "", 2, true}};
+        REQUIRE(apps::apply_rows(registry, formats, removal, store_reachable));
+        const apps::registry_view restored{start + 5s, start + 5s, 2s};
+        // Later than the last report that this host has seen.
+        CHECK_FALSE(apps::apply_rows(registry, formats, {{"t", "5 3 a:1 0 0", 1}}, restored));
+        CHECK_FALSE(apps::use_held(registry, start + 10s));
+        CHECK_FALSE(registry.targets.contains(id));
+        SUBCASE("but when it reports again")
+        {
+            CHECK(apps::apply_rows(registry, formats, {{"t", "5 4 a:1 0 0", 2}}, restored));
+            CHECK(registry.targets.contains(id));
+        }
+        SUBCASE("but when it starts again")
+        {
+            CHECK(apps::apply_rows(registry, formats, {{"t", "6 0 a:1 0 0", 2}}, restored));
+            CHECK(registry.targets.contains(id));
+        }
+        SUBCASE("but when the store keeps the row, so somebody renews it")
+        {
+            CHECK(apps::use_held(registry, start + 11s));
+            CHECK(registry.targets.contains(id));
+        }
+        SUBCASE("and not after the store has removed the row")
+        {
+            apps::apply_rows(registry, formats, removal, restored);
+            CHECK_FALSE(apps::use_held(registry, start + 11s));
+        }
+    }
     SUBCASE("a late report of an earlier incarnation is ignored")
     {
         CHECK_FALSE(
