Keep a drain that a restored store has lost until it can be written again

Callers saw: a failure domain whose drain had been acknowledged got requests again, from the moment at which a restored store had lost the drain's row until the operator wrote it again.

Cause: a missing row ended its drain at once, whatever the reason for which it was missing.

Change: within two seconds of the store's return a missing drain is only noted, as for targets, and ends then unless its row is there again.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -252,16 +252,46 @@
     if (!domain.has_value()) {
         return false;
     }
-    const bool is_changed =
-        change.removed ? m_drained.erase(*domain) > 0 : m_drained.insert(*domain).second;
-    if (is_changed && change.removed) {
-        mark_cold(*domain);
+    if (!change.removed) {
+        m_pending_drain_ends.erase(*domain);
+        const bool is_new = m_drained.insert(*domain).second;
+        if (is_new) {
+            telemetry::log_event(severity::info, "failure_domain_drained",
+                                 {{"failure_domain", domain->value()}, {"drained", true}});
+        }
+        return is_new;
+    }
+    if (!m_drained.contains(*domain)) {
+        return false;
     }
-    if (is_changed) {
-        telemetry::log_event(severity::info, "failure_domain_drained",
-                             {{"failure_domain", domain->value()}, {"drained", !change.removed}});
+    // A store that has just returned may have lost the row, which the operator then writes again.
+    const base::time_point end = m_operator_rows.store_reachable_since() + m_settings.reappear_time;
+    if (base::boot_clock::now() < end) {
+        m_pending_drain_ends[*domain] = end;
+        return false;
+    }
+    end_drain(*domain);
+    return true;
+}
+
+void host_app::end_drain(const base::failure_domain_id& domain)
+{
+    m_drained.erase(domain);
+    mark_cold(domain);
+    telemetry::log_event(severity::info, "failure_domain_drained",
+                         {{"failure_domain", domain.value()}, {"drained", false}});
+}
+
+bool host_app::end_due_drains(base::time_point now)
+{
+    const auto pending = m_pending_drain_ends;
+    std::erase_if(m_pending_drain_ends, [now](const auto& one) { return now >= one.second; });
+    for (const auto& [domain, end] : pending) {
+        if (now >= end) {
+            end_drain(domain);
+        }
     }
-    return is_changed;
+    return pending.size() != m_pending_drain_ends.size();
 }
 
 void host_app::mark_cold(const base::failure_domain_id& domain)
@@ -401,7 +431,8 @@
             {{"late_ms", std::chrono::duration<double, std::milli>(delay).count()}});
     }
     const bool has_removed = remove_expired(m_registry, now);
-    if (use_held(m_registry, now) || has_removed) {
+    const bool has_used = use_held(m_registry, now);
+    if (end_due_drains(now) || has_used || has_removed) {
         update_targets();
     }
     remove_expired_hosts();
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -17,6 +17,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -69,6 +70,9 @@
     void on_operator_rows(const std::vector<rows::row>& changes);
     void apply_config(const rows::row& change);
     bool apply_drain(const rows::row& change);
+    void end_drain(const base::failure_domain_id& domain);
+    /// Ends drains whose rows were not written again in time. Returns true if there were any.
+    bool end_due_drains(base::time_point now);
     /// Treats the targets of a failure domain as cold after its drain, because they may have become
     /// cold without having reported it yet.
     void mark_cold(const base::failure_domain_id& domain);
@@ -96,6 +100,9 @@
     relay_store m_relay;
     target_registry m_registry;
     std::set<base::failure_domain_id> m_drained;
+    /// Drains whose rows went missing when the store returned, and the times at which they end
+    /// unless their rows are written again.
+    std::map<base::failure_domain_id, base::time_point> m_pending_drain_ends;
     rows::table_follower m_operator_rows;
     rows::table_follower m_target_rows;
     rows::table_follower m_host_rows;
--- a/src/apps/host/tests/restored_store_test.cpp
+++ b/src/apps/host/tests/restored_store_test.cpp
@@ -70,4 +70,19 @@
             CHECK(host.run_until([&] { return host.app->known_targets() == 1; }));
         }
     }
+    SUBCASE("does not end a drain that is about to be written again")
+    {
+        host.store.save();
+        host.store.set("op", "evacuate/z1", "{}");
+        REQUIRE(host.run_until([&] { return host.send("/safe/x", with_key).status == 503; }));
+        restore();
+        const int before = target.requests;
+        CHECK(host.send("/safe/x", with_key).status == 503);
+        host.store.set("op", "evacuate/z1", "{}");
+        use_versions(host.store, 40);
+        CHECK(host.send("/safe/x", with_key).status == 503);
+        CHECK(target.requests == before);
+        host.store.set("op", "evacuate/z1", std::nullopt);
+        CHECK(host.run_until([&] { return host.send("/safe/x", with_key).status == 200; }));
+    }
 }
--- a/src/apps/host/types/host_settings.h
+++ b/src/apps/host/types/host_settings.h
@@ -35,8 +35,8 @@
     double retry_extra = 10;  ///< Additional retries of the whole fleet per `retry_window`.
     std::chrono::milliseconds retry_window{10000};
     limits::allowed_overrun quota_overrun;
-    /// Time after an outage of the store for which a target whose entry expired during it is still
-    /// used.
+    /// Time after an outage or restoration of the store within which rows that went missing may be
+    /// written again. Until then their targets are still used and their drains hold.
     std::chrono::milliseconds reappear_time{2000};
 };
 
