Register hosts again that a restored store has lost, and keep them known meanwhile

A restored store that had lost a host's registration made the others forget the host while it served: look-ups did not name it until its next message, and the accounts' limits were shared by fewer hosts, so more than a limit could be admitted. Hosts that started later never learned it.

Cause: a host writes its row once, at its start, and a missing row counted as an announced end.

Change: with the first table of a later era a host checks its own row and writes it again if it is missing or another incarnation's. A host whose row goes missing stays known while it sends messages and does not announce its stop.

Tests: host_test, "gets the host's registration again" and "a host whose registration was lost is known as long as it sends messages" (both failed before), fleet_test.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -164,8 +164,9 @@
 
 void host_app::register_host()
 {
+    m_registered_row = fleet::encode(m_self);
     m_registration =
-        m_store.write(m_formats.host_table, m_settings.host.value(), fleet::encode(m_self),
+        m_store.write(m_formats.host_table, m_settings.host.value(), m_registered_row,
                       [this](const base::status& written) {
                           if (base::is_ok(written) || m_context.is_leaving) {
                               return;
@@ -177,6 +178,19 @@
                       });
 }
 
+void host_app::restore_registration()
+{
+    const rows::table_replica& replica = m_host_rows.replica();
+    const std::uint64_t checked = std::exchange(m_registration_era, replica.era);
+    if (checked == 0 || checked == replica.era || m_context.is_leaving) {
+        return;
+    }
+    const auto row = replica.rows.find(m_settings.host.value());
+    if (row == replica.rows.end() || row->second.value != m_registered_row) {
+        register_host();
+    }
+}
+
 void host_app::check_ready()
 {
     if (m_self.state != fleet::member_state::starting || m_context.routes == nullptr) {
@@ -321,8 +335,7 @@
 {
     for (const rows::row& change : changes) {
         if (change.removed) {
-            fleet::remove(m_context.members, base::host_id(change.key));
-            telemetry::log_event(severity::info, "host_left", {{"host", change.key}});
+            remove_unlisted(base::host_id(change.key));
             continue;
         }
         const auto listed = fleet::parse_member(change.value);
@@ -338,12 +351,20 @@
         }
         fleet::add_listed(m_context.members, base::value_of(listed));
     }
+    restore_registration();
     update_budgets(m_context);
     update_shares();
     check_ready();
     m_peers.on_rows_changed(m_formats.host_table);
 }
 
+void host_app::remove_unlisted(const base::host_id& host)
+{
+    if (fleet::remove_unlisted(m_context.members, host, base::boot_clock::now())) {
+        telemetry::log_event(severity::info, "host_left", {{"host", host.value()}});
+    }
+}
+
 void host_app::make_pools()
 {
     // The pool of a service that is no longer named stays for requests in progress.
@@ -450,6 +471,9 @@
 void host_app::remove_expired_hosts()
 {
     const base::time_point now = base::boot_clock::now();
+    for (const base::host_id& host : fleet::remove_unlisted(m_context.members, now)) {
+        telemetry::log_event(severity::info, "host_left", {{"host", host.value()}});
+    }
     std::erase_if(m_context.members.members, [&](const auto& entry) {
         const base::time_point since =
             entry.second.has_contact ? entry.second.last_contact : m_started;
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -62,6 +62,8 @@
     /// Whether the request may run before the earlier requests of its connection are answered.
     bool allows_pipelining(const http::request_head& head) const;
     void register_host();
+    /// Registers the host again if the store has begun a later era without its registration.
+    void restore_registration();
     void check_ready();
     void handle_ready(http::exchange& request) const;
     void handle_lookup(http::exchange& request) const;
@@ -83,6 +85,7 @@
     void update_targets();
     void update_shares();
     void housekeep();
+    void remove_unlisted(const base::host_id& host);
     void remove_expired_hosts();
     void refresh_metrics();
     void drain();
@@ -112,7 +115,9 @@
     std::unique_ptr<http::server> m_lookup;
     std::unique_ptr<http::server> m_ready;
     std::unique_ptr<rows::store_call> m_registration;
-    std::size_t m_sharing_hosts = 0; ///< Number of hosts that share the accounts' limits.
+    std::string m_registered_row;
+    std::uint64_t m_registration_era = 0; ///< Era of the store in which the row was last checked.
+    std::size_t m_sharing_hosts = 0;      ///< Number of hosts that share the accounts' limits.
     /// Whether the shares of the accounts' limits are based on the known hosts.
     bool m_has_shares = false;
     base::time_point m_started{};
--- a/src/apps/host/tests/restored_store_test.cpp
+++ b/src/apps/host/tests/restored_store_test.cpp
@@ -85,4 +85,48 @@
         host.store.set("op", "evacuate/z1", std::nullopt);
         CHECK(host.run_until([&] { return host.send("/safe/x", with_key).status == 200; }));
     }
+    SUBCASE("gets the host's registration again")
+    {
+        const auto is_registered = [&] {
+            return host.store.get("hosts", "h1").has_value();
+        };
+        REQUIRE(host.run_until(is_registered));
+        host.store.set("hosts", "h1", std::nullopt);
+        host.store.save();
+        restore();
+        CHECK(host.run_until(is_registered));
+    }
+}
+
+// Guards against hosts that forget a serving host, and with it the number of hosts that share the
+// accounts' limits, because the restored store has lost the host's registration.
+TEST_CASE("a host whose registration was lost is known as long as it sends messages")
+{
+    host_fixture host(plain_config);
+    host.store.save();
+    fleet::member other{base::host_id("h2"),  base::failure_domain_id("z1"),
+                        "127.0.0.1:1",        "127.0.0.1:2",
+                        base::incarnation(7), fleet::member_state::ready};
+    host.store.set("hosts", "h2", fleet::encode(other));
+    const auto knows_other = [&] {
+        return host.get(host.settings.lookup_address, "/v1/resolve?zone=z1")
+                   .body.find("127.0.0.1:1") != std::string::npos;
+    };
+    const auto send_message = [&] {
+        fleet::exchange_message message;
+        message.from = other;
+        return host.post(host.settings.control_address, "/fleet/exchange", fleet::encode(message));
+    };
+    REQUIRE(host.run_until([&] { return host.app->is_ready(); }));
+    REQUIRE(send_message().status == 200);
+    REQUIRE(knows_other());
+    host.store.restore();
+    REQUIRE(host.run_until([&] { return host.app->dump()["tables"]["hosts"]["era"] == 2; }));
+    CHECK(knows_other());
+    SUBCASE("and forgotten once it has announced its stop")
+    {
+        other.state = fleet::member_state::leaving;
+        REQUIRE(send_message().status == 200);
+        CHECK(host.run_until([&] { return host.app->dump()["hosts"].empty(); }));
+    }
 }
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -34,17 +34,41 @@
         return;
     }
     const auto [entry, is_new] = table.members.try_emplace(listed.id);
+    entry->second.is_unlisted = false;
     if (is_new || !entry->second.has_contact) {
         entry->second.info = listed;
     } else if (entry->second.info.control_address != listed.control_address) {
         // A new machine has the id of an old one.
-        entry->second = {listed, false, {}};
+        entry->second = {listed, false, {}, false};
     }
 }
 
-void remove(member_table& table, const base::host_id& host)
+bool remove_unlisted(member_table& table, const base::host_id& host, base::time_point now)
 {
-    table.members.erase(host);
+    const auto found = table.members.find(host);
+    if (found == table.members.end()) {
+        return false;
+    }
+    const known_member& known = found->second;
+    if (is_live(table, known, now) && known.info.state != member_state::leaving) {
+        found->second.is_unlisted = true;
+        return false;
+    }
+    table.members.erase(found);
+    return true;
+}
+
+std::vector<base::host_id> remove_unlisted(member_table& table, base::time_point now)
+{
+    std::vector<base::host_id> unlisted;
+    for (const auto& [id, known] : table.members) {
+        if (known.is_unlisted) {
+            unlisted.push_back(id);
+        }
+    }
+    std::erase_if(unlisted,
+                  [&](const base::host_id& id) { return !remove_unlisted(table, id, now); });
+    return unlisted;
 }
 
 unsigned remote_interval_s(const member_table& table)
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -28,7 +28,13 @@
 /// Adds a host that the store lists; it counts as alive only after its first message.
 void add_listed(member_table& table, const member& listed);
 
-void remove(member_table& table, const base::host_id& host);
+/// Handles that the store no longer lists the host. A host that serves may have lost its row with a
+/// restoration of the store and registers again, so it stays known until it leaves or falls silent.
+/// Returns whether the host was removed.
+bool remove_unlisted(member_table& table, const base::host_id& host, base::time_point now);
+
+/// Removes all unlisted hosts that have left or fallen silent; returns their ids.
+std::vector<base::host_id> remove_unlisted(member_table& table, base::time_point now);
 
 /// Whether the last message of the host is less than `contact_timeout` old.
 bool has_recent_contact(const known_member& of_host, base::time_point now);
--- a/src/fleet/tests/members_test.cpp
+++ b/src/fleet/tests/members_test.cpp
@@ -59,9 +59,34 @@
     SUBCASE("a partitioned host keeps its share, since it may still serve requests")
     {
         CHECK(fleet::possible_host_count(table) == 3);
-        fleet::remove(table, base::host_id("far"));
+        fleet::remove_unlisted(table, base::host_id("far"), now + 1min);
         CHECK(fleet::possible_host_count(table) == 2);
     }
+    // Guards against a larger share of the accounts' limits while a serving host is missing in a
+    // store that was restored to an earlier state.
+    SUBCASE(
+        "a host that serves stays known when its row goes missing, until it leaves or is silent")
+    {
+        const base::host_id far("far");
+        CHECK_FALSE(fleet::remove_unlisted(table, far, now));
+        CHECK(fleet::remove_unlisted(table, now).empty());
+        CHECK(fleet::possible_host_count(table) == 3);
+        SUBCASE("silent")
+        {
+            CHECK(fleet::remove_unlisted(table, now + 1min) == std::vector<base::host_id>{far});
+        }
+        SUBCASE("leaving")
+        {
+            fleet::record_contact(table, make_member("far", "s1", fleet::member_state::leaving),
+                                  now);
+            CHECK(fleet::remove_unlisted(table, now) == std::vector<base::host_id>{far});
+        }
+        SUBCASE("listed again")
+        {
+            fleet::add_listed(table, make_member("far", "s1"));
+            CHECK(fleet::remove_unlisted(table, now + 1min).empty());
+        }
+    }
 }
 
 TEST_CASE("exactly one of the live hosts owns a target")
--- a/src/fleet/types/member.h
+++ b/src/fleet/types/member.h
@@ -27,6 +27,7 @@
     member info;
     bool has_contact = false;
     base::time_point last_contact; ///< Time of the last message from the host itself.
+    bool is_unlisted = false;      ///< Its row in the store has gone missing.
 };
 
 struct member_table {
