Handle the disconnect of a caller once

Callers saw: a host whose callers left all at once never ran again: no answer, no refusal, killed at the end of its grace time.

Cause: a disconnect is handled by shutting the connection down, so that h2o releases it. That raises the event on the same descriptor again. The events are read in batches of 64 until a batch is not full, and h2o releases connections only afterwards; with 64 requests in progress or more the next batch was always full.

Change: only the first disconnect event of a connection is handled.

Test: http_test, "many callers may disconnect at once while their requests are in progress": hangs until its alarm without the change.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -246,7 +246,10 @@
 
 void server::impl::on_caller_disconnected(server_connection& connection)
 {
-    connection.has_caller_disconnected = true;
+    // Shutting the connection down raises the event again.
+    if (std::exchange(connection.has_caller_disconnected, true)) {
+        return;
+    }
     drop_pipelined(connection);
     if (const auto running = connection.running.lock()) {
         running->on_caller_disconnected();
--- a/src/http/tests/connection_close_test.cpp
+++ b/src/http/tests/connection_close_test.cpp
@@ -175,6 +175,38 @@
     close(caller);
 }
 
+// Guards against a host that hangs when many callers leave at once: handling a disconnect raised
+// another event on the same connection, so a full batch of events was followed by the next one for
+// ever.
+TEST_CASE("many callers may disconnect at once while their requests are in progress")
+{
+    constexpr unsigned hang_limit_s = 30;
+    alarm(hang_limit_s); // A loop that spins does not return here.
+    constexpr std::size_t count = 200;
+    loop event_loop;
+    std::vector<std::shared_ptr<exchange>> held;
+    std::size_t closed = 0;
+    server http_server(event_loop, [&](const std::shared_ptr<exchange>& from) {
+        from->on_closed([&] { ++closed; });
+        held.push_back(from);
+    });
+    server_settings settings;
+    settings.address = "127.0.0.1:0";
+    REQUIRE(base::is_ok(http_server.listen(settings)));
+    std::vector<int> callers;
+    for (std::size_t i = 0; i < count; ++i) {
+        callers.push_back(connect_to(http_server.bound_address()));
+        write_all(callers.back(), "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    }
+    REQUIRE(run_until(event_loop, [&] { return held.size() == count; }));
+    for (const int caller : callers) {
+        close(caller);
+    }
+    CHECK(run_until(event_loop, [&] { return closed == count; }));
+    CHECK(run_until(event_loop, [&] { return http_server.open_connections() == 0; }));
+    alarm(0);
+}
+
 // Guards against hosts that never end their planned stop: calls that were cancelled right after
 // their requests were written left freed sockets in a list of libh2o, which became circular when
 // new connections got the same memory.
