Drop calls of the former era when a peer's table begins a later one

Callers would have seen: a confirmed change that is never in force on a host. Found by review: a host waits at its reader for changes after version 45; a peer tells it the restored table, version 4; the change at version 5 is not after 45, so the call ends with "version 5, no rows", and the host counts row 5 as known.

Cause: a response was compared with the era at its arrival, not with the one in which its call was sent.

Change: the follower ends its call in flight when an update of a peer begins an era; changes that a peer was asked for in another era are dropped. Discarded changes of an earlier era are logged.

--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -400,11 +400,13 @@
     const std::string path = rows_path(table, after, {});
     m_fetches[table] = m_context.client.fetch(
         make_peer_request(address, "GET", path, fetch_timeout), max_update_bytes,
-        [this, follower, table, address](
+        [this, follower, table, address, era = follower->replica().era](
             const base::result<std::pair<http::response_head, std::string>>& reply, bool /*sent*/) {
             if (base::is_ok(reply)) {
                 const auto update = fleet::parse_update(base::value_of(reply).second);
-                if (base::is_ok(update)) {
+                // Changes after a version of another era do not continue from the replica.
+                if (base::is_ok(update) &&
+                    (base::value_of(update).is_full || follower->replica().era == era)) {
                     telemetry::log_event(severity::info, "rows_from_peer",
                                          {{"table", table},
                                           {"peer", address},
--- a/src/rows/table_follower.cpp
+++ b/src/rows/table_follower.cpp
@@ -89,12 +89,7 @@
     on_success();
     if (std::tie(m_partial_era, m_partial_version) < std::tie(m_replica.era, m_replica.version)) {
         // The response is older than the replica, for example from a lagging store.
-        telemetry::log_event(severity::warning, "table_read_older",
-                             {{"table", m_settings.table},
-                              {"version", m_partial_version},
-                              {"era", m_partial_era},
-                              {"known", m_replica.version},
-                              {"known_era", m_replica.era}});
+        log_older(m_partial_era, m_partial_version);
         schedule_next(m_settings.initial_backoff);
         return;
     }
@@ -112,6 +107,16 @@
     schedule_next(m_settings.pause);
 }
 
+void table_follower::log_older(std::uint64_t era, std::uint64_t version) const
+{
+    telemetry::log_event(severity::warning, "table_read_older",
+                         {{"table", m_settings.table},
+                          {"version", version},
+                          {"era", era},
+                          {"known", m_replica.version},
+                          {"known_era", m_replica.era}});
+}
+
 void table_follower::read_changes()
 {
     m_call = m_store.read_changes(
@@ -145,6 +150,7 @@
         return;
     }
     if (current.era < m_replica.era) {
+        log_older(current.era, current.version);
         schedule_next(m_settings.initial_backoff);
         return;
     }
@@ -164,6 +170,7 @@
     const std::vector<row> changes = change();
     if (m_replica.era != era && m_is_loaded) {
         m_store_reachable_since = base::boot_clock::now();
+        m_store_restored_at = m_store_reachable_since;
         telemetry::log_event(severity::warning, "store_restored",
                              {{"table", m_settings.table},
                               {"era", m_replica.era},
@@ -205,9 +212,13 @@
     const std::uint64_t era = m_replica.era;
     const std::vector<row> changes = update_replica([&] { return apply(m_replica, update); });
     m_is_loaded = m_is_loaded || update.version > 0;
-    if (!changes.empty() || m_replica.era != era) {
+    const bool is_new_era = m_replica.era != era;
+    if (!changes.empty() || is_new_era) {
         m_on_change(changes);
     }
+    if (is_new_era) {
+        restart(); // The call in flight asks for changes after a version of the former era.
+    }
 }
 
 const table_replica& table_follower::replica() const
@@ -232,6 +243,11 @@
            now - m_last_success < 2 * m_settings.pause;
 }
 
+std::optional<base::time_point> table_follower::store_restored_at() const
+{
+    return m_store_restored_at;
+}
+
 base::time_point table_follower::store_reachable_since() const
 {
     return m_store_reachable_since;
--- a/src/rows/table_follower.h
+++ b/src/rows/table_follower.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,11 +75,15 @@
     /// after it may be written again.
     base::time_point store_reachable_since() const;
 
+    /// Time at which the latest restoration of the store to an earlier state was noticed.
+    std::optional<base::time_point> store_restored_at() const;
+
 private:
     void read_all(const std::string& from);
     void on_all(base::result<page> response);
     void read_changes();
     void on_changes(base::result<page> response);
+    void log_older(std::uint64_t era, std::uint64_t version) const;
     void on_failure(const base::error& failure);
     void on_success();
     /// Applies `change` to the replica and records whether that began a new era.
@@ -98,6 +103,7 @@
     bool m_is_store_reachable = false;
     bool m_needs_all = true;
     base::time_point m_store_reachable_since{};
+    std::optional<base::time_point> m_store_restored_at;
     base::time_point m_last_success{};
     std::chrono::milliseconds m_retry{0};
     std::unique_ptr<store_call> m_call;
--- a/src/rows/tests/table_follower_test.cpp
+++ b/src/rows/tests/table_follower_test.cpp
@@ -156,6 +156,17 @@
         CHECK(store.calls == std::vector<std::string>{"read ", "changes 5", "read ", "changes 5"});
         CHECK(follower.replica().rows.at("a").value == "0");
     }
+    SUBCASE("a call after a version of an earlier era ends when a peer's table begins a later one")
+    {
+        store.answers = {rows::page{{{"a", "1", 54}}, false, 54, false, 1}};
+        follower.start();
+        loop.run();
+        REQUIRE(store.calls.back() == "changes 54");
+        follower.apply_peer_update({52, true, {{"a", "0", 40}}, 2});
+        loop.schedule(base::boot_clock::now() + 10ms, [&] { loop.stop(); });
+        loop.run();
+        CHECK(store.calls.back() == "changes 52");
+    }
     SUBCASE("pages of different eras are not joined to one table")
     {
         store.answers = {rows::page{{{"a", "1", 3}}, true, 5, false, 1},
