Bypass a reader of an earlier era also when it answers with its whole table

Found by review, from the code: the answer "whole table" of a reader that does not know of the restoration yet made its neighbours read the table from the store, ask the reader again and get the same answer, without a pause. The era is now compared first, so that they bypass the reader for three seconds.

--- a/src/apps/host/relay_store.cpp
+++ b/src/apps/host/relay_store.cpp
@@ -46,9 +46,11 @@
     std::unique_ptr<rows::store_call> m_store_call;
 };
 
-/// Parses the reader's response into a page. Errors: `stale` and `store_unavailable`.
+/// Parses the reader's response into a page. Errors: `stale` and `store_unavailable`, also if the
+/// reader does not know the era yet.
 base::result<rows::page>
-parse_reply(const base::result<std::pair<http::response_head, std::string>>& reply)
+parse_reply(const base::result<std::pair<http::response_head, std::string>>& reply,
+            std::uint64_t era)
 {
     if (!base::is_ok(reply)) {
         return base::error{base::error_kind::store_unavailable, base::error_of(reply).detail};
@@ -62,6 +64,10 @@
     if (!base::is_ok(update)) {
         return base::error{base::error_kind::store_unavailable, base::error_of(update).detail};
     }
+    if (base::value_of(update).era < era) {
+        return base::error{base::error_kind::store_unavailable,
+                           "the reader does not know that the store was restored"};
+    }
     if (base::value_of(update).is_full) {
         // The reader does not have all changes, so the whole table is read again.
         return base::error{base::error_kind::stale,
@@ -109,11 +115,7 @@
         [this, call = call.get(), reader = reader->id.value(), table, after, wait,
          done = std::move(done)](
             const base::result<std::pair<http::response_head, std::string>>& reply, bool /*sent*/) {
-            base::result<rows::page> page = parse_reply(reply);
-            if (base::is_ok(page) && base::value_of(page).era < m_era) {
-                page = base::error{base::error_kind::store_unavailable,
-                                   "the reader does not know that the store was restored"};
-            }
+            const base::result<rows::page> page = parse_reply(reply, m_era);
             if (base::is_ok(page) || base::error_of(page).kind == base::error_kind::stale) {
                 done(page);
                 return;
