Hold entries of targets that have left only after a restoration of the store

Found by review, from the code: each failed call to the store made entries of returning targets be held for two seconds, and hosts that do not read the store themselves held them for six, as plain reports are not relayed.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -323,7 +323,7 @@
 void host_app::on_target_rows(const std::vector<rows::row>& changes)
 {
     const registry_view view{base::boot_clock::now(), m_target_rows.store_reachable_since(),
-                             m_settings.reappear_time};
+                             m_settings.reappear_time, m_target_rows.store_restored_at()};
     if (apply_rows(m_registry, m_formats, changes, view)) {
         update_targets();
         m_peers.on_rows_changed(m_formats.target_table);
--- a/src/apps/host/target_registry.cpp
+++ b/src/apps/host/target_registry.cpp
@@ -31,7 +31,7 @@
 }
 
 /// Whether the entry may be one that a target wrote before it left: its incarnation is known to
-/// have left, and the entry is no later one or comes from a store that has just returned.
+/// have left, and the entry is no later one or comes from a store that was just restored.
 bool may_be_departed(const target_registry& registry, const target_entry& entry,
                      const registry_view& view)
 {
@@ -43,8 +43,9 @@
     if (held != registry.held.end()) {
         return entry.sequence <= held->second.entry.sequence;
     }
-    const bool has_store_returned = view.now < view.store_reachable_since + view.reappear_time;
-    return has_store_returned || entry.sequence <= left->second.sequence;
+    const bool is_restored = view.store_restored_at.has_value() &&
+                             view.now < *view.store_restored_at + view.reappear_time;
+    return is_restored || entry.sequence <= left->second.sequence;
 }
 
 bool use_entry(target_registry& registry, const target_entry& entry)
--- a/src/apps/host/target_registry.h
+++ b/src/apps/host/target_registry.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
     base::time_point now;
     base::time_point store_reachable_since; ///< Start of uninterrupted contact with the store.
     std::chrono::milliseconds reappear_time{0};
+    /// Time at which the store came back with an earlier state.
+    std::optional<base::time_point> store_restored_at;
 };
 
 /// Applies changed rows. Returns true if a target was added or removed, became cold, or changed in
--- a/src/apps/host/tests/target_registry_test.cpp
+++ b/src/apps/host/tests/target_registry_test.cpp
@@ -60,7 +60,7 @@
     {
         const std::vector<rows::row> removal{{"t", "", 2, true}};
         REQUIRE(apps::apply_rows(registry, formats, removal, store_reachable));
-        const apps::registry_view restored{start + 5s, start + 5s, 2s};
+        const apps::registry_view restored{start + 5s, start + 5s, 2s, start + 5s};
         // Later than the last report that this host has seen.
         CHECK_FALSE(apps::apply_rows(registry, formats, {{"t", "5 3 a:1 0 0", 1}}, restored));
         CHECK_FALSE(apps::use_held(registry, start + 10s));
