Check from time to time that the store still lists the host

Found by review, from the code: a host whose registration was lost before it first read the table of hosts, or in a store without eras, was never registered again. A host now looks for its row every ten seconds in its replica, without a call to the store.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -64,6 +64,9 @@
 constexpr std::chrono::milliseconds deregistration_delay{150};
 constexpr std::chrono::milliseconds idle_check_interval{20};
 
+/// Longer than a change takes to arrive through the reader of the failure domain.
+constexpr std::chrono::seconds registration_check_interval{10};
+
 /// Delay before a failed registration of this host in the store is retried.
 constexpr std::chrono::seconds registration_retry_delay{2};
 
@@ -165,9 +168,14 @@
 void host_app::register_host()
 {
     m_registered_row = fleet::encode(m_self);
+    m_registration_check_due.reset();
     m_registration =
         m_store.write(m_formats.host_table, m_settings.host.value(), m_registered_row,
                       [this](const base::status& written) {
+                          if (base::is_ok(written)) {
+                              m_registration_check_due =
+                                  base::boot_clock::now() + registration_check_interval;
+                          }
                           if (base::is_ok(written) || m_context.is_leaving) {
                               return;
                           }
@@ -178,13 +186,20 @@
                       });
 }
 
-void host_app::restore_registration()
+void host_app::check_registration()
 {
     const rows::table_replica& replica = m_host_rows.replica();
+    const base::time_point now = base::boot_clock::now();
     const std::uint64_t checked = std::exchange(m_registration_era, replica.era);
-    if (checked == 0 || checked == replica.era || m_context.is_leaving) {
+    const bool is_new_era = checked != 0 && checked != replica.era;
+    const bool is_due = m_registration_check_due.has_value() && now >= *m_registration_check_due &&
+                        m_host_rows.is_loaded() && m_host_rows.is_store_reachable();
+    if ((!is_new_era && !is_due) || m_context.is_leaving) {
         return;
     }
+    if (is_due) {
+        m_registration_check_due = now + registration_check_interval;
+    }
     const auto row = replica.rows.find(m_settings.host.value());
     if (row == replica.rows.end() || row->second.value != m_registered_row) {
         register_host();
@@ -351,7 +366,7 @@
         }
         fleet::add_listed(m_context.members, base::value_of(listed));
     }
-    restore_registration();
+    check_registration();
     update_budgets(m_context);
     update_shares();
     check_ready();
@@ -457,6 +472,7 @@
         update_targets();
     }
     remove_expired_hosts();
+    check_registration();
     update_budgets(m_context);
     const std::size_t hosts =
         std::max(fleet::possible_host_count(m_context.members), m_settings.regions.size());
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -19,6 +19,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -62,8 +63,9 @@
     /// Whether the request may run before the earlier requests of its connection are answered.
     bool allows_pipelining(const http::request_head& head) const;
     void register_host();
-    /// Registers the host again if the store has begun a later era without its registration.
-    void restore_registration();
+    /// Registers the host again if the store has lost its registration: at once when the store has
+    /// begun a later era, else from time to time.
+    void check_registration();
     void check_ready();
     void handle_ready(http::exchange& request) const;
     void handle_lookup(http::exchange& request) const;
@@ -117,7 +119,9 @@
     std::unique_ptr<rows::store_call> m_registration;
     std::string m_registered_row;
     std::uint64_t m_registration_era = 0; ///< Era of the store in which the row was last checked.
-    std::size_t m_sharing_hosts = 0;      ///< Number of hosts that share the accounts' limits.
+    /// Time of the next check of the row in the same era; not set while a registration is pending.
+    std::optional<base::time_point> m_registration_check_due;
+    std::size_t m_sharing_hosts = 0; ///< Number of hosts that share the accounts' limits.
     /// Whether the shares of the accounts' limits are based on the known hosts.
     bool m_has_shares = false;
     base::time_point m_started{};
