--- a/src/apps/common/stall_watch.cpp
+++ b/src/apps/common/stall_watch.cpp
@@ -50,7 +50,8 @@
 std::optional<loop_stall> stall_watch::check(base::time_point now)
 {
     const http::loop_activity activity = m_loop.activity();
-    const bool is_waiting = now < activity.wait_end;
+    // Before the first round the program still starts.
+    const bool is_waiting = activity.round == 0 || now < activity.wait_end;
     if (activity.round != m_last.round || is_waiting) {
         const bool was_stalled = m_checks_without_progress >= checks_until_stalled;
         const loop_stall ended{m_last, now - m_last.wait_end,
--- a/src/http/loop.cpp
+++ b/src/http/loop.cpp
@@ -81,7 +81,9 @@
     // h2o frees closed sockets before it runs callbacks, also a socket that waits for the callback
     // of a completed write. So sockets may be written to and closed only within a callback of h2o,
     // and timers and posted work, which do both, run in one.
-    h2o_socket_write(m_callback_socket, nullptr, 0, on_callback);
+    if (m_callback_socket->_cb.write == nullptr) {
+        h2o_socket_write(m_callback_socket, nullptr, 0, on_callback);
+    }
 }
 
 void loop::impl::on_callback(h2o_socket_t* socket, const char* /*failure*/)
