--- a/src/apps/agent/store_poller.h
+++ b/src/apps/agent/store_poller.h
@@ -44,9 +44,12 @@
     store_poller& operator=(store_poller&&) = delete;
 
     /// Starts the reads that are due. Reads the document rows only if this host is `elected`.
+    /// Writes a document to the store again if the store was restored to a copy without it.
     void tick(base::time_point now, bool elected);
 
-    /// The platform's host list, which may be outdated; empty until it has been read.
+    /// Hosts that the platform listed in the last two readings of its host list; empty until it has
+    /// been read. One reading does not show that a host has left: a restored store may have lost an
+    /// entry until it is written again.
     const std::vector<membership::seed>& seeds() const
     {
         return m_seeds;
@@ -66,6 +69,8 @@
 
     void read_row(const std::string& name, base::time_point now);
     void on_row(const std::string& name, const base::result<store::row>& row);
+    void rewrite(const std::string& name, const documents::publish_plan& plan);
+    void on_rewritten(const std::string& name, const base::status& outcome);
     void start_fetch(const std::string& name, documents::publication record);
     void fetch_patch(const std::shared_ptr<fetch>& job);
     void fetch_text(const std::shared_ptr<fetch>& job);
@@ -87,6 +92,7 @@
     std::map<std::string, documents::store_state> m_states;
     bool m_list_read_pending = false;
     bool m_listed_known = false;
+    std::vector<membership::seed> m_last_list; ///< Hosts of the last reading only.
     std::vector<membership::seed> m_seeds;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/apps/agent/tests/fake_store.h
+++ b/src/apps/agent/tests/fake_store.h
@@ -25,16 +25,27 @@
                 return;
             }
             const auto found = rows.find(key);
-            done(found == rows.end() ? store::row{key, "", 0} : found->second);
+            store::row row = found == rows.end() ? store::row{key, "", 0} : found->second;
+            row.era = era;
+            done(row);
         });
     }
 
-    void write_row(const std::string& key, std::uint64_t /*expected_version*/,
+    void write_row(const std::string& key, const store::row_condition& expected,
                    const std::string& value, row_callback done) override
     {
-        auto& row = rows[key];
-        row = {key, value, row.version + 1};
-        done(row);
+        reply([this, key, expected, value, done = std::move(done)] {
+            const auto found = rows.find(key);
+            const std::uint64_t version = found == rows.end() ? 0 : found->second.version;
+            if (down) {
+                done(unavailable());
+            } else if (version != expected.version || era != expected.era) {
+                done(base::error{base::error_kind::version_conflict, key});
+            } else {
+                rows[key] = {key, value, version + 1, era};
+                done(rows[key]);
+            }
+        });
     }
 
     void read_object(const std::string& name, text_callback done) override
@@ -55,8 +66,15 @@
     void write_object(const std::string& name, const std::string& content,
                       status_callback done) override
     {
-        objects[name] = content;
-        done(std::monostate{});
+        reply([this, name, content, done = std::move(done)] {
+            if (down) {
+                done(unavailable());
+            } else if (objects.try_emplace(name, content).first->second != content) {
+                done(base::error{base::error_kind::version_conflict, name});
+            } else {
+                done(std::monostate{});
+            }
+        });
     }
 
     void list_hosts(hosts_callback done) override
@@ -78,7 +96,7 @@
         const auto version = documents::highest_version(before, {});
         std::string old_text;
         if (version.value() > 0) {
-            old_text = objects.at(documents::text_object_name(name, version));
+            old_text = objects.at(documents::text_object_name(name, before.record->version));
         }
         const auto plan = base::value_of(documents::plan_publish(
             {"id" + std::to_string(++m_publications), version, text}, before, {}, old_text));
@@ -89,6 +107,30 @@
         rows[key] = {key, documents::encode(plan.record), before.row_version + 1};
     }
 
+    documents::published_row published(const std::string& name) const
+    {
+        return row_of(documents::row_key(name));
+    }
+
+    /// Content of the store. A copy can be restored later.
+    struct content {
+        std::map<std::string, store::row> rows;
+        std::map<std::string, std::string> objects;
+    };
+
+    content copy() const
+    {
+        return {rows, objects};
+    }
+
+    /// Restores an older copy, which begins a new era.
+    void restore(const content& older)
+    {
+        rows = older.rows;
+        objects = older.objects;
+        ++era;
+    }
+
     /// Replies to the calls that were deferred.
     void run_deferred()
     {
@@ -99,6 +141,7 @@
 
     bool down = false;
     bool defer = false;
+    std::uint64_t era = 0;
     std::size_t row_reads = 0;
     std::deque<std::string> read_objects;
     std::map<std::string, store::row> rows;
@@ -115,9 +158,9 @@
     {
         const auto found = rows.find(key);
         if (found == rows.end()) {
-            return {};
+            return {0, {}, era};
         }
-        return {found->second.version, base::value_of(documents::decode(found->second.value))};
+        return {found->second.version, base::value_of(documents::decode(found->second.value)), era};
     }
 
     void reply(std::function<void()> call)
--- a/src/apps/ctl/tests/publisher_test.cpp
+++ b/src/apps/ctl/tests/publisher_test.cpp
@@ -3,6 +3,8 @@
 #include "apps/ctl/publication.h"
 #include "apps/ctl/store_session.h"
 #include "apps/ctl/tests/platform_thread.h"
+#include "documents/publishing.h"
+#include "documents/text.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -15,6 +17,7 @@
 const std::string text_a = R"({"a":1})";
 const std::string text_b = R"({"a":1,"b":2})";
 const std::string text_c = R"({"a":3})";
+const std::string text_d = R"({"d":4})";
 
 publication_request request_of(const std::string& text)
 {
@@ -43,6 +46,23 @@
         return base::value_of(stored);
     }
 
+    /// Request to publish `text`. The store is restored after the row was read, and another
+    /// operator publishes `other`.
+    publication_request request_before_restoration(const std::string& text,
+                                                   const std::string& other)
+    {
+        auto request = concurrent_request(text, other);
+        request.make_text = [this, make_text = request.make_text,
+                             is_restored = false](std::uint64_t version) mutable {
+            if (!is_restored) {
+                is_restored = true;
+                platform.with_server([](auto& server) { server.restore_snapshot(); });
+            }
+            return make_text(version);
+        };
+        return request;
+    }
+
     /// Request to publish `text`. Another operator publishes `other` after the row was read.
     publication_request concurrent_request(const std::string& text, const std::string& other)
     {
@@ -178,8 +198,38 @@
         CHECK(test.publish_text(text_b).outcome == publish_outcome::published);
         CHECK(test.in_force().text == text_b);
     }
-    SUBCASE("publishes above the fleet's version after the store was restored")
+    SUBCASE("publishes above all lost versions after the store was restored")
+    {
+        REQUIRE(test.publish_text(text_a).outcome == publish_outcome::published);
+        test.platform.with_server([](auto& server) { server.take_snapshot(); });
+        REQUIRE(test.publish_text(text_b).outcome == publish_outcome::published);
+        REQUIRE(test.publish_text(text_c).outcome == publish_outcome::published);
+        test.platform.with_server([](auto& server) { server.restore_snapshot(); });
+        const publish_report report = test.publish_text(text_d);
+        CHECK(report.outcome == publish_outcome::published);
+        CHECK(report.in_force.version.value() > 3);
+        CHECK(test.in_force().text == text_d);
+        CHECK_FALSE(base::is_ok(test.store.read_object(
+            documents::patch_object_name("config", report.in_force.version))));
+        const publish_report next = test.publish_text(text_b);
+        CHECK(next.in_force.version.value() == report.in_force.version.value() + 1);
+        CHECK(base::is_ok(
+            test.store.read_object(documents::patch_object_name("config", next.in_force.version))));
+    }
+    SUBCASE("publishes the restored text again, because hosts may have a lost one in force")
     {
+        REQUIRE(test.publish_text(text_a).outcome == publish_outcome::published);
+        test.platform.with_server([](auto& server) { server.take_snapshot(); });
+        REQUIRE(test.publish_text(text_b).outcome == publish_outcome::published);
+        test.platform.with_server([](auto& server) { server.restore_snapshot(); });
+        const publish_report report = test.publish_text(text_a);
+        CHECK(report.outcome == publish_outcome::published);
+        CHECK(report.in_force.version.value() > 2);
+        CHECK(test.publish_text(text_a).outcome == publish_outcome::already_in_force);
+    }
+    SUBCASE("publishes above the fleet's version after a store without eras was restored")
+    {
+        test.platform.with_server([](auto& server) { server.faults().hide_era = true; });
         REQUIRE(test.publish_text(text_a).outcome == publish_outcome::published);
         test.platform.with_server([](auto& server) { server.take_snapshot(); });
         REQUIRE(test.publish_text(text_b).outcome == publish_outcome::published);
@@ -190,6 +240,66 @@
         CHECK(report.outcome == publish_outcome::published);
         CHECK(report.in_force.version.value() == 3);
     }
+    SUBCASE("does not overwrite another publication that got the same row version after a "
+            "restoration")
+    {
+        REQUIRE(test.publish_text(text_a).outcome == publish_outcome::published);
+        test.platform.with_server([](auto& server) { server.take_snapshot(); });
+        REQUIRE(test.publish_text(text_b).outcome == publish_outcome::published);
+        const publish_report report =
+            publish(test.store, test.request_before_restoration(text_c, text_d), test.settings);
+        CHECK(report.outcome == publish_outcome::conflict);
+        CHECK(test.in_force().text == text_d);
+    }
+    SUBCASE("writes lost objects again if the store is restored before the row's write")
+    {
+        REQUIRE(test.publish_text(text_a).outcome == publish_outcome::published);
+        test.platform.with_server([](auto& server) {
+            server.take_snapshot();
+            server.faults().restore_after_writes = 1;
+        });
+        CHECK(test.publish_text(text_b).outcome == publish_outcome::published);
+        CHECK(test.in_force().text == text_b);
+    }
+    SUBCASE("whose row's write took effect without a reply and was then lost in a restoration")
+    {
+        REQUIRE(test.publish_text(text_a).outcome == publish_outcome::published);
+        documents::publication other;
+        const auto lose_row = [&other](auto& server) {
+            server.take_snapshot();
+            server.faults().after_write = [&server, &other, writes = 0]() mutable {
+                ++writes;
+                // The text and the patch are written before the row.
+                server.faults().lose_replies = writes == 2 ? 1 : 0;
+                if (writes != 3) {
+                    return;
+                }
+                REQUIRE(server.state().rows.at("documents/config").version == 2);
+                server.restore_snapshot();
+                if (!other.id.empty()) {
+                    server.state().rows["documents/config"] = {documents::encode(other), 2};
+                    server.state().objects[documents::text_object_name("config", other.version)] =
+                        text_d;
+                }
+            };
+        };
+        SUBCASE("is published again")
+        {
+            test.platform.with_server(lose_row);
+            const publish_report report = test.publish_text(text_b);
+            CHECK(report.outcome == publish_outcome::published);
+            CHECK(report.in_force.version == documents::first_version(1));
+            CHECK(test.in_force().text == text_b);
+        }
+        SUBCASE("has an unknown outcome if another operator has published since")
+        {
+            other = {documents::first_version(1), documents::digest_of(text_d), "other", {}};
+            test.platform.with_server(lose_row);
+            CHECK(test.publish_text(text_b).outcome == publish_outcome::unknown);
+            CHECK(test.in_force().text == text_d);
+        }
+        test.platform.with_server([](auto& server) { server.faults().after_write = nullptr; });
+    }
     SUBCASE("does not overwrite a row that it cannot read")
     {
         test.platform.with_server([](auto& server) {
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -97,7 +97,13 @@
                    rows::row_store& store)
     : m_loop(loop), m_settings(std::move(settings)), m_formats(std::move(formats)), m_store(store),
       m_client(loop, target_client_settings()), m_context{m_settings, loop, m_client, m_metrics},
-      m_self(make_member(m_settings)), m_relay(m_context, m_self, store),
+      m_self(make_member(m_settings)),
+      m_relay(m_context, m_self, store,
+              [this](std::uint64_t era) {
+                  for (auto* table : {&m_operator_rows, &m_target_rows, &m_host_rows}) {
+                      table->on_era(era);
+                  }
+              }),
       m_operator_rows(loop, m_relay, {m_formats.operator_table, operator_poll_wait, {}},
                       [this](const std::vector<rows::row>& changes) { on_operator_rows(changes); }),
       m_target_rows(loop, m_relay,
@@ -234,6 +240,7 @@
     if (m_context.routes->limits.idle_timeout.count() > 0) {
         m_entry->set_request_timeout(m_context.routes->limits.idle_timeout + idle_timeout_margin);
     }
+    make_pools();
     update_targets();
     update_shares();
     check_ready();
@@ -294,6 +301,11 @@
                                  {{"host", change.key}, {"cause", base::error_of(listed).detail}});
             continue;
         }
+        if (base::value_of(listed).id.value() != change.key) {
+            telemetry::log_event(severity::warning, "host_row_unreadable",
+                                 {{"host", change.key}, {"cause", "the row names another host"}});
+            continue;
+        }
         fleet::add_listed(m_context.members, base::value_of(listed));
     }
     update_budgets(m_context);
@@ -302,6 +314,21 @@
     m_peers.on_rows_changed(m_formats.host_table);
 }
 
+void host_app::make_pools()
+{
+    // The pool of a service that is no longer named stays for requests in progress.
+    for (const auto& [id, service] : m_context.routes->services) {
+        pool_of(m_context, id);
+    }
+    for (const auto& [host, routes] : m_context.routes->hosts) {
+        for (const routing::route& route : routes) {
+            for (const routing::weighted_service& part : route.services) {
+                pool_of(m_context, part.service);
+            }
+        }
+    }
+}
+
 void host_app::update_targets()
 {
     const base::time_point now = base::boot_clock::now();
@@ -309,8 +336,13 @@
     for (const auto& [id, pool] : m_context.pools) {
         by_service[id];
     }
+    // Services that no configuration has named are ignored: their number and the length of their
+    // names have no bound.
     for (const auto& [id, entry] : m_registry.targets) {
-        by_service[entry.service].push_back(entry);
+        const auto service = by_service.find(entry.service);
+        if (service != by_service.end()) {
+            service->second.push_back(entry);
+        }
     }
     for (const auto& [service, entries] : by_service) {
         target_pool& pool = pool_of(m_context, service);
--- a/src/fleet/exchange_encoding.cpp
+++ b/src/fleet/exchange_encoding.cpp
@@ -1,8 +1,11 @@
 #include "fleet/exchange_encoding.h"
 
+#include "base/json_reader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace snipeshore::fleet {
@@ -14,6 +17,9 @@
 /// Amounts are encoded as integers in hundredths, which keeps the messages short.
 constexpr double amount_steps = 100;
 
+/// Identifier of the library's exceptions for errors that are not its own.
+constexpr int error_id = 501;
+
 json member_json(const member& host)
 {
     return json::array({host.id.value(), host.failure_domain.value(), host.entry_address,
@@ -21,15 +27,32 @@
                         static_cast<int>(host.state), host.reads_store});
 }
 
+std::uint64_t read_number(const json& from)
+{
+    return base::read_count(from, std::numeric_limits<std::uint64_t>::max());
+}
+
+std::map<std::string, std::uint64_t> read_numbers(const json& from)
+{
+    std::map<std::string, std::uint64_t> numbers;
+    for (const auto& [name, number] : from.get_ref<const json::object_t&>()) {
+        numbers[name] = read_number(number);
+    }
+    return numbers;
+}
+
 member read_member(const json& from)
 {
     member host;
     host.id = base::host_id(from.at(0).get<std::string>());
+    if (host.id.value().empty()) {
+        throw json::other_error::create(error_id, "host without an id", nullptr);
+    }
     host.failure_domain = base::failure_domain_id(from.at(1).get<std::string>());
     host.entry_address = from.at(2).get<std::string>();
     host.control_address = from.at(3).get<std::string>();
-    host.incarnation = base::incarnation(from.at(4).get<std::uint64_t>());
-    const int state = from.at(5).get<int>();
+    host.incarnation = base::incarnation(read_number(from.at(4)));
+    const std::uint64_t state = read_number(from.at(5));
     host.state = state == 1   ? member_state::ready
                  : state == 2 ? member_state::leaving
                               : member_state::starting;
@@ -70,9 +93,12 @@
 {
     std::vector<crash_report> crashes;
     for (const json& one : from) {
-        crashes.push_back({one.at(0).get<std::uint64_t>(),
-                           base::target_id(one.at(1).get<std::string>()),
-                           one.at(2).get<std::vector<std::uint64_t>>()});
+        crash_report& crash = crashes.emplace_back();
+        crash.crash = read_number(one.at(0));
+        crash.target = base::target_id(one.at(1).get<std::string>());
+        for (const json& fingerprint : one.at(2).get_ref<const json::array_t&>()) {
+            crash.fingerprints.push_back(read_number(fingerprint));
+        }
     }
     return crashes;
 }
@@ -84,17 +110,41 @@
     -> base::result<decltype(read(std::declval<const json&>()))>
 {
     try {
-        return read(json::parse(text));
+        return read(base::parse_json(text));
     } catch (const json::exception& failure) {
         return base::error{base::error_kind::document_invalid, failure.what()};
     }
 }
 
+bool is_utf8(const std::string& text)
+{
+    try {
+        static_cast<void>(json(text).dump());
+        return true;
+    } catch (const json::exception&) {
+        return false;
+    }
+}
+
+json rows_json(const std::vector<rows::row>& changes, bool checks_values)
+{
+    json made = json::array();
+    for (const rows::row& change : changes) {
+        const bool is_sent = !checks_values || is_utf8(change.value);
+        made.push_back(json::array(
+            {change.key, change.version, change.removed, is_sent ? change.value : std::string()}));
+    }
+    return made;
+}
+
 } // namespace
 
 std::string encode(const exchange_message& message)
 {
     json made{{"m", member_json(message.from)}, {"v", message.versions}};
+    if (!message.eras.empty()) {
+        made["e"] = message.eras;
+    }
     if (!message.wanted.empty()) {
         made["w"] = amounts_json(message.wanted);
     }
@@ -115,7 +165,8 @@
     return parse_with(text, [](const json& from) {
         exchange_message message;
         message.from = read_member(from.at("m"));
-        message.versions = from.at("v").get<std::map<std::string, std::uint64_t>>();
+        message.versions = read_numbers(from.at("v"));
+        message.eras = read_numbers(from.value("e", json::object()));
         message.wanted = read_amounts<base::account_id>(from.value("w", json::object()));
         message.granted = read_amounts<base::account_id>(from.value("g", json::object()));
         message.crashes = read_crashes(from.value("c", json::array()));
@@ -136,23 +187,30 @@
 
 std::string encode(const rows::replica_update& update)
 {
-    json changes = json::array();
-    for (const rows::row& change : update.rows) {
-        changes.push_back(json::array({change.key, change.version, change.removed, change.value}));
+    json made{
+        {"v", update.version}, {"full", update.is_full}, {"rows", rows_json(update.rows, false)}};
+    if (update.era > 0) {
+        made["e"] = update.era;
+    }
+    try {
+        return made.dump();
+    } catch (const json::exception&) {
+        // Only then each value is checked.
+        made["rows"] = rows_json(update.rows, true);
+        return made.dump(-1, ' ', false, json::error_handler_t::replace);
     }
-    const json made{{"v", update.version}, {"full", update.is_full}, {"rows", changes}};
-    return made.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 base::result<rows::replica_update> parse_update(std::string_view text)
 {
     return parse_with(text, [](const json& from) {
         rows::replica_update update;
-        update.version = from.at("v").get<std::uint64_t>();
+        update.version = read_number(from.at("v"));
         update.is_full = from.at("full").get<bool>();
+        update.era = from.contains("e") ? read_number(from.at("e")) : 0;
         for (const json& one : from.at("rows")) {
             update.rows.push_back({one.at(0).get<std::string>(), one.at(3).get<std::string>(),
-                                   one.at(1).get<std::uint64_t>(), one.at(2).get<bool>()});
+                                   read_number(one.at(1)), one.at(2).get<bool>()});
         }
         return update;
     });
--- a/src/http/tests/test_support.cpp
+++ b/src/http/tests/test_support.cpp
@@ -3,6 +3,7 @@
 #include "http/internal/loop_impl.h"
 #include "http/internal/socket_address.h"
 
+#include <fcntl.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -150,6 +151,47 @@
     }
 }
 
+parallel_raw_server::parallel_raw_server(std::function<void(int)> serve) : m_serve(std::move(serve))
+{
+    m_listener = std::make_unique<raw_server>([this](int accepted) {
+        const int descriptor = fcntl(accepted, F_DUPFD_CLOEXEC, 0);
+        {
+            const std::lock_guard lock(m_mutex);
+            m_open.insert(descriptor);
+        }
+        m_threads.emplace_back([this, descriptor] {
+            m_serve(descriptor);
+            const std::lock_guard lock(m_mutex);
+            m_open.erase(descriptor);
+            close(descriptor);
+        });
+    });
+}
+
+parallel_raw_server::~parallel_raw_server()
+{
+    m_listener.reset();
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const int descriptor : m_open) {
+            shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+    for (std::thread& thread : m_threads) {
+        thread.join();
+    }
+}
+
+std::string parallel_raw_server::address() const
+{
+    return m_listener->address();
+}
+
+int parallel_raw_server::accepted() const
+{
+    return m_listener->accepted();
+}
+
 int connect_to(const std::string& address)
 {
     auto parsed = parse_address(address);
@@ -203,6 +245,19 @@
     }
 }
 
+void write_and_end(int descriptor, const std::string& text, connection_end how)
+{
+    if (how != connection_end::close_with_last_bytes) {
+        write_all(descriptor, text);
+    } else if (!text.empty()) {
+        send(descriptor, text.data(), text.size(), MSG_NOSIGNAL | MSG_MORE);
+    }
+    if (how == connection_end::reset) {
+        const linger reset{1, 0};
+        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+}
+
 client_request get(const std::string& address, const std::string& path)
 {
     client_request request;
--- a/src/http/tests/test_support.h
+++ b/src/http/tests/test_support.h
@@ -12,7 +12,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -62,6 +64,28 @@
     std::thread m_thread;
 };
 
+/// As `raw_server`, but serves each connection on a thread of its own. Its destructor ends the
+/// connections that are still open.
+class parallel_raw_server {
+public:
+    explicit parallel_raw_server(std::function<void(int)> serve);
+    ~parallel_raw_server();
+    parallel_raw_server(const parallel_raw_server&) = delete;
+    parallel_raw_server& operator=(const parallel_raw_server&) = delete;
+    parallel_raw_server(parallel_raw_server&&) = delete;
+    parallel_raw_server& operator=(parallel_raw_server&&) = delete;
+
+    std::string address() const;
+    int accepted() const;
+
+private:
+    std::function<void(int)> m_serve;
+    std::mutex m_mutex;
+    std::set<int> m_open; ///< Guarded by the mutex.
+    std::vector<std::thread> m_threads;
+    std::unique_ptr<raw_server> m_listener;
+};
+
 /// Connects a blocking socket and returns its descriptor.
 int connect_to(const std::string& address);
 
@@ -74,6 +98,15 @@
 
 void write_all(int descriptor, const std::string& text);
 
+enum class connection_end : std::uint8_t {
+    close,
+    close_with_last_bytes, ///< The last bytes and the end of the stream are in the same segment.
+    reset,
+};
+
+/// Writes the text to a connection that the caller closes next; determines how it ends then.
+void write_and_end(int descriptor, const std::string& text, connection_end how);
+
 /// Everything that the callbacks of a call reported.
 struct call_record {
     std::optional<response_head> head;
--- a/src/store/replies.cpp
+++ b/src/store/replies.cpp
@@ -1,9 +1,13 @@
 #include "store/internal/replies.h"
 
+#include "base/json_reader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
+#include <limits>
 
 namespace snipeshore::store::internal {
 
@@ -50,17 +54,33 @@
 
 base::error malformed_body_error(call_kind kind)
 {
-    return {unconfirmed_kind(kind), "platform store, malformed reply body"};
+    return {unconfirmed_kind(kind), "platform store, malformed reply"};
+}
+
+base::result<std::uint64_t> read_era(call_kind kind, const http::header_list& headers)
+{
+    const auto text = http::find_header(headers, "store-era");
+    if (!text) {
+        return std::uint64_t{0};
+    }
+    std::uint64_t era = 0;
+    const char* end = text->data() + text->size();
+    const auto [stop, failure] = std::from_chars(text->data(), end, era);
+    if (failure != std::errc() || stop != end) {
+        return malformed_body_error(kind);
+    }
+    return era;
 }
 
 base::result<row> read_row_body(call_kind kind, const std::string& key, const std::string& body)
 {
     try {
-        const json value = json::parse(body);
+        const json value = base::parse_json(body);
         row read;
         read.key = value.at("key").get<std::string>();
         read.value = value.at("value").get<std::string>();
-        read.version = value.at("version").get<std::uint64_t>();
+        read.version =
+            base::read_count(value.at("version"), std::numeric_limits<std::uint64_t>::max());
         if (read.key == key && read.version != 0) {
             return read;
         }
@@ -74,7 +94,7 @@
 {
     try {
         std::vector<listed_host> hosts;
-        const json value = json::parse(body);
+        const json value = base::parse_json(body);
         for (const json& entry : value.at("hosts")) {
             listed_host host;
             host.host_id = entry.at("host_id").get<std::string>();
--- a/src/targets/response_signals.cpp
+++ b/src/targets/response_signals.cpp
@@ -1,5 +1,7 @@
 #include "targets/response_signals.h"
 
+#include "base/json_reader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -54,7 +56,7 @@
 
 nlohmann::json parse_object(std::string_view body)
 {
-    auto parsed = nlohmann::json::parse(body, nullptr, false);
+    auto parsed = base::parse_json_or_discard(body);
     return parsed.is_object() ? parsed : nlohmann::json::object();
 }
 
@@ -74,6 +76,15 @@
     return out;
 }
 
+response_origin origin_of(const http::response_head& head, std::string_view attempt_id)
+{
+    const auto echoed = http::find_header(head.headers, attempt_id_header);
+    if (!echoed.has_value()) {
+        return response_origin::unknown;
+    }
+    return *echoed == attempt_id ? response_origin::own : response_origin::other;
+}
+
 health_state read_health(const http::response_head& head, std::string_view body)
 {
     const auto parsed = parse_object(body);
