Fault soak: a store that comes back with an earlier content

Change: the stand-in of the store sends Store-Era in all answers and has a fault "restored": it goes down, breaks off the calls in progress and comes back with a copy that is 3 to 7 s older than the outage, in the next era; a version that it does not have gets status 410. The soak writes the configuration and the targets' rows again within 2 s, as the operator and targets do, and publishes further changes. The newest configuration has to be in force on hosts in touch within 2 s, counted from 3 s after the store's return at the earliest; a key that was withdrawn everywhere before never serves again, and targets that were gone or drained get no request.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -15,7 +15,10 @@
 DEFINE_uint64(seeds, 1, "Number of seeds.");
 DEFINE_uint64(seconds, 20, "Duration of each run after startup.");
 DEFINE_uint64(hosts, 4, "Number of host processes.");
-DEFINE_string(faults, "all", "Faults to inject: planned (planned work only) or all.");
+DEFINE_string(faults, "all",
+              "Faults to inject: planned (planned work only), restored (a store that comes back "
+              "with an earlier "
+              "content) or all.");
 DEFINE_string(program, SNIPESHORE_BINARY_DIR "/snipeshore-host", "Path of the host program.");
 DEFINE_string(directory, "/tmp/snipeshore-soak", "Directory for settings files and logs.");
 
@@ -27,6 +30,9 @@
     if (name == "planned") {
         return fault_set::planned;
     }
+    if (name == "restored") {
+        return fault_set::restored;
+    }
     return name == "all" ? std::optional(fault_set::all) : std::nullopt;
 }
 
@@ -38,7 +44,7 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto faults = parse_faults(FLAGS_faults);
     if (!faults || sodium_init() < 0) {
-        std::cerr << "error: --faults must be planned or all\n";
+        std::cerr << "error: --faults must be planned, restored or all\n";
         return 1;
     }
     int failed = 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -9,7 +9,8 @@
 namespace snipeshore::soak {
 
 enum class fault_set {
-    planned, ///< Only planned work: stops, reloads, changes of the configuration and of targets.
+    planned,  ///< Only planned work: stops, reloads, changes of the configuration and of targets.
+    restored, ///< A store that comes back with an earlier content, and changes, but no stops.
     all
 };
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -21,6 +21,12 @@
 constexpr auto exit_check_interval = 50ms;
 /// The time bounds hold again this long after the end of a host pause or store fault.
 constexpr auto settle_time = 5000ms;
+constexpr auto store_fault_time = 1500ms;
+/// Age of the copy with which a lost store comes back, and duration of the outage before.
+constexpr auto min_copy_age = 3000ms;
+constexpr auto max_copy_age = 7000ms;
+constexpr auto min_outage = 200ms;
+constexpr auto max_outage = 1500ms;
 constexpr std::size_t max_hosts_at_once = 3;
 
 } // namespace
@@ -39,13 +45,32 @@
 
 void soak_run::inject_fault()
 {
-    if (m_settings.faults == fault_set::planned || m_random() % 3 == 0) {
+    switch (m_settings.faults) {
+    case fault_set::planned:
         inject_planned_work();
         return;
+    case fault_set::restored:
+        if (m_is_restoring) {
+            inject_change();
+        } else {
+            restore_store();
+        }
+        return;
+    case fault_set::all:
+        if (m_random() % 3 == 0) {
+            inject_planned_work();
+        } else {
+            inject_unplanned_fault();
+        }
+        return;
     }
+}
+
+void soak_run::inject_unplanned_fault()
+{
     const std::size_t host = m_random() % m_fleet.slots.size();
     const std::size_t target = m_random() % m_targets.size();
-    const std::uint64_t kind = m_random() % 8;
+    const std::uint64_t kind = m_random() % 9;
     const std::uint64_t choice = m_random();
     switch (kind) {
     case 0:
@@ -57,6 +82,9 @@
     case 2:
         disturb_store(static_cast<store_fault>(1 + choice % 3));
         return;
+    case 3:
+        restore_store();
+        return;
     default:
         m_targets[target]->fault = static_cast<target_fault>(choice % 7);
         record_fault(m_targets[target]->id() + " fault " + std::to_string(choice % 7));
@@ -225,12 +253,87 @@
 
 void soak_run::disturb_store(store_fault fault)
 {
+    if (m_store.fault == store_fault::down) {
+        return;
+    }
     record_fault("store fault " + std::to_string(static_cast<int>(fault)));
     m_store.fault = fault;
     m_is_disturbed = true;
-    m_loop.schedule(base::boot_clock::now() + 1500ms,
-                    [this] { m_store.fault = store_fault::none; });
-    settle_after(1500ms);
+    m_loop.schedule(base::boot_clock::now() + store_fault_time, [this] {
+        if (m_store.fault != store_fault::down) {
+            m_store.fault = store_fault::none;
+        }
+    });
+    settle_after(store_fault_time);
+}
+
+/// Keeps a copy of the store, which is lost some seconds later and comes back with the copy.
+void soak_run::restore_store()
+{
+    if (m_is_restoring) {
+        return;
+    }
+    m_is_restoring = true;
+    record_fault("copy of the store");
+    m_store.rows.save();
+    const auto age = min_copy_age + random_time(max_copy_age - min_copy_age);
+    // Each restored store misses at least one change.
+    m_loop.schedule(base::boot_clock::now() + random_time(age), [this] { replace_key(); });
+    m_loop.schedule(base::boot_clock::now() + age, [this] { lose_store(); });
+}
+
+void soak_run::lose_store()
+{
+    record_fault("store lost");
+    m_store.go_down();
+    m_store_lost = base::boot_clock::now();
+    m_has_old_rows = true;
+    m_is_disturbed = true;
+    const auto outage = min_outage + random_time(max_outage - min_outage);
+    m_loop.schedule(m_store_lost + outage, [this] { return_store(); });
+    settle_after(outage);
+}
+
+void soak_run::return_store()
+{
+    record_fault("store restored");
+    m_store.come_back_restored();
+    m_store_returned = base::boot_clock::now();
+    for (const host_slot& slot : m_fleet.slots) {
+        if (may_know_old_rows(slot)) {
+            accept_old_rows();
+        }
+    }
+    m_loop.schedule(m_store_returned + random_time(write_again_time), [this] {
+        record_fault("configuration written again");
+        write_config_again();
+    });
+    for (const auto& target : m_targets) {
+        m_loop.schedule(m_store_returned + random_time(write_again_time), [this, &one = *target] {
+            if (!one.is_removed) {
+                report(one);
+            }
+        });
+    }
+    m_loop.schedule(m_store_returned + expiry_time, [this] {
+        for (const auto& target : m_targets) {
+            if (target->is_removed) {
+                remove_row(*target);
+            }
+        }
+    });
+    m_loop.schedule(m_store_returned + settle_time, [this] {
+        m_has_old_rows = false;
+        m_is_restoring = false;
+    });
+}
+
+/// A host that starts from an earlier content of the store cannot know which targets are gone.
+void soak_run::accept_old_rows()
+{
+    for (const auto& target : m_targets) {
+        target->last_allowed_request = base::time_point::max();
+    }
 }
 
 /// Resumes the checks of the time bounds after the end of the latest host pause or store fault.
@@ -248,6 +351,12 @@
     m_old_key_until = base::boot_clock::now() + key_bound;
     record_fault("withdraw key");
     write_config();
+    const std::uint64_t disturbance = m_disturbances;
+    m_loop.schedule(m_old_key_until, [this, disturbance, key = m_old_key] {
+        if (!m_is_disturbed && disturbance == m_disturbances) {
+            m_dead_keys.push_back(key);
+        }
+    });
 }
 
 void soak_run::drain(soak_target& target)
@@ -259,8 +368,7 @@
     target.is_draining = true;
     report(target);
     m_loop.schedule(base::boot_clock::now() + drain_bound, [this, &target] {
-        target.is_removed = true;
-        m_store.rows.set("servers", target.id(), std::nullopt);
+        remove_row(target);
         end_of_use(target);
     });
 }
@@ -271,11 +379,18 @@
         return;
     }
     record_fault("remove " + target.id());
-    target.is_removed = true;
-    m_store.rows.set("servers", target.id(), std::nullopt);
+    remove_row(target);
     m_loop.schedule(base::boot_clock::now() + drain_bound, [this, &target] { end_of_use(target); });
 }
 
+void soak_run::remove_row(soak_target& target)
+{
+    target.is_removed = true;
+    if (m_store.fault != store_fault::down) {
+        m_store.rows.set("servers", target.id(), std::nullopt);
+    }
+}
+
 void soak_run::end_of_use(soak_target& target)
 {
     if (!m_is_disturbed) {
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/soak/operator_document.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace snipeshore::soak {
@@ -16,6 +17,7 @@
 constexpr auto config_bound = 2000ms;
 /// A host is in touch after it has run undisturbed for this time.
 constexpr auto contact_bound = 3000ms;
+constexpr auto write_retry_interval = 100ms;
 constexpr auto startup_time = 3000ms;
 constexpr auto request_interval = 4ms;
 constexpr auto open_caller_interval = 2ms;
@@ -120,6 +122,14 @@
         caller.responses = 0;
     }
     m_fleet.start(host);
+    if (m_has_old_rows) {
+        accept_old_rows();
+    }
+}
+
+bool soak_run::may_know_old_rows(const host_slot& slot) const
+{
+    return m_has_old_rows && slot.started > m_store_lost - contact_bound;
 }
 
 void soak_run::check_hosts()
@@ -139,8 +149,18 @@
 void soak_run::write_config()
 {
     ++m_version;
+    write_config_again();
+}
+
+void soak_run::write_config_again()
+{
+    if (m_store.fault == store_fault::down) {
+        m_loop.schedule(base::boot_clock::now() + write_retry_interval,
+                        [this] { write_config_again(); });
+        return;
+    }
     m_store.rows.set("op", "config", operator_document(m_version, m_key, small_account));
-    check_in_force(m_version, base::boot_clock::now());
+    check_in_force(m_version, std::max(base::boot_clock::now(), m_store_returned + contact_bound));
 }
 
 void soak_run::check_in_force(unsigned version, base::time_point written)
@@ -185,11 +205,17 @@
 
 void soak_run::report(const soak_target& target)
 {
-    m_store.rows.set("servers", target.id(), target.row(++m_sequence));
+    if (m_store.fault != store_fault::down) {
+        m_store.rows.set("servers", target.id(), target.row(++m_sequence));
+    }
 }
 
 void soak_run::report_targets()
 {
+    // After a restoration, each target reports at its own time.
+    if (base::boot_clock::now() < m_store_returned + write_again_time) {
+        return;
+    }
     for (const auto& target : m_targets) {
         if (!target->is_removed) {
             report(*target);
@@ -214,15 +240,27 @@
         });
 }
 
+std::string soak_run::choose_key()
+{
+    const std::uint64_t choice = m_random() % 50;
+    if (choice == 0) {
+        return m_old_key;
+    }
+    return choice == 1 && !m_dead_keys.empty() ? m_dead_keys[m_random() % m_dead_keys.size()]
+                                               : m_key;
+}
+
 void soak_run::send_request()
 {
     const std::size_t host = m_random() % m_fleet.slots.size();
     const bool is_non_idempotent = m_random() % 3 == 0;
     const bool is_small = m_random() % 4 == 0;
     const std::string id = "r" + std::to_string(++m_requests);
-    const std::string key = is_small ? "small-key" : m_random() % 50 == 0 ? m_old_key : m_key;
-    const bool is_withdrawn = key != m_key && !is_small && !m_old_key.empty() &&
-                              base::boot_clock::now() > m_old_key_until;
+    const std::string key = is_small ? "small-key" : choose_key();
+    const bool is_dead =
+        std::find(m_dead_keys.begin(), m_dead_keys.end(), key) != m_dead_keys.end();
+    const bool is_withdrawn =
+        is_dead || (key != m_key && !is_small && base::boot_clock::now() > m_old_key_until);
     http::client_request request;
     request.address = m_fleet.entry_address(host);
     request.head = {is_non_idempotent ? "POST" : "GET",
@@ -234,13 +272,16 @@
                      {"cookie", "X-Affinity-Key=" + std::to_string(m_random() % 40)}}};
     request.body = is_non_idempotent ? "order" : "";
     request.deadline = base::boot_clock::now() + 4s;
-    fetch(std::move(request), [this, id, is_withdrawn](int status, const std::string& body) {
-        m_checker.on_response(id, status, status != 200 || body == expected_body(id),
-                              base::boot_clock::now());
-        if (is_withdrawn && status == 200 && !m_is_disturbed) {
-            m_checker.on_violation("key: " + id + " was served with a withdrawn key");
-        }
-    });
+    fetch(std::move(request),
+          [this, id, host, is_withdrawn, is_dead](int status, const std::string& body) {
+              m_checker.on_response(id, status, status != 200 || body == expected_body(id),
+                                    base::boot_clock::now());
+              const bool is_in_force =
+                  !m_is_disturbed || (is_dead && !may_know_old_rows(m_fleet.slots[host]));
+              if (is_withdrawn && status == 200 && is_in_force) {
+                  m_checker.on_violation("key: " + id + " was served with a withdrawn key");
+              }
+          });
 }
 
 soak_result run_soak(const soak_settings& settings)
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -19,6 +19,11 @@
 
 namespace snipeshore::soak {
 
+/// Operators and targets have written again what a restored store has lost after this time.
+inline constexpr std::chrono::milliseconds write_again_time{2000};
+/// A target's entry is removed after this time without a report.
+inline constexpr std::chrono::milliseconds expiry_time{3000};
+
 class soak_run {
 public:
     explicit soak_run(const soak_settings& settings);
@@ -32,11 +37,13 @@
     void add_open_callers();
     void poll_open_callers();
     void write_config();
+    void write_config_again();
     void check_in_force(unsigned version, base::time_point written);
     void probe(std::size_t host, unsigned version);
     void add_target();
     void report(const soak_target& target);
     void report_targets();
+    std::string choose_key();
     void send_request();
     void fetch(http::client_request request,
                std::function<void(int status, const std::string& body)> done);
@@ -45,9 +52,13 @@
     void disconnect_callers(std::size_t host);
     void start_host(std::size_t host);
 
+    /// Whether the host may have read an earlier content of the store as its first one.
+    bool may_know_old_rows(const host_slot& slot) const;
+
     // Faults, in soak_faults.cpp.
     void record_fault(const std::string& what);
     void inject_fault();
+    void inject_unplanned_fault();
     void inject_planned_work();
     void inject_change();
     void restart(std::size_t host, int signal);
@@ -58,10 +69,15 @@
     void reload_several();
     void pause(std::size_t host, std::chrono::milliseconds duration);
     void disturb_store(store_fault fault);
+    void restore_store();
+    void lose_store();
+    void return_store();
+    void accept_old_rows();
     void settle_after(std::chrono::milliseconds duration);
     void replace_key();
     void drain(soak_target& target);
     void remove_without_drain(soak_target& target);
+    void remove_row(soak_target& target);
     void end_of_use(soak_target& target);
 
     std::chrono::milliseconds random_time(std::chrono::milliseconds limit);
@@ -81,7 +97,11 @@
     std::string m_key = "key-first";
     std::string m_old_key = "key-never";
     base::time_point m_old_key_until{};
+    /// Withdrawn keys that no host in touch accepts any more.
+    std::vector<std::string> m_dead_keys;
     base::time_point m_started{};
+    base::time_point m_store_lost{};
+    base::time_point m_store_returned{};
     std::uint64_t m_requests = 0;
     std::uint64_t m_last_call = 0;
     std::uint64_t m_sequence = 0;
@@ -89,6 +109,9 @@
     unsigned m_version = 0;
     int m_reloads = 0;
     bool m_is_disturbed = false;
+    bool m_is_restoring = false;
+    /// Since the store was lost, and until its rows are as they were and in force.
+    bool m_has_old_rows = false;
 };
 
 } // namespace snipeshore::soak
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -59,6 +59,16 @@
     check_hosts(settings);
 }
 
+// Guards against hosts that discard what they read from a restored store, as its versions are lower
+// or were given out before, and against keys and targets that come back with it.
+TEST_CASE("real hosts follow a store that comes back with an earlier content")
+{
+    soak::soak_settings settings = settings_for(303);
+    settings.faults = soak::fault_set::restored;
+    settings.duration = std::chrono::seconds(15);
+    check_hosts(settings);
+}
+
 TEST_CASE("the soak detects the violations of a naive host")
 {
     const soak::soak_result result = soak::run_soak(settings_for(1, "naive_host"));
--- a/tests/soak/store_service.cpp
+++ b/tests/soak/store_service.cpp
@@ -53,14 +53,6 @@
     return bytes;
 }
 
-void send_response(const std::shared_ptr<http::exchange>& request, int status,
-                   const std::string& body)
-{
-    http::response_head head;
-    head.status = status;
-    request->respond(head, body);
-}
-
 std::string encode_page(const rows::page& page)
 {
     json encoded{{"rows", json::array()}, {"hasMore", false}, {"ver", page.version}};
@@ -94,36 +86,89 @@
     return m_server.bound_address();
 }
 
-void store_service::handle(const std::shared_ptr<http::exchange>& request)
+void store_service::go_down()
+{
+    fault = store_fault::down;
+    for (const read_call& one : m_calls) {
+        if (const auto request = one.request.lock()) {
+            request->abort();
+        }
+    }
+    m_calls.clear();
+    for (const auto& request : m_unanswered) {
+        request->abort();
+    }
+    m_unanswered.clear();
+}
+
+void store_service::come_back_restored()
 {
-    if (fault == store_fault::busy) {
-        send_response(request, 503, "");
+    fault = store_fault::none;
+    rows.restore();
+    ++m_era;
+}
+
+void store_service::respond(const std::shared_ptr<http::exchange>& request, int status,
+                            const std::string& body) const
+{
+    http::response_head head;
+    head.status = status;
+    head.headers.push_back({"store-era", std::to_string(m_era)});
+    request->respond(head, body);
+}
+
+void store_service::respond_page(const std::shared_ptr<http::exchange>& request,
+                                 const base::result<rows::page>& page) const
+{
+    if (base::is_ok(page)) {
+        respond(request, 200, encode_page(base::value_of(page)));
         return;
     }
-    if (fault == store_fault::unresponsive) {
+    respond(request, base::error_of(page).kind == base::error_kind::stale ? 410 : 503, "");
+}
+
+void store_service::handle(const std::shared_ptr<http::exchange>& request)
+{
+    switch (fault) {
+    case store_fault::busy:
+        respond(request, 503, "");
+        return;
+    case store_fault::unresponsive:
         m_unanswered.push_back(request);
         return;
+    case store_fault::down:
+        request->abort();
+        return;
+    default:
+        break;
     }
-    const std::string& path = request->head().path;
-    if (path.starts_with("/v1/rows-tx")) {
+    if (request->head().path.starts_with("/v1/rows-tx")) {
         handle_write(request);
-        return;
+    } else {
+        handle_read(request);
     }
+}
+
+void store_service::handle_read(const std::shared_ptr<http::exchange>& request)
+{
+    const std::string& path = request->head().path;
     auto fields = parse_query(path);
-    const auto done = [request](const base::result<rows::page>& page) {
-        send_response(request, base::is_ok(page) ? 200 : 503,
-                      base::is_ok(page) ? encode_page(base::value_of(page)) : "");
+    const auto done = [this, weak = std::weak_ptr(request)](const base::result<rows::page>& page) {
+        if (const auto waiting = weak.lock()) {
+            respond_page(waiting, page);
+        }
     };
     if (m_calls.size() > max_calls) {
         m_calls.erase(m_calls.begin(), m_calls.begin() + max_calls / 2);
     }
     if (path.starts_with("/v1/rows-get")) {
-        m_calls.push_back(rows.read(fields["table"], "", done));
+        m_calls.push_back({rows.read(fields["table"], "", done), request});
         return;
     }
-    m_calls.push_back(rows.read_changes(fields["table"], std::stoull(fields["after"]),
-                                        std::chrono::milliseconds(std::stoul(fields["waitMs"])),
-                                        done));
+    m_calls.push_back(
+        {rows.read_changes(fields["table"], std::stoull(fields["after"]),
+                           std::chrono::milliseconds(std::stoul(fields["waitMs"])), done),
+         request});
 }
 
 void store_service::handle_write(const std::shared_ptr<http::exchange>& request)
@@ -139,7 +184,7 @@
         m_unanswered.push_back(request);
         return;
     }
-    send_response(request, 200, "{}");
+    respond(request, 200, "{}");
 }
 
 } // namespace snipeshore::soak
