Abandon an attempt only for a target that has room for the request

Callers saw: under planned work a request at which its target was at work was answered with 504.

Cause: an idempotent attempt without a sign of life was abandoned if any other target could be chosen. Only then was the choice checked against the objective and the time left, and refused, although the first target was still at work and most of the time was left.

Change: the attempt goes on until its deadline unless the other target would be admitted now.

--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -207,7 +207,7 @@
     start_attempt(*placement);
 }
 
-base::status forward_task::check_placement(const affinity::placement& placement)
+affinity::admission forward_task::decide_admission(const affinity::placement& placement) const
 {
     affinity::admission_inputs request;
     request.wait = placement.wait;
@@ -217,8 +217,15 @@
     request.objective = m_route->objective;
     request.time_left = m_deadline - base::boot_clock::now() - response_reserve;
     request.urgency = routing::urgency_of(*m_routes, routing::rank_of(*m_route, m_account));
-    const affinity::admission decided = affinity::admit(request);
-    if (decided.admitted && request.time_left > base::duration{0}) {
+    affinity::admission decided = affinity::admit(request);
+    decided.admitted = decided.admitted && request.time_left > base::duration{0};
+    return decided;
+}
+
+base::status forward_task::check_placement(const affinity::placement& placement)
+{
+    const affinity::admission decided = decide_admission(placement);
+    if (decided.admitted) {
         return {};
     }
     m_retry_after = decided.retry_after;
@@ -314,7 +321,9 @@
         return false;
     }
     target_pool& pool = pool_of(m_context, m_service);
-    return retries::has_budget(pool.budget, now) && place(now).has_value();
+    const auto placement = place(now);
+    return retries::has_budget(pool.budget, now) && placement.has_value() &&
+           decide_admission(*placement).admitted;
 }
 
 http::request_head forward_task::make_head(const pooled_target& target, base::time_point now) const
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -2,6 +2,7 @@
 /// response.
 #pragma once
 
+#include "affinity/types/admission.h"
 #include "affinity/types/placement.h"
 #include "apps/host/target_pool.h"
 #include "base/result.h"
@@ -52,6 +53,7 @@
     prediction::request_traits traits() const;
     std::optional<affinity::placement> place(base::time_point now) const;
     void send_to_target();
+    affinity::admission decide_admission(const affinity::placement& placement) const;
     base::status check_placement(const affinity::placement& placement);
     void start_attempt(const affinity::placement& placement);
     http::request_head make_head(const pooled_target& target, base::time_point now) const;
@@ -62,7 +64,7 @@
     void cancel_timer();
     void on_time_out();
     /// Whether the current attempt may be abandoned for another target: the target has sent no
-    /// response since the attempt started, and the request can be retried on another target.
+    /// response since the attempt started, and another target has room for the request.
     bool may_abandon(base::time_point now);
 
     void on_head(const http::response_head& head);
--- a/src/apps/host/tests/host_test.cpp
+++ b/src/apps/host/tests/host_test.cpp
@@ -242,6 +242,44 @@
     CHECK(running->status == 200);
 }
 
+// Guards against requests that are lost although their target is at work on them: an attempt was
+// abandoned for another target, which then had no room for the request.
+TEST_CASE("an attempt is abandoned only for a target that has room for the request")
+{
+    host_fixture host(plain_config);
+    std::vector<std::shared_ptr<http::exchange>> queued;
+    test_target full(host.loop, [&](const std::shared_ptr<http::exchange>& request) {
+        queued.push_back(request);
+    });
+    host.add_target("t1", full.address());
+    host.await_targets(1);
+    // The host learns a service time of 400 ms, and then fills the target and its queue.
+    std::optional<reply> first;
+    host.begin("/safe/x", with_key, first);
+    REQUIRE(host.run_until([&] { return queued.size() == 1; }));
+    host.loop.schedule(base::boot_clock::now() + 400ms, [&] { respond_success(queued.front()); });
+    REQUIRE(host.run_until([&] { return first.has_value(); }));
+    std::vector<std::optional<reply>> waiting(10);
+    for (std::optional<reply>& one : waiting) {
+        host.begin("/once/x", with_key, one);
+    }
+    REQUIRE(host.run_until([&] { return queued.size() == 1 + waiting.size(); }));
+
+    std::shared_ptr<http::exchange> held;
+    test_target slow(host.loop,
+                     [&](const std::shared_ptr<http::exchange>& request) { held = request; });
+    host.add_target("t2", slow.address());
+    host.await_targets(2);
+    std::optional<reply> got;
+    host.begin("/safe/x", with_key, got);
+    REQUIRE(host.run_until([&] { return held != nullptr; }));
+    // After the latency objective of 1 s, within the time limit of 2 s.
+    host.loop.schedule(base::boot_clock::now() + 1300ms, [&] { respond_success(held); });
+    REQUIRE(host.run_until([&] { return got.has_value(); }));
+    CHECK(got->status == 200);
+    CHECK(got->body == "whole answer");
+}
+
 TEST_CASE("a host continues to serve requests during a store outage")
 {
     host_fixture host(plain_config);
