Send no request whose caller has left, and take waiting off its deadline

What callers saw: 9 requests of callers that had left reached targets half a second later and more (GONE), from hosts that were seconds behind.

Cause: a host that finds a request and the close behind it at once handles the request first: h2o calls the handler from the connection's own event, the close comes through caller_watch, an epoll within the loop's. The request's time began anew when it was read, and a call that waited for a connection was written with the deadline of the moment at which it was queued. Class: work on information of the past after a delay; the same holds for snipeshore-entry.

Change: http::exchange tells when the last bytes of the request arrived (TCP_INFO) and whether the caller is still connected, both asked of the kernel. forward_task and request_task check the latter before each send; deadlines count from the arrival. client_request::before_write is called when the connection is there: it drops the call or updates the time left. A request that no target got gives its account's token back also when its caller left.

--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -69,7 +69,7 @@
 
 request_task::request_task(entry_services& services, std::shared_ptr<http::exchange> exchange)
     : m_services(services), m_exchange(std::move(exchange)), m_config(services.fleet.config),
-      m_arrived(base::boot_clock::now())
+      m_arrived(m_exchange->received_at())
 {}
 
 request_task::~request_task() = default;
@@ -297,6 +297,10 @@
 
 void request_task::send_to_target()
 {
+    if (!m_exchange->is_caller_connected()) {
+        on_caller_disconnected();
+        return;
+    }
     if (base::boot_clock::now() >= m_deadline) {
         refuse({m_has_sent ? error_kind::deadline_exceeded : error_kind::deadline_not_run,
                 "the deadline of the request has passed"});
--- a/src/apps/entry/tests/request_task_test.cpp
+++ b/src/apps/entry/tests/request_task_test.cpp
@@ -14,6 +14,8 @@
 
 #include <doctest/doctest.h>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <memory>
 #include <optional>
@@ -99,6 +101,11 @@
         return send(request);
     }
 
+    std::string address() const
+    {
+        return m_server.bound_address();
+    }
+
     reply send_safe(const std::string& path = "/safe")
     {
         return send(get(m_server.bound_address(), path));
@@ -307,3 +314,27 @@
         }
     }
 }
+
+// Guards against work for callers that have left, as `host_late_request_test` does: the loop finds
+// the request and the close at once.
+TEST_CASE("a request whose caller has left by the time it is read is sent to no target")
+{
+    constexpr int callers = 20;
+    std::atomic<int> late_requests{0};
+    parallel_raw_server target([&](int connection) {
+        std::string request;
+        while (!(request = read_until(connection, "\r\n\r\n")).empty()) {
+            late_requests += request.find("/safe/late") == std::string::npos ? 0 : 1;
+            write_all(connection, "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown");
+        }
+    });
+    entry_fixture entry(target.address());
+    for (int i = 0; i < callers; ++i) {
+        const int connection = connect_to(entry.address());
+        write_all(connection, "GET /safe/late HTTP/1.1\r\nhost: test\r\n\r\n");
+        close(connection);
+    }
+    CHECK(entry.send_safe().status == 200);
+    CHECK(entry.send_safe().status == 200);
+    CHECK(late_requests == 0);
+}
--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -151,6 +151,10 @@
         finish_task();
         return;
     }
+    if (cause.kind == error_kind::cancelled) {
+        end_unwanted();
+        return;
+    }
     if (!end.request_sent) {
         ++m_unsent_attempts;
         if (retries::liveness_after(end.outcome) == retries::liveness::ended) {
@@ -324,6 +328,7 @@
     if (!m_target.value().empty()) {
         end_attempt(false);
     }
+    return_unused_token();
     record_end(0, "caller_gone");
     finish_task();
 }
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -48,7 +48,7 @@
 
 forward_task::forward_task(host_context& context, std::shared_ptr<http::exchange> exchange)
     : m_context(context), m_exchange(std::move(exchange)), m_routes(context.routes),
-      m_arrived(base::boot_clock::now())
+      m_arrived(m_exchange->received_at())
 {}
 
 forward_task::~forward_task() = default;
@@ -119,7 +119,7 @@
         begin();
         return;
     }
-    if (limits::try_acquire(m_context.shares[m_account->id], m_arrived)) {
+    if (limits::try_acquire(m_context.shares[m_account->id], base::boot_clock::now())) {
         m_has_token = true;
         begin();
         return;
@@ -147,7 +147,7 @@
 
 void forward_task::refuse_over_quota()
 {
-    m_retry_after = limits::time_to_token(m_context.shares[m_account->id], m_arrived);
+    m_retry_after = limits::time_to_token(m_context.shares[m_account->id], base::boot_clock::now());
     refuse({error_kind::rate_exceeded, "the account's rate limit and burst are exhausted"});
 }
 
@@ -165,12 +165,13 @@
     m_fingerprint =
         retries::fingerprint(m_account == nullptr ? "" : m_account->id.value(), m_service.value(),
                              head.method, head.path, m_exchange->body());
-    if (is_quarantined(m_context.crashes, m_fingerprint, m_arrived)) {
+    const base::time_point now = base::boot_clock::now();
+    if (is_quarantined(m_context.crashes, m_fingerprint, now)) {
         refuse(
             {error_kind::overloaded, "requests with the same fingerprint crashed their targets"});
         return;
     }
-    retries::record_request(pool_of(m_context, m_service).budget, m_arrived);
+    retries::record_request(pool_of(m_context, m_service).budget, now);
     send_to_target();
 }
 
@@ -190,6 +191,10 @@
 
 void forward_task::send_to_target()
 {
+    if (!m_exchange->is_caller_connected()) {
+        on_caller_disconnected();
+        return;
+    }
     const auto placement = place(base::boot_clock::now());
     if (!placement.has_value()) {
         refuse({retries::final_error(attempt_result::rejected, m_may_have_run),
@@ -267,6 +272,10 @@
     request.deadline = m_caller_deadline;
     // Without an id, only a connection of its own shows that a response belongs to the request.
     request.needs_new_connection = !is_idempotent() && m_id.empty();
+    request.before_write = [weak = weak_from_this()](http::request_head& head) {
+        const auto self = weak.lock();
+        return self != nullptr && self->refresh_before_write(head);
+    };
     m_call = m_context.client.send(std::move(request), make_callbacks());
     arm_timer(attempt_deadline(placement, now));
 }
@@ -339,11 +348,40 @@
     if (m_account != nullptr) {
         head.headers.push_back({names.account, m_account->id.value()});
     }
-    const auto time_left = std::chrono::floor<std::chrono::milliseconds>(m_deadline - now);
-    head.headers.push_back({names.time_left, std::to_string(time_left.count())});
+    head.headers.push_back({names.time_left, format_time_left(now)});
     return head;
 }
 
+std::string forward_task::format_time_left(base::time_point now) const
+{
+    return std::to_string(std::chrono::floor<std::chrono::milliseconds>(m_deadline - now).count());
+}
+
+bool forward_task::refresh_before_write(http::request_head& head) const
+{
+    const base::time_point now = base::boot_clock::now();
+    if (now >= m_deadline || !m_exchange->is_caller_connected()) {
+        return false;
+    }
+    for (http::header& one : head.headers) {
+        if (one.name == m_context.settings.names.time_left) {
+            one.value = format_time_left(now);
+        }
+    }
+    return true;
+}
+
+void forward_task::end_unwanted()
+{
+    if (!m_exchange->is_caller_connected()) {
+        on_caller_disconnected();
+        return;
+    }
+    end_attempt(false);
+    refuse({m_may_have_run ? error_kind::deadline_exceeded : error_kind::deadline_not_run,
+            "the deadline passed before a connection to the target was there"});
+}
+
 http::call_callbacks forward_task::make_callbacks()
 {
     http::call_callbacks callbacks;
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -57,6 +57,12 @@
     base::status check_placement(const affinity::placement& placement);
     void start_attempt(const affinity::placement& placement);
     http::request_head make_head(const pooled_target& target, base::time_point now) const;
+    std::string format_time_left(base::time_point now) const;
+    /// Updates the time left in the head of an attempt that may have waited for a connection.
+    /// Returns false if the request is not to be sent any more.
+    bool refresh_before_write(http::request_head& head) const;
+    /// Ends the request after `refresh_before_write` has returned false.
+    void end_unwanted();
     base::time_point attempt_deadline(const affinity::placement& placement,
                                       base::time_point now) const;
     http::call_callbacks make_callbacks();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -24,6 +24,10 @@
     base::time_point deadline; ///< The response must be complete by then.
     /// Opens a connection of its own, on which no response to another request can arrive.
     bool needs_new_connection = false;
+    /// Called when a connection is there, just before the request is written, as it may have waited
+    /// for one. May change the head. If it returns false, nothing is written and the call ends with
+    /// `cancelled`.
+    std::function<bool(request_head&)> before_write;
 };
 
 /// How a call ended.
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -1,6 +1,7 @@
 /// @file Server side of an HTTP request and its response.
 #pragma once
 
+#include "base/time.h"
 #include "http/types/message.h"
 
 #include <functional>
@@ -26,6 +27,14 @@
     /// Address of the caller, "ip:port".
     virtual const std::string& peer_address() const = 0;
 
+    /// When the last bytes of the request arrived; earlier than the time at which the loop read
+    /// them if the loop was busy.
+    virtual base::time_point received_at() const = 0;
+
+    /// Whether the caller has not closed its end of the connection. Asks the kernel, because a busy
+    /// loop comes to the event of the close later than to the request.
+    virtual bool is_caller_connected() const = 0;
+
     /// Sends the head and the complete body.
     virtual void respond(response_head head, std::string body) = 0;
 
--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -147,6 +147,9 @@
     h2o_http1client_connect_with_pool(&m_h2o, this, &m_owner->context,
                                       m_own_pool != nullptr ? m_own_pool.get() : &to.pool,
                                       on_connect);
+    if (m_owner == nullptr) {
+        m_h2o = nullptr; // The call has ended within `on_connect`, and h2o has freed its client.
+    }
 }
 
 void call_state::fail_later(base::error failure)
@@ -188,6 +191,13 @@
         self->release_connection();
         return nullptr;
     }
+    if (self->m_request.before_write && !self->m_request.before_write(self->m_request.head)) {
+        // h2o closes the connection.
+        self->fail_later(
+            make_error(base::error_kind::cancelled, self->address(), "request is not wanted now"));
+        self->release_connection();
+        return nullptr;
+    }
     // With a pooled connection, h2o calls this function before it has set `m_h2o`.
     self->m_h2o = h2o;
     self->write_request();
--- /dev/null
+++ b/src/http/internal/connection_state.cpp
@@ -0,0 +1,29 @@
+#include "http/internal/connection_state.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <chrono>
+
+namespace snipeshore::http {
+
+bool is_peer_connected(int descriptor)
+{
+    pollfd connection{descriptor, POLLRDHUP, 0};
+    return poll(&connection, 1, 0) <= 0;
+}
+
+base::time_point last_bytes_received_at(int descriptor)
+{
+    const base::time_point now = base::boot_clock::now();
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return now;
+    }
+    return now - std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
+} // namespace snipeshore::http
--- /dev/null
+++ b/src/http/internal/connection_state.h
@@ -0,0 +1,14 @@
+/// @file What the kernel knows of a connection before the loop comes to its events.
+#pragma once
+
+#include "base/time.h"
+
+namespace snipeshore::http {
+
+/// Whether the peer has neither closed nor reset its end, also if unread bytes precede the close.
+bool is_peer_connected(int descriptor);
+
+/// When the last bytes arrived, whether they were read or not; now if the kernel does not tell.
+base::time_point last_bytes_received_at(int descriptor);
+
+} // namespace snipeshore::http
--- a/src/http/internal/pipelined_exchange.cpp
+++ b/src/http/internal/pipelined_exchange.cpp
@@ -1,12 +1,15 @@
 #include "http/internal/pipelined_exchange.h"
 
 #include "base/time.h"
+#include "http/internal/connection_state.h"
 #include "http/loop.h"
 
 namespace snipeshore::http {
 
-pipelined_exchange::pipelined_exchange(loop& owner, request_head head, std::string peer_address)
-    : m_owner(owner), m_head(std::move(head)), m_peer_address(std::move(peer_address))
+pipelined_exchange::pipelined_exchange(loop& owner, request_head head, std::string peer_address,
+                                       int descriptor)
+    : m_owner(owner), m_head(std::move(head)), m_peer_address(std::move(peer_address)),
+      m_descriptor(descriptor), m_received_at(last_bytes_received_at(descriptor))
 {}
 
 const request_head& pipelined_exchange::head() const
@@ -24,6 +27,19 @@
     return m_peer_address;
 }
 
+base::time_point pipelined_exchange::received_at() const
+{
+    return m_received_at;
+}
+
+bool pipelined_exchange::is_caller_connected() const
+{
+    if (m_underlying != nullptr) {
+        return m_underlying->is_caller_connected();
+    }
+    return !m_is_closed && is_peer_connected(m_descriptor);
+}
+
 void pipelined_exchange::respond(response_head head, std::string body)
 {
     if (m_underlying != nullptr) {
--- a/src/http/internal/pipelined_exchange.h
+++ b/src/http/internal/pipelined_exchange.h
@@ -19,11 +19,14 @@
 class pipelined_exchange final : public exchange,
                                  public std::enable_shared_from_this<pipelined_exchange> {
 public:
-    pipelined_exchange(loop& owner, request_head head, std::string peer_address);
+    /// `descriptor`: the caller's connection, which stays open until `close` is called.
+    pipelined_exchange(loop& owner, request_head head, std::string peer_address, int descriptor);
 
     const request_head& head() const override;
     std::string_view body() const override;
     const std::string& peer_address() const override;
+    base::time_point received_at() const override;
+    bool is_caller_connected() const override;
     void respond(response_head head, std::string body) override;
     void start_response(response_head head) override;
     void write(std::string chunk) override;
@@ -54,6 +57,8 @@
     loop& m_owner;
     request_head m_head;
     std::string m_peer_address;
+    int m_descriptor;
+    base::time_point m_received_at;
     std::shared_ptr<exchange> m_underlying;
 
     // Calls of the handler before `attach`.
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/server_exchange.h"
 
 #include "base/time.h"
+#include "http/internal/connection_state.h"
 #include "http/internal/message_check.h"
 #include "http/internal/server_impl.h"
 #include "http/internal/socket_address.h"
@@ -109,7 +110,8 @@
 }
 
 server_exchange::server_exchange(server::impl& owner, h2o_req_t& request)
-    : m_owner(&owner), m_loop(&owner.owner), m_request(&request)
+    : m_owner(&owner), m_loop(&owner.owner), m_request(&request),
+      m_received_at(last_bytes_received_at(connection_of(request)->descriptor))
 {
     m_generator.super.proceed = on_proceed;
     m_generator.super.stop = on_stop;
@@ -149,6 +151,17 @@
     return m_peer_address;
 }
 
+base::time_point server_exchange::received_at() const
+{
+    return m_received_at;
+}
+
+bool server_exchange::is_caller_connected() const
+{
+    return m_request != nullptr && !m_is_closed &&
+           is_peer_connected(connection_of(*m_request)->descriptor);
+}
+
 bool server_exchange::is_http1() const
 {
     return m_request != nullptr && m_request->version < http_2_0;
--- a/src/http/internal/server_exchange.h
+++ b/src/http/internal/server_exchange.h
@@ -24,6 +24,8 @@
     const request_head& head() const override;
     std::string_view body() const override;
     const std::string& peer_address() const override;
+    base::time_point received_at() const override;
+    bool is_caller_connected() const override;
     void respond(response_head head, std::string body) override;
     void start_response(response_head head) override;
     void write(std::string chunk) override;
@@ -81,6 +83,7 @@
     request_head m_head;
     std::string m_body;
     std::string m_peer_address;
+    base::time_point m_received_at;
 
     phase m_phase = phase::waiting;
     bool m_is_sending = false; ///< h2o is sending a chunk and has not asked for more.
--- a/src/http/internal/server_pipelining.cpp
+++ b/src/http/internal/server_pipelining.cpp
@@ -50,8 +50,8 @@
         if (!may_pipeline(heads[i])) {
             return;
         }
-        const auto pipelined =
-            std::make_shared<pipelined_exchange>(owner, heads[i], running->peer_address());
+        const auto pipelined = std::make_shared<pipelined_exchange>(
+            owner, heads[i], running->peer_address(), connection.descriptor);
         connection.pipelined.push_back(pipelined);
         handler(pipelined);
     }
--- a/src/http/tests/client_server_test.cpp
+++ b/src/http/tests/client_server_test.cpp
@@ -674,4 +674,49 @@
     CHECK(order == "ab");
 }
 
+// Guards against requests that are written after their caller has left or with a deadline of the
+// past: they may have waited for a connection.
+TEST_CASE("a request is checked and updated when its connection is there")
+{
+    loop event_loop;
+    std::vector<std::string> paths;
+    std::vector<std::shared_ptr<exchange>> held;
+    server target(event_loop, [&](const std::shared_ptr<exchange>& request) {
+        paths.push_back(request->head().path);
+        held.push_back(request);
+    });
+    REQUIRE(base::is_ok(target.listen(loopback())));
+    client_settings settings;
+    settings.max_connections_per_address = 1;
+    client http_client(event_loop, settings);
+    call_record first;
+    call_record unwanted;
+    call_record last;
+    bool is_wanted = true;
+    const auto first_call = record(http_client, get(target.bound_address(), "/first"), first);
+    client_request request = get(target.bound_address(), "/unwanted");
+    request.before_write = [&](request_head&) {
+        return is_wanted;
+    };
+    const auto unwanted_call = record(http_client, std::move(request), unwanted);
+    request = get(target.bound_address(), "/old");
+    request.before_write = [](request_head& head) {
+        head.path = "/new";
+        return true;
+    };
+    const auto last_call = record(http_client, std::move(request), last);
+    REQUIRE(run_until(event_loop, [&] { return held.size() == 1; }));
+    is_wanted = false;
+    held.front()->respond({}, "");
+
+    REQUIRE(run_until(event_loop, [&] { return unwanted.end.has_value() && held.size() == 2; }));
+    REQUIRE_FALSE(base::is_ok(unwanted.end->outcome));
+    CHECK(base::error_of(unwanted.end->outcome).kind == base::error_kind::cancelled);
+    CHECK_FALSE(unwanted.end->request_sent);
+    held.back()->respond({}, "");
+    REQUIRE(run_until(event_loop, [&] { return last.end.has_value(); }));
+    CHECK(base::is_ok(last.end->outcome));
+    CHECK(paths == std::vector<std::string>{"/first", "/new"});
+}
+
 } // namespace snipeshore::http::tests
