Compress the rows that hosts pass on, and let a large reply arrive

What callers saw: after a configuration of 1,400 routes more, seconds in which nearly nothing was in time and hosts were not ready (GONE came out of it).

Cause: the reader of a failure domain sent the whole row as plain text to each neighbour (332 KB each, 735 KB with 2,800 routes) and filled its 10 Mbit/s link for seconds; all answers waited behind. A neighbour whose reply had begun gave up 0.3 s after the wait and read the row from the store once more. Every neighbour's update was encoded on its own.

Change: row_publisher (out of peer_exchange) encodes an update once and sends it in the content coding "deflate" to hosts that accept it; earlier versions get plain text. A reply to a call for rows must begin in time (client_request::head_deadline), but may then take up to five seconds.

--- a/src/apps/host/peer_calls.cpp
+++ b/src/apps/host/peer_calls.cpp
@@ -1,6 +1,8 @@
 #include "apps/host/peer_calls.h"
 
+#include "base/deflate.h"
 #include "base/time.h"
+#include "fleet/exchange_encoding.h"
 
 #include <algorithm>
 #include <charconv>
@@ -13,6 +15,9 @@
 /// Upper bound for the time that a peer can keep a call open on this host.
 constexpr std::uint64_t max_wait_ms = 10000;
 
+/// Time for the whole of a large update on a slow link that other updates share.
+constexpr std::chrono::milliseconds transfer_timeout{5000};
+
 bool read_number(std::string_view text, std::uint64_t& number)
 {
     const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -43,6 +48,37 @@
     return parsed;
 }
 
+base::result<rows::replica_update> parse_rows_reply(const peer_reply& reply)
+{
+    const auto failed = [](std::string detail) {
+        return base::error{base::error_kind::store_unavailable, std::move(detail)};
+    };
+    if (!base::is_ok(reply)) {
+        return failed(base::error_of(reply).detail);
+    }
+    const auto& [head, body] = base::value_of(reply);
+    if (head.status != peer_status_ok) {
+        return failed("the peer responded with status " + std::to_string(head.status));
+    }
+    base::result<rows::replica_update> update = failed("the peer's rows cannot be decompressed");
+    if (http::find_header(head.headers, "content-encoding") != rows_coding) {
+        update = fleet::parse_update(body);
+    } else if (const auto text = base::inflate(body, max_update_bytes)) {
+        update = fleet::parse_update(*text);
+    }
+    return base::is_ok(update) ? update : failed(base::error_of(update).detail);
+}
+
+http::client_request make_rows_request(const std::string& address, std::string path,
+                                       std::chrono::milliseconds timeout)
+{
+    http::client_request request = make_peer_request(address, "GET", std::move(path), timeout);
+    request.head.headers.push_back({"accept-encoding", std::string(rows_coding)});
+    request.head_deadline = request.deadline;
+    request.deadline += transfer_timeout;
+    return request;
+}
+
 http::client_request make_peer_request(const std::string& address, std::string_view method,
                                        std::string path, std::chrono::milliseconds timeout)
 {
--- a/src/apps/host/peer_calls.h
+++ b/src/apps/host/peer_calls.h
@@ -1,13 +1,16 @@
 /// @file Calls between hosts, over HTTP on the control addresses.
 #pragma once
 
+#include "base/result.h"
 #include "http/client.h"
+#include "rows/table_replica.h"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace snipeshore::apps {
 
@@ -32,6 +35,18 @@
 /// Parses the part of the path after `rows_prefix`; the table name is empty if it is malformed.
 rows_query parse_rows_query(std::string_view query);
 
+/// Content coding of large updates, for hosts that accept it.
+inline constexpr std::string_view rows_coding = "deflate";
+
+using peer_reply = base::result<std::pair<http::response_head, std::string>>;
+
+/// The update in a peer's response. Errors: `store_unavailable`.
+base::result<rows::replica_update> parse_rows_reply(const peer_reply& reply);
+
+/// Request for rows whose response begins within `timeout`; a large one may then take longer.
+http::client_request make_rows_request(const std::string& address, std::string path,
+                                       std::chrono::milliseconds timeout);
+
 http::client_request make_peer_request(const std::string& address, std::string_view method,
                                        std::string path, std::chrono::milliseconds timeout);
 
--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -28,6 +28,7 @@
 /// Shorter than `exchange_interval`, so that a call to an unresponsive host ends before the next
 /// message.
 constexpr std::chrono::milliseconds exchange_timeout{900};
+/// Time for the first bytes of a peer's rows.
 constexpr std::chrono::milliseconds fetch_timeout{1500};
 constexpr std::size_t max_exchange_bytes = 256U << 10U;
 constexpr std::chrono::milliseconds peer_idle_timeout{10000};
@@ -56,6 +57,7 @@
 peer_exchange::peer_exchange(host_context& context, fleet::member& self,
                              std::map<std::string, rows::table_follower*> tables)
     : m_context(context), m_self(self), m_tables(std::move(tables)),
+      m_publisher(context.loop, m_tables),
       m_server(std::make_unique<http::server>(
           context.loop,
           [this](const std::shared_ptr<http::exchange>& request) { handle(request); }))
@@ -223,7 +225,7 @@
     if (path == exchange_path) {
         handle_exchange(*request);
     } else if (path.starts_with(rows_prefix)) {
-        handle_rows(request);
+        m_publisher.handle(request);
     } else {
         respond_text(*request, 404, "");
     }
@@ -257,52 +259,9 @@
     respond_text(request, 200, fleet::encode(reply));
 }
 
-void peer_exchange::handle_rows(const std::shared_ptr<http::exchange>& request)
-{
-    const rows_query query =
-        parse_rows_query(std::string_view(request->head().path).substr(rows_prefix.size()));
-    const auto table = m_tables.find(query.table);
-    if (table == m_tables.end()) {
-        respond_text(*request, 404, "");
-        return;
-    }
-    const rows::table_follower& follower = *table->second;
-    if (query.wait.count() > 0 && !follower.is_store_reachable()) {
-        respond_text(*request, 503, "");
-        return;
-    }
-    const rows::replica_update update = rows::update_after(follower.replica(), query.after);
-    if (!update.rows.empty() || update.is_full || query.wait.count() == 0) {
-        respond_text(*request, 200, fleet::encode(update));
-        return;
-    }
-    m_waiting[query.table].push_back({request, query.after});
-    m_context.loop.schedule(base::boot_clock::now() + query.wait,
-                            [this, weak = std::weak_ptr(request), name = query.table] {
-                                if (const auto expired = weak.lock()) {
-                                    respond_to_waiting(name, expired.get());
-                                }
-                            });
-}
-
 void peer_exchange::on_rows_changed(const std::string& table)
 {
-    // Deferred, because the follower is still applying the change.
-    m_context.loop.schedule(base::boot_clock::now(),
-                            [this, table] { respond_to_waiting(table, nullptr); });
-}
-
-void peer_exchange::respond_to_waiting(const std::string& table, const http::exchange* expired)
-{
-    const rows::table_replica& replica = m_tables.at(table)->replica();
-    std::erase_if(m_waiting[table], [&](const waiting_call& call) {
-        const rows::replica_update update = rows::update_after(replica, call.after);
-        if (update.rows.empty() && call.request.get() != expired) {
-            return false;
-        }
-        respond_text(*call.request, 200, fleet::encode(update));
-        return true;
-    });
+    m_publisher.on_rows_changed(table);
 }
 
 fleet::exchange_message peer_exchange::make_message(bool includes_demand)
@@ -399,21 +358,19 @@
     rows::table_follower* follower = m_tables.at(table);
     const std::string path = rows_path(table, after, {});
     m_fetches[table] = m_context.client.fetch(
-        make_peer_request(address, "GET", path, fetch_timeout), max_update_bytes,
-        [this, follower, table, address, era = follower->replica().era](
-            const base::result<std::pair<http::response_head, std::string>>& reply, bool /*sent*/) {
-            if (base::is_ok(reply)) {
-                const auto update = fleet::parse_update(base::value_of(reply).second);
-                // Changes after a version of another era do not continue from the replica.
-                if (base::is_ok(update) &&
-                    (base::value_of(update).is_full || follower->replica().era == era)) {
-                    telemetry::log_event(severity::info, "rows_from_peer",
-                                         {{"table", table},
-                                          {"peer", address},
-                                          {"version", base::value_of(update).version},
-                                          {"era", base::value_of(update).era}});
-                    follower->apply_peer_update(base::value_of(update));
-                }
+        make_rows_request(address, path, fetch_timeout), max_update_bytes,
+        [this, follower, table, address, era = follower->replica().era](const peer_reply& reply,
+                                                                        bool /*sent*/) {
+            const auto update = parse_rows_reply(reply);
+            // Changes after a version of another era do not continue from the replica.
+            if (base::is_ok(update) &&
+                (base::value_of(update).is_full || follower->replica().era == era)) {
+                telemetry::log_event(severity::info, "rows_from_peer",
+                                     {{"table", table},
+                                      {"peer", address},
+                                      {"version", base::value_of(update).version},
+                                      {"era", base::value_of(update).era}});
+                follower->apply_peer_update(base::value_of(update));
             }
             m_context.loop.schedule(base::boot_clock::now(),
                                     [this, table] { m_fetches.erase(table); });
--- a/src/apps/host/peer_exchange.h
+++ b/src/apps/host/peer_exchange.h
@@ -2,6 +2,7 @@
 /// of the store.
 #pragma once
 
+#include "apps/host/row_publisher.h"
 #include "base/time.h"
 #include "fleet/types/exchange.h"
 #include "http/client.h"
@@ -57,12 +58,6 @@
     bool borrow(const base::account_id& account, std::function<void()> done);
 
 private:
-    /// Call of a host that waits for changes after a version.
-    struct waiting_call {
-        std::shared_ptr<http::exchange> request;
-        std::uint64_t after = 0;
-    };
-
     /// Requests of one account that wait for token grants.
     struct borrow_state {
         std::vector<std::function<void()>> waiting;
@@ -82,8 +77,6 @@
     void on_borrow_reply(const base::account_id& account);
     void handle(const std::shared_ptr<http::exchange>& request);
     void handle_exchange(http::exchange& request);
-    void handle_rows(const std::shared_ptr<http::exchange>& request);
-    void respond_to_waiting(const std::string& table, const http::exchange* expired);
     fleet::exchange_message make_message(bool includes_demand);
     void process_message(const fleet::exchange_message& message);
     void compare_versions(const fleet::exchange_message& message);
@@ -93,11 +86,11 @@
     host_context& m_context;
     fleet::member& m_self;
     std::map<std::string, rows::table_follower*> m_tables;
+    row_publisher m_publisher;
     std::unique_ptr<http::server> m_server;
     std::map<std::string, std::unique_ptr<http::client_call>> m_calls; ///< By control address.
     std::map<base::host_id, base::time_point> m_called_at;             ///< Last call of each peer.
     std::map<std::string, std::unique_ptr<http::client_call>> m_fetches; ///< By table.
-    std::map<std::string, std::vector<waiting_call>> m_waiting;          ///< By table.
     std::map<base::account_id, borrow_state> m_borrow_states;
     unsigned m_ticks = 0;
 };
--- a/src/apps/host/relay_store.cpp
+++ b/src/apps/host/relay_store.cpp
@@ -2,7 +2,6 @@
 
 #include "apps/host/host_context.h"
 #include "apps/host/peer_calls.h"
-#include "fleet/exchange_encoding.h"
 #include "fleet/members.h"
 #include "http/loop.h"
 #include "telemetry/event_log.h"
@@ -48,21 +47,11 @@
 
 /// Parses the reader's response into a page. Errors: `stale` and `store_unavailable`, also if the
 /// reader does not know the era yet.
-base::result<rows::page>
-parse_reply(const base::result<std::pair<http::response_head, std::string>>& reply,
-            std::uint64_t era)
+base::result<rows::page> parse_page(const peer_reply& reply, std::uint64_t era)
 {
-    if (!base::is_ok(reply)) {
-        return base::error{base::error_kind::store_unavailable, base::error_of(reply).detail};
-    }
-    const auto& [head, body] = base::value_of(reply);
-    if (head.status != peer_status_ok) {
-        return base::error{base::error_kind::store_unavailable,
-                           "the reader responded with status " + std::to_string(head.status)};
-    }
-    const auto update = fleet::parse_update(body);
+    const auto update = parse_rows_reply(reply);
     if (!base::is_ok(update)) {
-        return base::error{base::error_kind::store_unavailable, base::error_of(update).detail};
+        return base::error_of(update);
     }
     if (base::value_of(update).era < era) {
         return base::error{base::error_kind::store_unavailable,
@@ -110,12 +99,11 @@
     const std::string path = rows_path(table, after, reader_wait);
     auto call = std::make_unique<relayed_call>();
     call->set_peer_call(m_context.client.fetch(
-        make_peer_request(reader->control_address, "GET", path, reader_wait + relay_timeout),
+        make_rows_request(reader->control_address, path, reader_wait + relay_timeout),
         max_update_bytes,
         [this, call = call.get(), reader = reader->id.value(), table, after, wait,
-         done = std::move(done)](
-            const base::result<std::pair<http::response_head, std::string>>& reply, bool /*sent*/) {
-            const base::result<rows::page> page = parse_reply(reply, m_era);
+         done = std::move(done)](const peer_reply& reply, bool /*sent*/) {
+            const base::result<rows::page> page = parse_page(reply, m_era);
             if (base::is_ok(page) || base::error_of(page).kind == base::error_kind::stale) {
                 done(page);
                 return;
--- a/src/apps/host/tests/relay_store_test.cpp
+++ b/src/apps/host/tests/relay_store_test.cpp
@@ -1,3 +1,4 @@
+#include "apps/host/peer_calls.h"
 #include "apps/host/relay_store.h"
 
 #include "apps/host/host_context.h"
@@ -47,3 +48,60 @@
     CHECK(base::value_of(results.front()).rows.front().key == "t1");
     CHECK(store.calls == 1);
 }
+
+// Guards against links that are full for seconds, and everything behind that waits: a reader sent
+// the whole configuration to each neighbour as plain text.
+TEST_CASE("a large update is sent to other hosts in a fraction of its size")
+{
+    std::string config = plain_config;
+    const std::size_t at = config.find(R"({"name":"safe")");
+    std::string routes;
+    for (int i = 0; i < 1400; ++i) {
+        const std::string number = std::to_string(i * 7919 % 100003);
+        routes += R"({"name":"r)" + number + R"(","prefix":"/r)" + number +
+                  R"(/","kind":"safe","timeout":"2s","targetLatency":"1s","service":"svc",)" +
+                  R"("maxAttempts":2,"priority":3},)";
+    }
+    config.insert(at, routes);
+    host_fixture host(config);
+    test_target target(host.loop, respond_success);
+    host.add_target("t1", target.address());
+    host.await_targets(1);
+    http::client client(host.loop, {});
+    const auto fetch = [&](bool accepts_coding) {
+        http::client_request request = apps::make_rows_request(host.settings.control_address,
+                                                               apps::rows_path("op", 0, 0ms), 5s);
+        if (!accepts_coding) {
+            request.head.headers.clear();
+        }
+        std::optional<apps::peer_reply> reply;
+        const auto call = client.fetch(std::move(request), apps::max_update_bytes,
+                                       [&](const apps::peer_reply& got, bool) { reply = got; });
+        REQUIRE(host.run_until([&] { return reply.has_value(); }));
+        return *reply;
+    };
+    const apps::peer_reply plain = fetch(false);
+    REQUIRE(base::is_ok(plain));
+    SUBCASE("that accepts the coding")
+    {
+        const apps::peer_reply deflated = fetch(true);
+        REQUIRE(base::is_ok(deflated));
+        CHECK(base::value_of(deflated).second.size() * 8 < base::value_of(plain).second.size());
+        const auto update = apps::parse_rows_reply(deflated);
+        REQUIRE(base::is_ok(update));
+        REQUIRE(base::value_of(update).rows.size() == 1);
+        CHECK(base::value_of(update).rows.front().value == config);
+    }
+    SUBCASE("and as plain text to a host of an earlier version")
+    {
+        const auto update = apps::parse_rows_reply(plain);
+        REQUIRE(base::is_ok(update));
+        CHECK(base::value_of(update).rows.front().value == config);
+    }
+    SUBCASE("and damaged data are an error")
+    {
+        apps::peer_reply damaged = fetch(true);
+        base::value_of(damaged).second.resize(1000);
+        CHECK_FALSE(base::is_ok(apps::parse_rows_reply(damaged)));
+    }
+}
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -22,6 +23,8 @@
     request_head head;
     std::string body;
     base::time_point deadline; ///< The response must be complete by then.
+    /// The head of the response must be there by then; unset: by `deadline`.
+    std::optional<base::time_point> head_deadline;
     /// Opens a connection of its own, on which no response to another request can arrive.
     bool needs_new_connection = false;
     /// Called when a connection is there, just before the request is written, as it may have waited
--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -122,7 +122,8 @@
 
 void call_state::start_deadline_timer()
 {
-    m_deadline_timer = m_owner->owner.schedule(m_request.deadline, [weak = weak_from_this()] {
+    const base::time_point end = m_request.head_deadline.value_or(m_request.deadline);
+    m_deadline_timer = m_owner->owner.schedule(end, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->m_deadline_timer = 0;
             self->deadline_passed();
@@ -378,6 +379,11 @@
     std::erase_if(all, [](const header& one) { return is_framing_header(one.name); });
     m_head.headers = std::move(all);
     m_phase = phase::reading_body;
+    if (m_request.head_deadline.has_value()) {
+        m_owner->owner.cancel(m_deadline_timer);
+        m_request.head_deadline.reset();
+        start_deadline_timer();
+    }
     return true;
 }
 
--- a/src/http/tests/client_server_test.cpp
+++ b/src/http/tests/client_server_test.cpp
@@ -719,4 +719,40 @@
     CHECK(paths == std::vector<std::string>{"/first", "/new"});
 }
 
+// Guards against large responses that are cut and requested again on a slow link.
+TEST_CASE("a response whose head is in time may take until the deadline")
+{
+    loop event_loop;
+    std::shared_ptr<exchange> held;
+    server target(event_loop, [&](const std::shared_ptr<exchange>& request) { held = request; });
+    REQUIRE(base::is_ok(target.listen(loopback())));
+    client http_client(event_loop, {});
+    call_record got;
+    client_request request = get(target.bound_address(), "/");
+    request.head_deadline = from_now(std::chrono::milliseconds(200));
+    const base::time_point head_deadline = *request.head_deadline;
+    const auto call = record(http_client, std::move(request), got);
+    REQUIRE(run_until(event_loop, [&] { return held != nullptr; }));
+    SUBCASE("in time")
+    {
+        response_head head;
+        head.content_length = 4;
+        held->start_response(head);
+        held->write("ab");
+        REQUIRE(run_until(event_loop, [&] { return got.body == "ab"; }));
+        REQUIRE(run_until(event_loop, [&] { return base::boot_clock::now() > head_deadline; }));
+        held->write("cd");
+        held->finish();
+        REQUIRE(run_until(event_loop, [&] { return got.end.has_value(); }));
+        CHECK(base::is_ok(got.end->outcome));
+        CHECK(got.body == "abcd");
+    }
+    SUBCASE("too late")
+    {
+        REQUIRE(run_until(event_loop, [&] { return got.end.has_value(); }));
+        REQUIRE_FALSE(base::is_ok(got.end->outcome));
+        CHECK(base::error_of(got.end->outcome).kind == base::error_kind::deadline_exceeded);
+    }
+}
+
 } // namespace snipeshore::http::tests
