Find the ends of targets by a check, count crashes over the fleet, and try a held request once

Cause, four faults of one class (evidence of a fleet was counted by each host, by chance): - a host noticed an end only if it happened to send something else to that target within 3 s; - a retry was sent before the crash that caused it was recorded, so it did not count as a crash of its own, and reports of other hosts within 6 s were dropped; - after 30 s every host tried again, with retries; a host that had just started knew nothing; - a request whose connection broke went to the next target at once, whatever was known of it.

Change: after a connection broke without a response the host opens a connection to the target (target_checks); a refusal is the evidence, a time-out is none. Runs count by their own times: three that did not overlap, without a response in between, are a quarantine. A request of which an earlier run may have ended its target is not retried. When the quarantine has passed (30 s, 8 min, 2 h, 24 h), one host tries the request once; a success ends it everywhere. Crashes and quarantines are notices of fleet::bulletin: newest wins, bounded for each kind and message, told at once to 128 hosts at most and passed on with each message, so hosts that start or missed one hear of them. Refused callers get the time that is left as Retry-After. Reports of earlier versions are still read.

--- a/src/apps/host/crash_watch.cpp
+++ b/src/apps/host/crash_watch.cpp
@@ -1,114 +1,343 @@
 #include "apps/host/crash_watch.h"
 
-#include "retries/quarantine.h"
-
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <string_view>
+#include <utility>
 
 namespace snipeshore::apps {
 
 namespace {
 
-/// Requests in flight at several targets that terminate together are not counted more than once: a
-/// request counts again only if it was sent after its last crash was recorded.
-bool was_sent_after_crash(const crash_watch& watch, const broken_request& request)
+using namespace std::chrono_literals;
+
+/// A frequent request may be running during two crashes by chance; three in a row without a
+/// response are not a coincidence.
+constexpr std::size_t max_crashes = 3;
+
+/// Time for which a request is held at each level. The fleet then tries it once, so that a request
+/// that goes on crashing its targets ends three more of them in the first day.
+constexpr std::array<std::chrono::seconds, 4> hold_times{30s, 8min, 2h, 24h};
+
+/// Fraction of the hold time after which a run counts as a trial: hosts hear of a quarantine at
+/// slightly different times.
+constexpr double trial_fraction = 0.9;
+
+constexpr std::chrono::seconds suspicion_time{60};
+constexpr std::chrono::hours memory_after_hold{24};
+
+/// A check of whether the target still runs takes no longer.
+constexpr std::chrono::milliseconds check_time{500};
+
+/// For requests whose trial is up to another host, or whose check has not ended.
+constexpr std::chrono::milliseconds short_wait{1000};
+
+/// Reports without times are repeated for five seconds, so all within this time are one crash.
+constexpr std::chrono::milliseconds untimed_run{6000};
+
+constexpr std::size_t max_suspects = 4096;
+constexpr std::size_t max_runs = 16;
+constexpr std::size_t max_unclear = 1024;
+constexpr int subject_base = 16;
+
+base::duration hold_time(const suspect& one)
+{
+    return hold_times.at(std::min<std::size_t>(one.level, hold_times.size()) - 1);
+}
+
+base::time_point held_until(const suspect& one)
+{
+    return std::max(one.quarantined_at, one.trial_at) + hold_time(one);
+}
+
+base::time_point expires_at(const suspect& one)
+{
+    if (one.level > 0) {
+        return held_until(one) + memory_after_hold;
+    }
+    base::time_point last{};
+    for (const broken_request& run : one.runs) {
+        last = std::max(last, run.broken_at);
+    }
+    return last + suspicion_time;
+}
+
+/// Largest number of runs that did not overlap.
+std::size_t count_in_row(std::vector<broken_request> runs)
+{
+    std::sort(runs.begin(), runs.end(),
+              [](const broken_request& left, const broken_request& right) {
+                  return left.broken_at < right.broken_at;
+              });
+    std::size_t count = 0;
+    base::time_point last{};
+    for (const broken_request& run : runs) {
+        if (count == 0 || run.sent_at >= last) {
+            ++count;
+            last = run.broken_at;
+        }
+    }
+    return count;
+}
+
+/// Makes room for one more suspect.
+void evict_suspect(crash_watch& watch)
+{
+    if (watch.suspects.size() < max_suspects) {
+        return;
+    }
+    const auto oldest = std::min_element(
+        watch.suspects.begin(), watch.suspects.end(), [](const auto& left, const auto& right) {
+            return std::pair(left.second.level > 0, expires_at(left.second)) <
+                   std::pair(right.second.level > 0, expires_at(right.second));
+        });
+    watch.suspects.erase(oldest);
+}
+
+suspect& suspect_of(crash_watch& watch, std::uint64_t fingerprint, base::time_point now)
 {
-    const auto suspect = watch.tracker.suspects.find(request.fingerprint);
-    return suspect == watch.tracker.suspects.end() || suspect->second.last_crash < request.sent_at;
+    const auto found = watch.suspects.find(fingerprint);
+    if (found != watch.suspects.end() && expires_at(found->second) > now) {
+        return found->second;
+    }
+    if (found == watch.suspects.end()) {
+        evict_suspect(watch);
+    }
+    return watch.suspects[fingerprint] = {};
 }
 
-/// Targets that terminate together count as one event. Several hosts report it, within the interval
-/// of their messages.
-constexpr std::chrono::seconds same_event_window{6};
+fleet::notice quarantine_notice(std::uint64_t fingerprint, unsigned level, base::time_point now)
+{
+    return {fleet::notice_kind::quarantine, subject_of(fingerprint), static_cast<double>(level),
+            now};
+}
 
-bool is_same_event(const crash_watch& watch, std::uint64_t fingerprint, base::time_point now)
+fleet::notice crash_notice(const broken_request& run)
 {
-    const auto suspect = watch.tracker.suspects.find(fingerprint);
-    return suspect != watch.tracker.suspects.end() &&
-           now - suspect->second.last_crash < same_event_window;
+    const auto took =
+        std::chrono::duration<double, std::milli>(run.broken_at - run.sent_at).count();
+    return {fleet::notice_kind::crash, subject_of(run.fingerprint) + "/" + run.target.value(), took,
+            run.broken_at};
+}
+
+/// Records that the run ended its target. Returns a notice if the request is in quarantine from now
+/// on, or for longer.
+std::optional<fleet::notice> record_crash(crash_watch& watch, const broken_request& run,
+                                          base::time_point now)
+{
+    suspect& found = suspect_of(watch, run.fingerprint, now);
+    if (found.level == 0) {
+        if (found.runs.size() >= max_runs) {
+            found.runs.erase(found.runs.begin());
+        }
+        found.runs.push_back(run);
+        if (count_in_row(found.runs) < max_crashes) {
+            return std::nullopt;
+        }
+    } else {
+        const auto trial_delay =
+            std::chrono::duration_cast<base::duration>(hold_time(found) * trial_fraction);
+        if (run.sent_at < found.quarantined_at + trial_delay) {
+            return std::nullopt;
+        }
+    }
+    ++found.level;
+    found.quarantined_at = now;
+    return quarantine_notice(run.fingerprint, found.level, now);
+}
+
+/// Reads the fingerprint at the beginning of a notice's subject.
+std::optional<std::uint64_t> read_fingerprint(std::string_view subject)
+{
+    const std::string_view digits = subject.substr(0, subject.find('/'));
+    std::uint64_t value = 0;
+    const char* const end = digits.data() + digits.size();
+    const auto [stop, failure] = std::from_chars(digits.data(), end, value, subject_base);
+    return failure == std::errc() && stop == end ? std::optional(value) : std::nullopt;
+}
+
+void apply_quarantine(crash_watch& watch, std::uint64_t fingerprint, const fleet::notice& heard,
+                      base::time_point now)
+{
+    const auto level =
+        static_cast<unsigned>(std::clamp(heard.value, 0.0, static_cast<double>(hold_times.size())));
+    const auto known = watch.suspects.find(fingerprint);
+    if (known != watch.suspects.end() && known->second.level > 0 &&
+        known->second.quarantined_at >= heard.observed_at) {
+        return;
+    }
+    if (level == 0) {
+        watch.suspects.erase(fingerprint);
+        return;
+    }
+    suspect& found = suspect_of(watch, fingerprint, now);
+    found.level = level;
+    found.quarantined_at = heard.observed_at;
 }
 
 } // namespace
 
-crash_watch make_crash_watch()
+std::string subject_of(std::uint64_t fingerprint)
 {
-    crash_watch watch;
-    // A frequent request may be in flight during two crashes by chance; three in a row without a
-    // response are not a coincidence.
-    watch.tracker.settings.crashes = 3;
-    // Refused requests get no response that could clear the suspicion, so they are tried again
-    // after this time.
-    watch.tracker.settings.quarantine_duration = std::chrono::seconds(30);
-    watch.tracker.settings.suspicion_duration = std::chrono::seconds(60);
-    return watch;
+    std::array<char, 16> digits{};
+    const auto written =
+        std::to_chars(digits.data(), digits.data() + digits.size(), fingerprint, subject_base);
+    return {digits.data(), written.ptr};
 }
 
 void on_connection_broken(crash_watch& watch, const broken_request& request)
 {
-    std::erase_if(watch.broken_requests, [&](const broken_request& old) {
+    std::erase_if(watch.unclear, [&](const broken_request& old) {
         return request.broken_at - old.broken_at > crash_evidence_time;
     });
-    watch.broken_requests.push_back(request);
+    if (watch.unclear.size() < max_unclear) {
+        watch.unclear.push_back(request);
+    }
 }
 
-bool on_target_ended(crash_watch& watch, const base::host_id& self, const base::target_id& target,
-                     base::time_point now)
+bool has_unclear(const crash_watch& watch, const base::target_id& target)
 {
-    fleet::crash_report report{++watch.last_report, target, {}};
-    for (const broken_request& request : watch.broken_requests) {
-        const bool is_recent = now - request.broken_at <= crash_evidence_time;
-        if (request.target == target && is_recent && was_sent_after_crash(watch, request)) {
-            report.fingerprints.push_back(request.fingerprint);
+    return std::any_of(watch.unclear.begin(), watch.unclear.end(),
+                       [&](const broken_request& run) { return run.target == target; });
+}
+
+std::vector<fleet::notice> on_target_ended(crash_watch& watch, const base::target_id& target,
+                                           base::time_point now)
+{
+    std::vector<fleet::notice> notices;
+    for (const broken_request& run : watch.unclear) {
+        if (run.target != target || now - run.broken_at > crash_evidence_time) {
+            continue;
+        }
+        notices.push_back(crash_notice(run));
+        if (auto quarantine = record_crash(watch, run, now)) {
+            notices.push_back(std::move(*quarantine));
         }
     }
-    std::erase_if(watch.broken_requests,
-                  [&](const broken_request& request) { return request.target == target; });
-    if (report.fingerprints.empty()) {
-        return false;
+    on_target_running(watch, target);
+    return notices;
+}
+
+void on_target_running(crash_watch& watch, const base::target_id& target)
+{
+    std::erase_if(watch.unclear, [&](const broken_request& run) { return run.target == target; });
+}
+
+std::optional<fleet::notice> on_response_completed(crash_watch& watch, std::uint64_t fingerprint,
+                                                   base::time_point now)
+{
+    const auto found = watch.suspects.find(fingerprint);
+    if (found == watch.suspects.end()) {
+        return std::nullopt;
     }
-    retries::record_crash(watch.tracker,
-                          {self.value(), report.crash, target.value(), report.fingerprints}, now);
-    watch.reports.push_back({std::move(report), now});
-    return true;
+    const bool was_quarantined = found->second.level > 0;
+    watch.suspects.erase(found);
+    return was_quarantined ? std::optional(quarantine_notice(fingerprint, 0, now)) : std::nullopt;
 }
 
-void on_response_completed(crash_watch& watch, std::uint64_t fingerprint)
+std::vector<fleet::notice> apply_notice(crash_watch& watch, const fleet::notice& heard,
+                                        base::time_point now)
 {
-    if (!watch.tracker.suspects.empty()) {
-        retries::record_success(watch.tracker, std::array{fingerprint});
+    const auto fingerprint = read_fingerprint(heard.subject);
+    if (!fingerprint.has_value()) {
+        return {};
+    }
+    if (heard.kind == fleet::notice_kind::quarantine) {
+        apply_quarantine(watch, *fingerprint, heard, now);
+        return {};
+    }
+    const std::size_t slash = heard.subject.find('/');
+    if (slash == std::string::npos) {
+        return {};
     }
+    const auto took = std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double, std::milli>(std::clamp(heard.value, 0.0, 60'000.0)));
+    const auto quarantine =
+        record_crash(watch,
+                     {base::target_id(heard.subject.substr(slash + 1)), *fingerprint,
+                      heard.observed_at - took, heard.observed_at},
+                     now);
+    return quarantine.has_value() ? std::vector{*quarantine} : std::vector<fleet::notice>{};
 }
 
-void apply_reports(crash_watch& watch, const base::host_id& reporter,
-                   const std::vector<fleet::crash_report>& reports, base::time_point now)
+std::vector<fleet::notice> apply_reports(crash_watch& watch,
+                                         const std::vector<fleet::crash_report>& reports,
+                                         base::time_point now)
 {
+    std::vector<fleet::notice> notices;
     for (const fleet::crash_report& report : reports) {
-        std::vector<std::uint64_t> counted = report.fingerprints;
-        std::erase_if(counted, [&](std::uint64_t fingerprint) {
-            return is_same_event(watch, fingerprint, now);
-        });
-        retries::record_crash(
-            watch.tracker, {reporter.value(), report.crash, report.target.value(), counted}, now);
+        for (const std::uint64_t fingerprint : report.fingerprints) {
+            if (auto made = record_crash(
+                    watch, {report.target, fingerprint, now - untimed_run, now}, now)) {
+                notices.push_back(std::move(*made));
+            }
+        }
     }
+    return notices;
 }
 
-std::vector<fleet::crash_report> recent_reports(crash_watch& watch, base::time_point now)
+crash_ruling rule_on(crash_watch& watch, std::uint64_t fingerprint,
+                     const std::function<bool()>& is_trial_host, base::time_point now)
 {
-    std::erase_if(watch.reports, [now](const own_crash_report& own) {
-        return now - own.made_at > crash_report_time;
-    });
-    std::vector<fleet::crash_report> reports;
-    for (const own_crash_report& own : watch.reports) {
-        reports.push_back(own.report);
+    if (watch.suspects.empty() && watch.unclear.empty()) {
+        return {};
+    }
+    const auto found = watch.suspects.find(fingerprint);
+    if (found == watch.suspects.end() || found->second.level == 0) {
+        std::vector<broken_request> runs =
+            found == watch.suspects.end() ? std::vector<broken_request>{} : found->second.runs;
+        for (const broken_request& run : watch.unclear) {
+            if (run.fingerprint == fingerprint && now - run.broken_at < check_time) {
+                runs.push_back(run);
+            }
+        }
+        if (count_in_row(std::move(runs)) < max_crashes) {
+            return {};
+        }
+        return {false, false, check_time};
+    }
+    suspect& held = found->second;
+    if (now < held_until(held)) {
+        return {false, false, held_until(held) - now};
     }
-    return reports;
+    if (!is_trial_host()) {
+        return {false, false, short_wait};
+    }
+    held.trial_at = now;
+    return {true, true, {}};
+}
+
+bool has_crashed_before(const crash_watch& watch, std::uint64_t fingerprint,
+                        base::time_point sent_at)
+{
+    const auto is_earlier = [&](const broken_request& run) {
+        return run.fingerprint == fingerprint && run.broken_at <= sent_at;
+    };
+    const bool is_unclear =
+        std::any_of(watch.unclear.begin(), watch.unclear.end(), [&](const broken_request& run) {
+            return is_earlier(run) && sent_at - run.broken_at < crash_evidence_time;
+        });
+    if (is_unclear) {
+        return true;
+    }
+    const auto found = watch.suspects.find(fingerprint);
+    return found != watch.suspects.end() &&
+           (found->second.level > 0 ||
+            std::any_of(found->second.runs.begin(), found->second.runs.end(), is_earlier));
 }
 
 bool is_quarantined(const crash_watch& watch, std::uint64_t fingerprint, base::time_point now)
 {
-    return !watch.tracker.suspects.empty() &&
-           retries::suspicion_of(watch.tracker, fingerprint, now) ==
-               retries::suspicion::quarantined;
+    const auto found = watch.suspects.find(fingerprint);
+    return found != watch.suspects.end() && found->second.level > 0 &&
+           now < held_until(found->second);
+}
+
+void drop_expired(crash_watch& watch, base::time_point now)
+{
+    std::erase_if(watch.suspects,
+                  [now](const auto& entry) { return expires_at(entry.second) <= now; });
 }
 
 } // namespace snipeshore::apps
--- a/src/apps/host/crash_watch.h
+++ b/src/apps/host/crash_watch.h
@@ -4,11 +4,14 @@
 #include "base/time.h"
 #include "base/types/ids.h"
 #include "fleet/types/exchange.h"
-#include "retries/types/quarantine.h"
+#include "fleet/types/notice.h"
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace snipeshore::apps {
@@ -17,10 +20,7 @@
 /// crashed because of the request on that connection.
 inline constexpr std::chrono::milliseconds crash_evidence_time{3000};
 
-/// Time for which a report is repeated in the messages to other hosts.
-inline constexpr std::chrono::milliseconds crash_report_time{5000};
-
-/// A request whose connection broke before the response was complete.
+/// A run of a request whose connection broke before the response was complete.
 struct broken_request {
     base::target_id target;
     std::uint64_t fingerprint = 0;
@@ -28,37 +28,70 @@
     base::time_point broken_at;
 };
 
-struct own_crash_report {
-    fleet::crash_report report;
-    base::time_point made_at;
+/// A request that was running on targets when they ended. Runs that overlap are one piece of
+/// evidence: targets that end together take all their requests with them.
+struct suspect {
+    std::vector<broken_request> runs;
+    unsigned level = 0; ///< 0: not in quarantine. Rises with each trial that ends a target.
+    base::time_point quarantined_at{};
+    base::time_point trial_at{}; ///< Start of this host's last trial.
 };
 
 /// Crash state of one host. Fingerprints are computed by `retries::fingerprint`.
 struct crash_watch {
-    retries::crash_tracker tracker;
-    std::vector<broken_request> broken_requests;
-    std::vector<own_crash_report> reports;
-    std::uint64_t last_report = 0;
+    std::unordered_map<std::uint64_t, suspect> suspects;
+    std::vector<broken_request> unclear; ///< It is not known whether their targets have ended.
 };
 
-crash_watch make_crash_watch();
-
 void on_connection_broken(crash_watch& watch, const broken_request& request);
 
-/// Called when the target accepted no connection or has restarted. Returns true if requests are
-/// suspected of having crashed it.
-bool on_target_ended(crash_watch& watch, const base::host_id& self, const base::target_id& target,
-                     base::time_point now);
+/// Whether requests broke at the target and it is not known whether it has ended.
+bool has_unclear(const crash_watch& watch, const base::target_id& target);
+
+/// Called when the target accepted no connection. Returns notices for the other hosts; none if no
+/// request is suspected of having crashed it.
+std::vector<fleet::notice> on_target_ended(crash_watch& watch, const base::target_id& target,
+                                           base::time_point now);
+
+/// Called when the target has accepted a new connection.
+void on_target_running(crash_watch& watch, const base::target_id& target);
+
+/// Clears the suspicion. Returns a notice if the request was in quarantine.
+std::optional<fleet::notice> on_response_completed(crash_watch& watch, std::uint64_t fingerprint,
+                                                   base::time_point now);
 
-void on_response_completed(crash_watch& watch, std::uint64_t fingerprint);
+/// Applies a notice of another host about a crash or a quarantine. Returns notices that follow.
+std::vector<fleet::notice> apply_notice(crash_watch& watch, const fleet::notice& heard,
+                                        base::time_point now);
 
-/// Records the crash reports of another host.
-void apply_reports(crash_watch& watch, const base::host_id& reporter,
-                   const std::vector<fleet::crash_report>& reports, base::time_point now);
+/// Applies the crash reports of a host of an earlier version, which do not tell when the request
+/// was sent.
+std::vector<fleet::notice> apply_reports(crash_watch& watch,
+                                         const std::vector<fleet::crash_report>& reports,
+                                         base::time_point now);
 
-/// Reports of this host to be sent to other hosts.
-std::vector<fleet::crash_report> recent_reports(crash_watch& watch, base::time_point now);
+struct crash_ruling {
+    bool may_run = true;
+    bool is_trial = false;         ///< May run on one target, and not be retried.
+    base::duration retry_after{0}; ///< If it may not run.
+};
+
+/// `is_trial_host`: whether this is the one host that tries a request whose quarantine has passed.
+crash_ruling rule_on(crash_watch& watch, std::uint64_t fingerprint,
+                     const std::function<bool()>& is_trial_host, base::time_point now);
+
+/// Whether an earlier run of the request, before the one sent at `sent_at`, has ended its target or
+/// may have.
+bool has_crashed_before(const crash_watch& watch, std::uint64_t fingerprint,
+                        base::time_point sent_at);
 
+/// Whether the request is held now; a request whose quarantine has passed may be tried.
 bool is_quarantined(const crash_watch& watch, std::uint64_t fingerprint, base::time_point now);
 
+/// Removes suspects that have no effect any more.
+void drop_expired(crash_watch& watch, base::time_point now);
+
+/// Name of the request in notices and for the choice of its trial host.
+std::string subject_of(std::uint64_t fingerprint);
+
 } // namespace snipeshore::apps
--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -2,6 +2,7 @@
 
 #include "apps/common/response_stream.h"
 #include "apps/host/host_context.h"
+#include "apps/host/notices.h"
 #include "http/exchange.h"
 #include "retries/liveness.h"
 #include "retries/next_step.h"
@@ -46,6 +47,19 @@
     return target.reported_load < target.entry.slots;
 }
 
+/// Requests whose connections to the target broke shortly before may have ended it.
+void record_target_end(host_context& context, const base::target_id& target)
+{
+    const std::vector<fleet::notice> notices =
+        on_target_ended(context.crashes, target, base::boot_clock::now());
+    if (!notices.empty()) {
+        telemetry::log_event(
+            severity::warning, "target_crashed",
+            {{"target", target.value()}, {"notices", static_cast<std::uint64_t>(notices.size())}});
+    }
+    publish(context, notices);
+}
+
 } // namespace
 
 bool forward_task::matches_request(const http::response_head& head) const
@@ -143,6 +157,10 @@
         return;
     }
     const error& cause = base::error_of(end.outcome);
+    const bool is_late = cause.kind == error_kind::deadline_exceeded;
+    if (end.request_sent && !is_late) {
+        record_break();
+    }
     if (m_is_streaming) {
         record_target_failure(attempt_result::broken, cause.detail);
         end_attempt(false);
@@ -157,14 +175,11 @@
     }
     if (!end.request_sent) {
         ++m_unsent_attempts;
-        if (retries::liveness_after(end.outcome) == retries::liveness::ended) {
-            record_target_end();
-        }
+        check_target();
         fail_attempt(attempt_result::not_sent, cause.detail);
         return;
     }
     count_sent();
-    const bool is_late = cause.kind == error_kind::deadline_exceeded;
     fail_attempt(is_late ? attempt_result::timed_out : attempt_result::broken, cause.detail);
 }
 
@@ -189,7 +204,10 @@
         }
     }
     end_attempt(m_status < first_failure_status);
-    on_response_completed(m_context.crashes, m_fingerprint);
+    if (const auto cleared =
+            on_response_completed(m_context.crashes, m_fingerprint, base::boot_clock::now())) {
+        publish(m_context, {*cleared});
+    }
     if (m_buffered_head.has_value()) {
         m_exchange->respond(std::move(*m_buffered_head), std::move(m_buffered_body));
         record_end(m_status, "answered");
@@ -205,13 +223,26 @@
     });
 }
 
-void forward_task::record_target_end()
+void forward_task::record_break()
+{
+    on_connection_broken(m_context.crashes,
+                         {m_target, m_fingerprint, m_sent_at, base::boot_clock::now()});
+    check_target();
+}
+
+void forward_task::check_target()
 {
-    if (on_target_ended(m_context.crashes, m_context.settings.host, m_target,
-                        base::boot_clock::now())) {
-        telemetry::log_event(severity::warning, "target_crashed",
-                             {{"target", m_target.value()}, {"service", m_service.value()}});
+    const pooled_target* target = current_target();
+    if (target == nullptr || !has_unclear(m_context.crashes, m_target)) {
+        return;
     }
+    m_context.check_target(*target, [&context = m_context, id = m_target](retries::liveness found) {
+        if (found == retries::liveness::ended) {
+            record_target_end(context, id);
+        } else if (found == retries::liveness::running) {
+            on_target_running(context.crashes, id);
+        }
+    });
 }
 
 void forward_task::end_attempt(bool is_success)
@@ -267,15 +298,17 @@
     cancel_timer();
     m_buffered_head.reset();
     m_buffered_body.clear();
-    if (result == attempt_result::broken) {
-        on_connection_broken(m_context.crashes, {m_target, m_fingerprint, m_sent_at, now});
-    }
+    // A request that may have ended two targets in a row is not sent to a third one at once.
+    const bool is_suspect =
+        result == attempt_result::broken &&
+        (m_is_trial || has_crashed_before(m_context.crashes, m_fingerprint, m_sent_at));
     record_target_failure(result, detail);
     const base::target_id target = m_target;
     end_attempt(false);
     const auto call = std::move(m_call);
     retries::next_step step = plan_next(result);
     retries::retry_budget& budget = pool_of(m_context, m_service).budget;
+    step.retry = step.retry && !is_suspect;
     const bool has_budget = !step.retry || !step.needs_budget || retries::try_spend(budget, now);
     step.retry = step.retry && has_budget;
     m_context.metrics
@@ -293,7 +326,8 @@
                           {"took_ms", to_milliseconds(now - m_sent_at)},
                           {"may_have_run", m_may_have_run},
                           {"retry", step.retry},
-                          {"budget", has_budget}});
+                          {"budget", has_budget},
+                          {"suspect", is_suspect}});
     if (step.retry) {
         send_to_target();
         return;
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -92,9 +92,11 @@
     /// Handles a failed attempt: retries on another target or refuses the request.
     void fail_attempt(retries::attempt_result result, std::string_view cause);
     void record_target_failure(retries::attempt_result result, std::string_view cause);
-    /// Records that the process of the current target has ended, perhaps because of requests whose
-    /// connections broke before.
-    void record_target_end();
+    /// Records that the connection to the current target broke, and finds out whether the target
+    /// has ended.
+    void record_break();
+    /// Finds out whether the current target has ended, if requests broke there without a response.
+    void check_target();
     void end_attempt(bool is_success);
     void start_streaming(const http::response_head& head);
     void refuse(const base::error& cause);
@@ -116,6 +118,7 @@
     base::time_point m_deadline;        ///< For the first byte of the response.
     base::time_point m_caller_deadline; ///< For the whole response.
     base::duration m_retry_after{0};
+    bool m_is_trial = false;  ///< Tries whether the request still crashes its target.
     bool m_has_token = false; ///< Whether a token of the account's share was taken.
 
     // The current attempt.
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -100,7 +100,7 @@
                    rows::row_store& store)
     : m_loop(loop), m_settings(std::move(settings)), m_formats(std::move(formats)), m_store(store),
       m_client(loop, target_client_settings()), m_context{m_settings, loop, m_client, m_metrics},
-      m_self(make_member(m_settings)),
+      m_checks(loop, m_client), m_self(make_member(m_settings)),
       m_relay(m_context, m_self, store,
               [this](std::uint64_t era) {
                   for (auto* table : {&m_operator_rows, &m_target_rows, &m_host_rows}) {
@@ -134,6 +134,13 @@
     m_context.random.seed(m_self.incarnation.value());
     m_context.members.self = m_settings.host;
     m_context.members.own_domain = m_settings.failure_domain;
+    m_context.spread = [this] {
+        m_peers.spread();
+    };
+    m_context.check_target = [this](const pooled_target& target,
+                                    std::function<void(retries::liveness)> done) {
+        m_checks.start(target.entry.id, target.entry.address, std::move(done));
+    };
     m_context.borrow = [this](const base::account_id& account, std::function<void()> done) {
         return m_peers.borrow(account, std::move(done));
     };
@@ -472,6 +479,8 @@
         update_targets();
     }
     remove_expired_hosts();
+    drop_expired(m_context.crashes, now);
+    fleet::drop_expired(m_context.notices, now);
     check_registration();
     update_budgets(m_context);
     const std::size_t hosts =
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -6,6 +6,7 @@
 #include "apps/host/host_context.h"
 #include "apps/host/peer_exchange.h"
 #include "apps/host/relay_store.h"
+#include "apps/host/target_checks.h"
 #include "apps/host/target_registry.h"
 #include "apps/host/types/host_settings.h"
 #include "apps/host/types/row_formats.h"
@@ -101,6 +102,7 @@
     telemetry::metrics m_metrics;
     http::client m_client;
     host_context m_context;
+    target_checks m_checks;
     fleet::member m_self;
     relay_store m_relay;
     target_registry m_registry;
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -6,8 +6,10 @@
 #include "apps/host/target_pool.h"
 #include "apps/host/types/host_settings.h"
 #include "base/types/ids.h"
+#include "fleet/bulletin.h"
 #include "fleet/types/member.h"
 #include "limits/types/fleet_share.h"
+#include "retries/liveness.h"
 #include "routing/types/route_table.h"
 
 #include <functional>
@@ -39,7 +41,8 @@
     std::unordered_map<base::account_id, limits::fleet_share> shares;
     std::unordered_map<base::account_id, limits::fleet_limit> limits; ///< Of the whole fleet.
     fleet::member_table members;
-    crash_watch crashes = make_crash_watch();
+    fleet::bulletin notices;
+    crash_watch crashes;
     bool is_leaving = false; ///< A planned stop has begun.
     /// New requests are refused because the process ends before they could finish.
     bool is_closing = false;
@@ -47,6 +50,10 @@
     /// Keeps the requests in progress alive.
     std::unordered_set<std::shared_ptr<forward_task>> tasks;
     std::size_t max_tasks = 2048;
+    /// Sends messages with the notices to other hosts soon, see `peer_exchange::spread`.
+    std::function<void()> spread;
+    /// Finds out whether a target has ended, see `target_checks::start`.
+    std::function<void(const pooled_target&, std::function<void(retries::liveness)>)> check_target;
     /// Requests token grants for an account from other hosts, see `peer_exchange::borrow`.
     std::function<bool(const base::account_id&, std::function<void()>)> borrow;
 };
--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -71,7 +71,13 @@
                               return fleet::is_live(m_context.members, entry.second, now);
                           })));
     set("snipeshore_suspects", "Fingerprints suspected of crashing targets.",
-        static_cast<double>(m_context.crashes.tracker.suspects.size()));
+        static_cast<double>(m_context.crashes.suspects.size()));
+    set("snipeshore_quarantined_requests", "Fingerprints that are not sent to targets now.",
+        static_cast<double>(
+            std::count_if(m_context.crashes.suspects.begin(), m_context.crashes.suspects.end(),
+                          [this, now](const auto& entry) {
+                              return is_quarantined(m_context.crashes, entry.first, now);
+                          })));
     for (const auto& [account, share] : m_context.shares) {
         m_metrics
             .gauge("snipeshore_account_demand",
--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "apps/host/peer_exchange.h"
 
 #include "apps/host/host_context.h"
+#include "apps/host/notices.h"
 #include "apps/host/peer_calls.h"
 #include "fleet/exchange_encoding.h"
 #include "fleet/members.h"
@@ -33,6 +34,14 @@
 constexpr std::size_t max_exchange_bytes = 256U << 10U;
 constexpr std::chrono::milliseconds peer_idle_timeout{10000};
 
+/// Collects the notices of one event, such as the end of a target with several requests.
+constexpr std::chrono::milliseconds spread_delay{20};
+
+/// Bounds of the messages that notices cause, beside those of each second. In a larger fleet the
+/// other hosts hear from those that were told.
+constexpr std::chrono::milliseconds spread_interval{500};
+constexpr std::size_t max_spread = 128;
+
 /// Longest time that a request waits for token grants; hosts of other regions respond within 30 ms.
 constexpr std::chrono::milliseconds borrow_timeout{60};
 
@@ -90,6 +99,24 @@
     }
 }
 
+void peer_exchange::spread()
+{
+    if (m_is_spread_scheduled) {
+        return;
+    }
+    m_is_spread_scheduled = true;
+    const base::time_point due =
+        std::max(base::boot_clock::now() + spread_delay, m_spread_at + spread_interval);
+    m_context.loop.schedule(due, [this] {
+        m_is_spread_scheduled = false;
+        m_spread_at = base::boot_clock::now();
+        for (const fleet::member& peer :
+             fleet::live_peers(m_context.members, m_self.id.value(), max_spread, m_spread_at)) {
+            contact(peer.control_address);
+        }
+    });
+}
+
 void peer_exchange::contact_due_peers()
 {
     const unsigned interval = fleet::remote_interval_s(m_context.members);
@@ -276,7 +303,7 @@
         }
     }
     const base::time_point now = base::boot_clock::now();
-    message.crashes = recent_reports(m_context.crashes, now);
+    message.notices = fleet::notices_to_tell(m_context.notices, now);
     for (auto& [service, pool] : m_context.pools) {
         follow_load(pool, make_view(m_context, now));
         message.loads[service] = pool.home_load.domain;
@@ -317,7 +344,7 @@
              {"state", static_cast<int>(message.from.state)},
              {"hosts", static_cast<std::uint64_t>(m_context.members.members.size() + 1)}});
     }
-    apply_reports(m_context.crashes, message.from.id, message.crashes, now);
+    apply_notices(m_context, message, now);
     for (const auto& [service, load] : message.loads) {
         const auto pool = m_context.pools.find(service);
         if (pool != m_context.pools.end()) {
--- a/src/apps/host/peer_exchange.h
+++ b/src/apps/host/peer_exchange.h
@@ -49,6 +49,9 @@
     /// Sends the state of this host to all other hosts at once.
     void announce();
 
+    /// Sends messages with the notices of this host to other hosts soon, in bounded number.
+    void spread();
+
     /// Called when rows of a table have changed; responds to the hosts that wait for them.
     void on_rows_changed(const std::string& table);
 
@@ -93,6 +96,8 @@
     std::map<std::string, std::unique_ptr<http::client_call>> m_fetches; ///< By table.
     std::map<base::account_id, borrow_state> m_borrow_states;
     unsigned m_ticks = 0;
+    bool m_is_spread_scheduled = false;
+    base::time_point m_spread_at{};
 };
 
 } // namespace snipeshore::apps
--- /dev/null
+++ b/src/apps/host/target_checks.h
@@ -0,0 +1,41 @@
+/// @file Finds out whether a target that broke a connection has ended.
+#pragma once
+
+#include "base/types/ids.h"
+#include "retries/liveness.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace snipeshore::http {
+class client;
+class client_call;
+class loop;
+} // namespace snipeshore::http
+
+namespace snipeshore::apps {
+
+/// Belongs to the loop's thread. A check opens a connection and closes it: a request, such as a
+/// health check, would wait for a slot of a busy target.
+class target_checks {
+public:
+    target_checks(http::loop& loop, http::client& client);
+    ~target_checks();
+    target_checks(const target_checks&) = delete;
+    target_checks& operator=(const target_checks&) = delete;
+    target_checks(target_checks&&) = delete;
+    target_checks& operator=(target_checks&&) = delete;
+
+    /// Starts a check, unless one of the target is running or too many are. `done` is called later.
+    void start(const base::target_id& target, const std::string& address,
+               std::function<void(retries::liveness)> done);
+
+private:
+    http::loop& m_loop;
+    http::client& m_client;
+    std::map<base::target_id, std::unique_ptr<http::client_call>> m_calls;
+};
+
+} // namespace snipeshore::apps
--- a/src/apps/host/tests/crash_watch_test.cpp
+++ b/src/apps/host/tests/crash_watch_test.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+#include <vector>
+
 using namespace snipeshore;
 using namespace std::chrono_literals;
 
@@ -10,20 +13,40 @@
 constexpr std::uint64_t culprit = 1;
 constexpr std::uint64_t harmless = 2;
 const base::time_point start = base::time_point{} + 1h;
-const base::host_id self("h1");
+/// Tells the other host all notices, and what follows from them back.
+void tell(const std::vector<fleet::notice>& notices, apps::crash_watch& other, base::time_point now)
+{
+    for (const fleet::notice& one : notices) {
+        apps::apply_notice(other, one, now);
+    }
+}
 
-void crash(apps::crash_watch& watch, const std::string& target, std::uint64_t fingerprint,
-           base::time_point at)
+std::vector<fleet::notice> crash(apps::crash_watch& watch, const std::string& target,
+                                 std::uint64_t fingerprint, base::time_point at)
 {
     apps::on_connection_broken(watch, {base::target_id(target), fingerprint, at, at + 50ms});
-    apps::on_target_ended(watch, self, base::target_id(target), at + 200ms);
+    return apps::on_target_ended(watch, base::target_id(target), at + 200ms);
+}
+
+apps::crash_ruling rule(apps::crash_watch& watch, base::time_point now, bool is_trial_host = true)
+{
+    return apps::rule_on(
+        watch, culprit, [is_trial_host] { return is_trial_host; }, now);
+}
+
+/// Three crashes in a row, the last at `start + 4s`.
+std::vector<fleet::notice> quarantine(apps::crash_watch& watch)
+{
+    crash(watch, "t1", culprit, start);
+    crash(watch, "t2", culprit, start + 2s);
+    return crash(watch, "t3", culprit, start + 4s);
 }
 
 } // namespace
 
 TEST_CASE("a request that crashes its targets is quarantined")
 {
-    apps::crash_watch watch = apps::make_crash_watch();
+    apps::crash_watch watch;
     SUBCASE("after three crashes it is not sent to a fourth target")
     {
         crash(watch, "t1", culprit, start);
@@ -40,7 +63,7 @@
             apps::on_connection_broken(watch, {base::target_id("t1"), culprit, start, start});
         }
         CHECK_FALSE(apps::is_quarantined(watch, culprit, start + 1s));
-        CHECK_FALSE(apps::on_target_ended(watch, self, base::target_id("t1"), start + 1min));
+        CHECK(apps::on_target_ended(watch, base::target_id("t1"), start + 1min).empty());
     }
     SUBCASE("requests in flight at several targets that terminate together are not quarantined")
     {
@@ -49,7 +72,7 @@
                                        {base::target_id(target), harmless, start, start + 50ms});
         }
         for (const char* target : {"t1", "t2", "t3"}) {
-            apps::on_target_ended(watch, self, base::target_id(target), start + 100ms);
+            apps::on_target_ended(watch, base::target_id(target), start + 100ms);
         }
         CHECK_FALSE(apps::is_quarantined(watch, harmless, start + 1s));
     }
@@ -57,35 +80,143 @@
     {
         for (int i = 0; i < 10; ++i) {
             crash(watch, "t1", harmless, start + i * 10s);
-            apps::on_response_completed(watch, harmless);
+            apps::on_response_completed(watch, harmless, start + i * 10s);
             CHECK_FALSE(apps::is_quarantined(watch, harmless, start + i * 10s + 1s));
         }
     }
     SUBCASE("hosts exchange crash reports, and each crash counts once")
     {
-        apps::crash_watch other = apps::make_crash_watch();
+        apps::crash_watch other;
         for (int i = 0; i < 2; ++i) {
             const base::time_point now = start + i * 10s;
-            crash(watch, "t" + std::to_string(i), culprit, now);
-            const auto reports = apps::recent_reports(watch, now + 1s);
-            apps::apply_reports(other, self, reports, now + 1s);
-            apps::apply_reports(other, self, reports, now + 2s);
+            const auto notices = crash(watch, "t" + std::to_string(i), culprit, now);
+            CHECK_FALSE(notices.empty());
+            tell(notices, other, now + 1s);
+            tell(notices, other, now + 2s);
         }
         CHECK_FALSE(apps::is_quarantined(other, culprit, start + 12s));
         apps::on_connection_broken(other,
                                    {base::target_id("t9"), culprit, start + 13s, start + 13s});
-        apps::on_target_ended(other, base::host_id("h2"), base::target_id("t9"), start + 14s);
+        apps::on_target_ended(other, base::target_id("t9"), start + 14s);
         CHECK(apps::is_quarantined(other, culprit, start + 15s));
-        CHECK(apps::recent_reports(watch, start + 1min).empty());
+        apps::drop_expired(watch, start + 2min);
+        CHECK(watch.suspects.empty());
     }
     SUBCASE("many hosts that lose targets at the same time do not quarantine a frequent request")
     {
         for (int host = 0; host < 10; ++host) {
             const std::string name = "h" + std::to_string(host);
-            apps::apply_reports(watch, base::host_id(name),
-                                {{1, base::target_id("t" + name), {harmless}}},
+            apps::crash_watch other;
+            apps::on_connection_broken(
+                other, {base::target_id("t" + name), harmless, start, start + 50ms});
+            tell(apps::on_target_ended(other, base::target_id("t" + name), start + host * 100ms),
+                 watch, start + host * 100ms);
+        }
+        CHECK_FALSE(apps::is_quarantined(watch, harmless, start + 2s));
+        CHECK(apps::rule_on(
+                  watch, harmless, [] { return false; }, start + 2s)
+                  .may_run);
+    }
+    SUBCASE("nor do reports of hosts of an earlier version, which tell no times")
+    {
+        for (int host = 0; host < 10; ++host) {
+            const std::string name = "h" + std::to_string(host);
+            apps::apply_reports(watch, {{1, base::target_id("t" + name), {harmless}}},
                                 start + host * 100ms);
         }
         CHECK_FALSE(apps::is_quarantined(watch, harmless, start + 2s));
     }
+    // Guards against crashes that are not counted: the retry is sent before anybody knows that the
+    // first target has ended.
+    SUBCASE("a retry that crashes its target counts, although the first crash is noticed later")
+    {
+        apps::on_connection_broken(watch, {base::target_id("t1"), culprit, start, start + 50ms});
+        CHECK_FALSE(apps::has_crashed_before(watch, culprit, start));
+        apps::on_connection_broken(watch,
+                                   {base::target_id("t2"), culprit, start + 50ms, start + 90ms});
+        CHECK(apps::has_crashed_before(watch, culprit, start + 50ms));
+        apps::on_target_ended(watch, base::target_id("t2"), start + 95ms);
+        apps::on_target_ended(watch, base::target_id("t1"), start + 99ms);
+        CHECK(rule(watch, start + 1s).may_run);
+        crash(watch, "t3", culprit, start + 1s);
+        CHECK_FALSE(rule(watch, start + 2s).may_run);
+    }
+    SUBCASE("runs whose targets are still being checked count for the moment")
+    {
+        crash(watch, "t1", culprit, start);
+        crash(watch, "t2", culprit, start + 1s);
+        apps::on_connection_broken(watch,
+                                   {base::target_id("t3"), culprit, start + 2s, start + 2100ms});
+        CHECK_FALSE(rule(watch, start + 2200ms).may_run);
+        apps::on_target_running(watch, base::target_id("t3"));
+        CHECK(rule(watch, start + 2200ms).may_run);
+    }
+}
+
+// Guards against a request that ends further targets after its quarantine: every host tried it
+// again, and retried it.
+TEST_CASE(
+    "a request whose quarantine has passed is tried by one host, once, and less often each time")
+{
+    apps::crash_watch watch;
+    quarantine(watch);
+    const apps::crash_ruling held = rule(watch, start + 10s);
+    CHECK_FALSE(held.may_run);
+    CHECK(held.retry_after > 20s);
+    CHECK(held.retry_after < 30s);
+    SUBCASE("other hosts than the one that tries it go on refusing it")
+    {
+        CHECK_FALSE(rule(watch, start + 40s, false).may_run);
+    }
+    SUBCASE("a trial is not retried, and a second copy is refused meanwhile")
+    {
+        const apps::crash_ruling trial = rule(watch, start + 40s);
+        CHECK(trial.may_run);
+        CHECK(trial.is_trial);
+        CHECK_FALSE(rule(watch, start + 40s).may_run);
+    }
+    SUBCASE("at most three trials in a day crash their target")
+    {
+        int crashes = 0;
+        apps::crash_watch other;
+        for (base::time_point now = start + 10s; now < start + 24h; now += 5s) {
+            if (rule(watch, now).may_run) {
+                ++crashes;
+                tell(crash(watch, "t" + std::to_string(3 + crashes), culprit, now), other,
+                     now + 1s);
+            }
+        }
+        CHECK(crashes == 3);
+        CHECK_FALSE(rule(other, start + 24h, false).may_run);
+    }
+    SUBCASE("a success ends the quarantine on all hosts")
+    {
+        apps::crash_watch other;
+        tell(quarantine(other), other, start + 5s);
+        CHECK(rule(watch, start + 40s).may_run);
+        const auto cleared = apps::on_response_completed(watch, culprit, start + 41s);
+        REQUIRE(cleared.has_value());
+        tell({*cleared}, other, start + 42s);
+        CHECK(rule(watch, start + 43s).may_run);
+        CHECK(rule(other, start + 43s, false).may_run);
+    }
+    SUBCASE("a host that has just started hears of the quarantine")
+    {
+        apps::crash_watch started;
+        apps::crash_watch source;
+        tell(quarantine(source), started, start + 6s);
+        CHECK_FALSE(rule(started, start + 10s).may_run);
+    }
+}
+
+// Guards against memory that grows with the number of requests.
+TEST_CASE("the number of suspects is bounded, and quarantines stay longest")
+{
+    apps::crash_watch watch;
+    quarantine(watch);
+    for (std::uint64_t other = 100; other < 10'100; ++other) {
+        crash(watch, "t1", other, start + 5s);
+    }
+    CHECK(watch.suspects.size() <= 4096);
+    CHECK(apps::is_quarantined(watch, culprit, start + 6s));
 }
--- a/src/fleet/exchange_encoding.cpp
+++ b/src/fleet/exchange_encoding.cpp
@@ -1,9 +1,11 @@
 #include "fleet/exchange_encoding.h"
 
 #include "base/json_reader.h"
+#include "fleet/bulletin.h"
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cmath>
 #include <limits>
 #include <utility>
@@ -20,6 +22,9 @@
 /// Identifier of the library's exceptions for errors that are not its own.
 constexpr int error_id = 501;
 
+/// A week, far above the lifetime of any notice.
+constexpr std::uint64_t max_notice_age_ms = 7ULL * 24 * 3600 * 1000;
+
 json member_json(const member& host)
 {
     return json::array({host.id.value(), host.failure_domain.value(), host.entry_address,
@@ -103,6 +108,33 @@
     return crashes;
 }
 
+json notices_json(const std::vector<told_notice>& notices)
+{
+    json made = json::array();
+    for (const told_notice& one : notices) {
+        made.push_back(
+            json::array({static_cast<int>(one.kind), one.subject, one.value, one.age.count()}));
+    }
+    return made;
+}
+
+std::vector<told_notice> read_notices(const json& from)
+{
+    std::vector<told_notice> notices;
+    for (const json& one : from.get_ref<const json::array_t&>()) {
+        const std::uint64_t kind = read_number(one.at(0));
+        auto subject = one.at(1).get<std::string>();
+        const double value = one.at(2).get<double>();
+        const std::uint64_t age_ms = base::read_count(one.at(3), max_notice_age_ms);
+        // A later version may know more kinds.
+        if (kind < notice_kinds && !subject.empty() && subject.size() <= max_subject_bytes) {
+            notices.push_back({static_cast<notice_kind>(kind), std::move(subject), value,
+                               std::chrono::milliseconds(age_ms)});
+        }
+    }
+    return notices;
+}
+
 /// Parses the text and calls `read` with the result; converts exceptions of the JSON library into
 /// an error.
 template <typename Reader>
@@ -154,6 +186,9 @@
     if (!message.crashes.empty()) {
         made["c"] = crashes_json(message.crashes);
     }
+    if (!message.notices.empty()) {
+        made["n"] = notices_json(message.notices);
+    }
     if (!message.loads.empty()) {
         made["l"] = amounts_json(message.loads);
     }
@@ -170,6 +205,7 @@
         message.wanted = read_amounts<base::account_id>(from.value("w", json::object()));
         message.granted = read_amounts<base::account_id>(from.value("g", json::object()));
         message.crashes = read_crashes(from.value("c", json::array()));
+        message.notices = read_notices(from.value("n", json::array()));
         message.loads = read_amounts<base::service_id>(from.value("l", json::object()));
         return message;
     });
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -14,6 +14,40 @@
 
 constexpr std::string_view reader_item = "reader";
 
+/// The `count` highest-ranked other hosts for `item`.
+std::vector<const known_member*> ranked_members(const member_table& table, std::string_view item,
+                                                std::size_t count)
+{
+    std::vector<std::pair<std::uint64_t, const known_member*>> ranked;
+    for (const auto& [id, known] : table.members) {
+        ranked.emplace_back(base::rendezvous_weight(item, id.value()), &known);
+    }
+    const std::size_t kept = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+                      ranked.end(), std::greater<>());
+    std::vector<const known_member*> first;
+    for (std::size_t i = 0; i < kept; ++i) {
+        first.push_back(ranked[i].second);
+    }
+    return first;
+}
+
+std::vector<member> live_near_first(const member_table& table,
+                                    const std::vector<const known_member*>& ranked,
+                                    base::time_point now)
+{
+    std::vector<member> near;
+    std::vector<member> remote;
+    for (const known_member* known : ranked) {
+        if (is_live(table, *known, now)) {
+            const bool is_near = known->info.failure_domain == table.own_domain;
+            (is_near ? near : remote).push_back(known->info);
+        }
+    }
+    near.insert(near.end(), remote.begin(), remote.end());
+    return near;
+}
+
 } // namespace
 
 bool record_contact(member_table& table, const member& from, base::time_point now)
@@ -124,24 +158,16 @@
 std::vector<member> first_peers(const member_table& table, std::string_view item, std::size_t count,
                                 base::time_point now)
 {
-    std::vector<std::pair<std::uint64_t, const known_member*>> ranked;
-    for (const auto& [id, known] : table.members) {
-        ranked.emplace_back(base::rendezvous_weight(item, id.value()), &known);
-    }
-    const std::size_t kept = std::min(count, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
-                      ranked.end(), std::greater<>());
-    std::vector<member> near;
-    std::vector<member> remote;
-    for (std::size_t i = 0; i < kept; ++i) {
-        const known_member& known = *ranked[i].second;
-        if (is_live(table, known, now)) {
-            const bool is_near = known.info.failure_domain == table.own_domain;
-            (is_near ? near : remote).push_back(known.info);
-        }
-    }
-    near.insert(near.end(), remote.begin(), remote.end());
-    return near;
+    return live_near_first(table, ranked_members(table, item, count), now);
+}
+
+std::vector<member> live_peers(const member_table& table, std::string_view item, std::size_t max,
+                               base::time_point now)
+{
+    std::vector<member> live =
+        live_near_first(table, ranked_members(table, item, table.members.size()), now);
+    live.resize(std::min(max, live.size()));
+    return live;
 }
 
 std::size_t possible_host_count(const member_table& table)
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -57,6 +57,11 @@
 std::vector<member> first_peers(const member_table& table, std::string_view item, std::size_t count,
                                 base::time_point now);
 
+/// Up to `max` hosts that are believed alive, those of the own failure domain first, then by their
+/// rank for `item`.
+std::vector<member> live_peers(const member_table& table, std::string_view item, std::size_t max,
+                               base::time_point now);
+
 /// Number of hosts that may admit requests, including the own host. Unresponsive hosts count, since
 /// they may only be partitioned from this host.
 std::size_t possible_host_count(const member_table& table);
--- a/src/fleet/tests/exchange_encoding_test.cpp
+++ b/src/fleet/tests/exchange_encoding_test.cpp
@@ -15,6 +15,8 @@
     message.crashes.push_back({3, base::target_id("t1"), {~0ULL, 7}});
     message.granted[base::account_id("coop")] = 1.999;
     message.loads[base::service_id("desk")] = 0.75;
+    message.notices.push_back(
+        {fleet::notice_kind::target_limit, "t1/7", 6.1, std::chrono::milliseconds(250)});
     const auto read = fleet::parse_exchange(fleet::encode(message));
     REQUIRE(base::is_ok(read));
     const fleet::exchange_message& copy = base::value_of(read);
@@ -27,6 +29,11 @@
     REQUIRE(copy.crashes.size() == 1);
     CHECK(copy.crashes[0].target.value() == "t1");
     CHECK(copy.crashes[0].fingerprints == std::vector<std::uint64_t>{~0ULL, 7});
+    REQUIRE(copy.notices.size() == 1);
+    CHECK(copy.notices[0].kind == fleet::notice_kind::target_limit);
+    CHECK(copy.notices[0].subject == "t1/7");
+    CHECK(copy.notices[0].value == doctest::Approx(6.1));
+    CHECK(copy.notices[0].age == std::chrono::milliseconds(250));
     SUBCASE("granted tokens are rounded down, so that the encoding adds no tokens")
     {
         CHECK(copy.granted.at(base::account_id("coop")) <= 1.999);
@@ -107,6 +114,16 @@
                                                     R"(,false,"v"]]})")));
     }
     CHECK_FALSE(base::is_ok(fleet::parse_exchange(from + R"(,"v":7})")));
+    for (const std::string notice : {"7", R"([-1,"t",1,0])", R"([0,7,1,0])", R"([0,"t","x",0])",
+                                     R"([0,"t",1e999,0])", R"([0,"t",1,-5])", R"([0,"t",1])"}) {
+        INFO(notice);
+        CHECK_FALSE(base::is_ok(fleet::parse_exchange(from + R"(,"v":{},"n":[)" + notice + "]}")));
+    }
+    const auto skipped = fleet::parse_exchange(
+        from + R"(,"v":{},"n":[[9,"later version",1,0],[2,"",1,0],[2,"t",1,0],[2,")" +
+        std::string(1000, 't') + R"(",1,0]]})");
+    REQUIRE(base::is_ok(skipped));
+    CHECK(base::value_of(skipped).notices.size() == 1);
     CHECK_FALSE(base::is_ok(fleet::parse_exchange(from + R"(,"v":{},"c":[[1,"t",7]]})")));
     CHECK_FALSE(base::is_ok(fleet::parse_member(R"(["","d","1.2.3.4:80","1.2.3.4:90",7,1])")));
 }
--- a/src/fleet/types/exchange.h
+++ b/src/fleet/types/exchange.h
@@ -3,6 +3,7 @@
 
 #include "base/types/ids.h"
 #include "fleet/types/member.h"
+#include "fleet/types/notice.h"
 
 #include <cstdint>
 #include <map>
@@ -28,7 +29,9 @@
     std::map<base::account_id, double> wanted;
     /// Tokens that the sender grants the receiver from its own share, by account.
     std::map<base::account_id, double> granted;
+    /// Reports of hosts of earlier versions, which sent no notices.
     std::vector<crash_report> crashes;
+    std::vector<told_notice> notices;
     /// Requests per slot on the targets of the sender's failure domain, by service.
     std::map<base::service_id, double> loads;
 };
--- /dev/null
+++ b/src/fleet/types/notice.h
@@ -0,0 +1,35 @@
+/// @file Small facts that hosts tell each other.
+#pragma once
+
+#include "base/time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace snipeshore::fleet {
+
+enum class notice_kind : std::uint8_t {
+    crash,        ///< A request ended a target. Subject: request and target; value: its run in ms.
+    quarantine,   ///< A request is not to be sent. Subject: request; value: level, 0 ends it.
+    target_limit, ///< Subject: target and its start; value: requests per second, -1 for no limit.
+};
+
+inline constexpr std::size_t notice_kinds = 3;
+
+struct notice {
+    notice_kind kind = notice_kind::crash;
+    std::string subject;
+    double value = 0;
+    base::time_point observed_at; ///< By the clock of the own host.
+};
+
+/// A notice in a message. Hosts have no clock in common, so it tells how old the fact is.
+struct told_notice {
+    notice_kind kind = notice_kind::crash;
+    std::string subject;
+    double value = 0;
+    std::chrono::milliseconds age{0};
+};
+
+} // namespace snipeshore::fleet
