Keep to the limit that a target names for all hosts together

A host that kept to it by itself would not have been enough: five hosts used each of the two targets.

Change: limits/target_limit divides a limit among the hosts: most of it goes to those in the target's failure domain, a fifth to some others; an owner has a request a second at least, so a small limit has few owners and needs no messages between them. Shares begin empty, a share's burst is 0.4 s. A target without a token for this host is not chosen (target_choice), so its requests go to the next targets of their objects or to any with room; what fits nowhere is refused at once, with the time until the next token as Retry-After. Retries take tokens like first sends; checks of targets send no request. A host that has not heard yet is told: a limit, a change and its end are notices of fleet::bulletin, the mechanism that tells crashes. A response without the header ends the limit one second after the last one with it, a new process of the target has none, and 30 s without news end it. A value that is no number is logged and changes nothing; 0 is tried once in five seconds by one host. Log events target_limit_changed and target_limit_unreadable, three gauges, fields of the dump.

snipeshore-entry does not read such a header: its targets have no such interface.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -3,6 +3,7 @@
 #include "apps/common/response_stream.h"
 #include "apps/host/host_context.h"
 #include "apps/host/notices.h"
+#include "apps/host/target_limits.h"
 #include "http/exchange.h"
 #include "retries/liveness.h"
 #include "retries/next_step.h"
@@ -93,6 +94,9 @@
         fail_attempt(attempt_result::broken, "response belongs to another request");
         return;
     }
+    if (target != nullptr) {
+        apply_limit_header(m_context, *target, http::find_header(head.headers, names.limit), now);
+    }
     const auto load = http::find_header(head.headers, names.load);
     const bool has_report =
         load.has_value() && target != nullptr && apply_load_report(*target, *load, now);
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -202,8 +202,11 @@
         on_caller_disconnected();
         return;
     }
-    const auto placement = place(base::boot_clock::now());
+    const base::time_point now = base::boot_clock::now();
+    const auto placement = place(now);
     if (!placement.has_value()) {
+        m_retry_after =
+            time_to_room(pool_of(m_context, m_service), now).value_or(base::duration{0});
         refuse({retries::final_error(attempt_result::rejected, m_may_have_run),
                 "no target is available for the request"});
         return;
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -1,6 +1,7 @@
 #include "apps/host/host_app.h"
 
 #include "apps/host/forward_task.h"
+#include "apps/host/target_limits.h"
 #include "fleet/exchange_encoding.h"
 #include "fleet/members.h"
 #include "http/exchange.h"
@@ -481,6 +482,7 @@
     remove_expired_hosts();
     drop_expired(m_context.crashes, now);
     fleet::drop_expired(m_context.notices, now);
+    update_limit_shares(m_context, now);
     check_registration();
     update_budgets(m_context);
     const std::size_t hosts =
--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -41,6 +41,9 @@
                 {"address", target.entry.address},
                 {"running", target.running},
                 {"leaving", target.entry.is_leaving},
+                {"limit_per_s", target.limit.rate.has_value() ? nlohmann::json(*target.limit.rate)
+                                                              : nlohmann::json()},
+                {"own_limit_per_s", target.limit.own_rate},
                 {"service_ms",
                  std::chrono::duration<double, std::milli>(
                      prediction::average_time(pool.times, target.history, base::boot_clock::now()))
@@ -102,6 +105,25 @@
                 .gauge("snipeshore_home_load", "Requests per slot on the targets at home.", labels)
                 .Set(load);
         };
+        const auto set_limited = [this, &service = service](const std::string& name,
+                                                            const std::string& help, double value) {
+            m_metrics.gauge(name, help, {{"service", service.value()}}).Set(value);
+        };
+        double limit = 0;
+        double own_limit = 0;
+        std::size_t limited = 0;
+        for (const pooled_target& target : pool.targets) {
+            limited += target.limit.rate.has_value() ? 1 : 0;
+            limit += target.limit.rate.value_or(0);
+            own_limit += target.limit.own_rate;
+        }
+        set_limited("snipeshore_limited_targets", "Targets that name a limit.",
+                    static_cast<double>(limited));
+        set_limited("snipeshore_target_limit_per_second",
+                    "Requests per second that targets with a limit take from all hosts.", limit);
+        set_limited("snipeshore_own_target_limit_per_second",
+                    "Requests per second that this host may send to targets with a limit.",
+                    own_limit);
         set_home("domain", pool.layout.home.domain, pool.home_load.domain);
         set_home("region", pool.layout.home.region, pool.home_load.region);
     }
--- a/src/apps/host/notices.cpp
+++ b/src/apps/host/notices.cpp
@@ -1,6 +1,7 @@
 #include "apps/host/notices.h"
 
 #include "apps/host/host_context.h"
+#include "apps/host/target_limits.h"
 #include "fleet/bulletin.h"
 #include "telemetry/event_log.h"
 
@@ -41,6 +42,7 @@
         }
         return;
     case fleet::notice_kind::target_limit:
+        apply_limit_notice(context, heard, now);
         return;
     }
 }
--- a/src/apps/host/target_choice.cpp
+++ b/src/apps/host/target_choice.cpp
@@ -1,6 +1,7 @@
 #include "apps/host/target_choice.h"
 
 #include "apps/host/target_pool.h"
+#include "limits/target_limit.h"
 #include "prediction/service_times.h"
 
 #include <algorithm>
@@ -55,7 +56,8 @@
 bool is_usable(const target_pool& pool, const pooled_target& target, const pool_view& view)
 {
     return !target.entry.is_leaving && !target.is_drained && !target.is_misdirected &&
-           view.now >= target.ejected_until && may_use_cold(pool, target, view);
+           view.now >= target.ejected_until && may_use_cold(pool, target, view) &&
+           limits::has_room(target.limit, view.now);
 }
 
 affinity::target_load load_for(const target_pool& pool, const pooled_target& target,
@@ -165,4 +167,20 @@
         affinity::rank_targets(pool.layout, request.object, is_shared, has_room), load, copy_cost);
 }
 
+std::optional<base::duration> time_to_room(const target_pool& pool, base::time_point now)
+{
+    std::optional<base::duration> earliest;
+    for (const pooled_target& target : pool.targets) {
+        if (target.entry.is_leaving || target.is_drained || target.is_misdirected ||
+            !target.limit.rate.has_value()) {
+            continue;
+        }
+        const auto time = limits::time_to_room(target.limit, now);
+        if (time.has_value() && (!earliest.has_value() || *time < *earliest)) {
+            earliest = std::max<base::duration>(*time, target.ejected_until - now);
+        }
+    }
+    return earliest;
+}
+
 } // namespace snipeshore::apps
--- a/src/apps/host/target_choice.h
+++ b/src/apps/host/target_choice.h
@@ -31,6 +31,9 @@
               const std::map<base::failure_domain_id, base::region_id>& regions,
               const pool_view& view);
 
+/// Time until a target that names a limit takes a request of this host; no value if none does.
+std::optional<base::duration> time_to_room(const target_pool& pool, base::time_point now);
+
 /// Updates the average of the load at home, and the placement that follows it. Called for each
 /// request, and before the load is told to other hosts, which must not hear of an old one.
 void follow_load(target_pool& pool, const pool_view& view);
--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -1,6 +1,7 @@
 #include "apps/host/target_pool.h"
 
 #include "base/hash.h"
+#include "limits/target_limit.h"
 #include "prediction/service_times.h"
 
 #include <algorithm>
@@ -152,6 +153,7 @@
                       load_of(target, now) + 1 <= target.entry.slots};
     prediction::record_run(target.history, request);
     ++target.running;
+    limits::take_token(target.limit, now);
     if (now < target.cold_until && pool.cold_rate > 0) {
         target.cold_tokens = cold_tokens(pool, target, now) - 1;
         target.cold_refilled = now;
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -5,6 +5,7 @@
 #include "affinity/placement.h"
 #include "apps/host/types/target_entry.h"
 #include "base/time.h"
+#include "limits/types/target_limit.h"
 #include "prediction/types/service_times.h"
 #include "retries/types/retry.h"
 #include "routing/types/route_table.h"
@@ -35,7 +36,9 @@
     double cold_tokens = 0; ///< Token bucket for requests sent while the target is cold.
     base::time_point cold_refilled{};
     bool is_drained = false;
-    bool is_misdirected = false; ///< Another target responds at its address.
+    limits::target_limit limit;
+    bool has_unreadable_limit = false; ///< It named a limit that is no number.
+    bool is_misdirected = false;       ///< Another target responds at its address.
 };
 
 /// Load that another host reported for its failure domain.
--- a/src/apps/host/types/wire_names.h
+++ b/src/apps/host/types/wire_names.h
@@ -15,6 +15,8 @@
     std::string target = "snipeshore-target";        ///< Target to which the request is addressed.
     std::string object_cookie = "snipeshore-object"; ///< Cookie that names the object.
     std::string load = "snipeshore-load";            ///< Sent by targets: "running,waiting,slots".
+    /// Sent by targets in need: requests per second that they take from all hosts together.
+    std::string limit = "snipeshore-limit";
     /// Sent by targets that reject a request without running it.
     std::string not_run = "snipeshore-not-run";
     /// Sent by targets with every successful response; if empty, no such header is required.
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -1,6 +1,7 @@
 #include "fleet/members.h"
 
 #include "base/hash.h"
+#include "limits/target_limit.h"
 
 #include <algorithm>
 #include <utility>
@@ -170,6 +171,27 @@
     return live;
 }
 
+double limit_share(const member_table& table, std::string_view target,
+                   const base::failure_domain_id& target_domain, double rate)
+{
+    const std::uint64_t own = base::rendezvous_weight(target, table.self.value());
+    const bool is_near = table.own_domain == target_domain;
+    std::size_t near_hosts = is_near ? 1 : 0;
+    std::size_t rank = 0; // Among the hosts on the own host's side.
+    for (const auto& [id, known] : table.members) {
+        const bool is_other_near = known.info.failure_domain == target_domain;
+        near_hosts += is_other_near ? 1 : 0;
+        const bool is_before = base::rendezvous_weight(target, id.value()) > own;
+        rank += is_other_near == is_near && is_before ? 1 : 0;
+    }
+    const limits::limit_division division =
+        limits::divide_target_limit(rate, near_hosts, possible_host_count(table) - near_hosts);
+    if (is_near) {
+        return rank < division.near_owners ? division.near_rate : 0;
+    }
+    return rank < division.other_owners ? division.other_rate : 0;
+}
+
 std::size_t possible_host_count(const member_table& table)
 {
     return table.members.size() + 1;
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -62,6 +62,11 @@
 std::vector<member> live_peers(const member_table& table, std::string_view item, std::size_t max,
                                base::time_point now);
 
+/// Requests per second that the own host may send to a target which takes `rate` from all hosts
+/// together. All known hosts count, since one that is silent may only be partitioned.
+double limit_share(const member_table& table, std::string_view target,
+                   const base::failure_domain_id& target_domain, double rate);
+
 /// Number of hosts that may admit requests, including the own host. Unresponsive hosts count, since
 /// they may only be partitioned from this host.
 std::size_t possible_host_count(const member_table& table);
