Take no request that cannot end before a stopping host does, and answer those that still run

What callers saw, by the report of another operator: in a planned stop of one host, in calm, requests that came late in the grace time were passed on and then cut without an answer (LOST).

Found here: requests are refused from 0.48 of the grace time on, also those whose head or body is completed later, so none is taken after that. But until then a request was taken whatever its predicted time, its target got the caller's whole time, retries started until the end, and what still ran at the end was cut without an answer.

Change: no attempt is started whose predicted end is after the process's (twice the time for requests that must not be repeated): 503 and "not run", at once. Targets get no more time than the host has. When the time is over, requests without a response are answered: "not run" if nothing was sent, else 504, which promises nothing; streamed responses are still cut.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -371,6 +371,20 @@
     finish_task();
 }
 
+void forward_task::end_by_stop()
+{
+    if (m_is_finished || m_is_streaming) {
+        return;
+    }
+    m_may_have_run = m_may_have_run || (m_call != nullptr && m_call->request_sent());
+    m_call.reset();
+    if (!m_target.value().empty()) {
+        end_attempt(false);
+    }
+    refuse({m_may_have_run ? error_kind::deadline_exceeded : error_kind::stopping,
+            "this host has stopped"});
+}
+
 void forward_task::finish_task()
 {
     cancel_timer();
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -33,6 +33,10 @@
 /// Subtracted from the time left for the target, so that this host's own response is in time.
 constexpr std::chrono::milliseconds response_reserve{10};
 
+/// A stopping host takes a request that must not be repeated only if this multiple of its predicted
+/// time is left.
+constexpr int once_stop_factor = 2;
+
 /// An idempotent request is retried on another target when the first has taken this multiple of the
 /// predicted time, and the latency objective and this fraction of the time left have also passed.
 constexpr double slow_attempt_factor = 3.0;
@@ -230,7 +234,7 @@
     request.typical_time =
         prediction::average_time(pool_of(m_context, m_service).times, {}, m_sent_at);
     request.objective = m_route->objective;
-    request.time_left = m_deadline - base::boot_clock::now() - response_reserve;
+    request.time_left = target_deadline() - base::boot_clock::now() - response_reserve;
     request.urgency = routing::urgency_of(*m_routes, routing::rank_of(*m_route, m_account));
     affinity::admission decided = affinity::admit(request);
     decided.admitted = decided.admitted && request.time_left > base::duration{0};
@@ -239,6 +243,11 @@
 
 base::status forward_task::check_placement(const affinity::placement& placement)
 {
+    const base::duration needed = placement.finish * (is_idempotent() ? 1 : once_stop_factor);
+    if (base::boot_clock::now() + needed > m_context.stop_deadline) {
+        return error{m_may_have_run ? error_kind::deadline_exceeded : error_kind::stopping,
+                     "this host stops before the request is expected to end"};
+    }
     const affinity::admission decided = decide_admission(placement);
     if (decided.admitted) {
         return {};
@@ -362,15 +371,21 @@
     return head;
 }
 
+base::time_point forward_task::target_deadline() const
+{
+    return std::min(m_deadline, m_context.stop_deadline);
+}
+
 std::string forward_task::format_time_left(base::time_point now) const
 {
-    return std::to_string(std::chrono::floor<std::chrono::milliseconds>(m_deadline - now).count());
+    return std::to_string(
+        std::chrono::floor<std::chrono::milliseconds>(target_deadline() - now).count());
 }
 
 bool forward_task::refresh_before_write(http::request_head& head) const
 {
     const base::time_point now = base::boot_clock::now();
-    if (now >= m_deadline || !m_exchange->is_caller_connected()) {
+    if (now >= target_deadline() || !m_exchange->is_caller_connected()) {
         return false;
     }
     for (http::header& one : head.headers) {
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -41,6 +41,9 @@
     forward_task(forward_task&&) = delete;
     forward_task& operator=(forward_task&&) = delete;
 
+    /// Answers a request whose response has not begun, because the process ends.
+    void end_by_stop();
+
 private:
     void run();
     base::status resolve();
@@ -57,6 +60,8 @@
     base::status check_placement(const affinity::placement& placement);
     void start_attempt(const affinity::placement& placement);
     http::request_head make_head(const pooled_target& target, base::time_point now) const;
+    /// End of the time in which a target may work on the request.
+    base::time_point target_deadline() const;
     std::string format_time_left(base::time_point now) const;
     /// Updates the time left in the head of an attempt that may have waited for a connection.
     /// Returns false if the request is not to be sent any more.
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -522,6 +522,7 @@
     m_peers.announce();
     const base::time_point now = base::boot_clock::now();
     m_stop_deadline = now + m_settings.stop_deadline;
+    m_context.stop_deadline = m_stop_deadline;
     m_loop.schedule(now + m_settings.leave_delay, [this] { drain(); });
     m_loop.schedule(m_stop_deadline, [this] { finish_stop(); });
 }
@@ -554,6 +555,10 @@
         return;
     }
     m_has_stopped = true;
+    const std::unordered_set<std::shared_ptr<forward_task>> running = m_context.tasks;
+    for (const std::shared_ptr<forward_task>& task : running) {
+        task->end_by_stop();
+    }
     m_registration = m_store.write(m_formats.host_table, m_settings.host.value(), std::nullopt,
                                    [](const base::status&) {});
     m_loop.schedule(base::boot_clock::now() + deregistration_delay,
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -46,6 +46,8 @@
     bool is_leaving = false; ///< A planned stop has begun.
     /// New requests are refused because the process ends before they could finish.
     bool is_closing = false;
+    /// When the process ends; no request runs longer.
+    base::time_point stop_deadline = base::time_point::max();
     std::mt19937_64 random;
     /// Keeps the requests in progress alive.
     std::unordered_set<std::shared_ptr<forward_task>> tasks;
--- a/src/apps/host/tests/host_fixture.cpp
+++ b/src/apps/host/tests/host_fixture.cpp
@@ -66,7 +66,9 @@
     request->respond(head, "whole answer");
 }
 
-host_fixture::host_fixture(const std::string& config) : store(loop), m_client(loop, {})
+host_fixture::host_fixture(const std::string& config, std::chrono::milliseconds leave_delay,
+                           std::chrono::milliseconds stop_deadline)
+    : store(loop), m_client(loop, {})
 {
     settings.host = base::host_id("h1");
     settings.failure_domain = base::failure_domain_id("z1");
@@ -76,8 +78,8 @@
     settings.lookup_address = free_address();
     settings.control_address = free_address();
     settings.names = platform_adapter::make_names();
-    settings.leave_delay = std::chrono::milliseconds(100);
-    settings.stop_deadline = std::chrono::seconds(20);
+    settings.leave_delay = leave_delay;
+    settings.stop_deadline = stop_deadline;
     if (!config.empty()) {
         store.set("op", "config", config);
     }
--- a/src/apps/host/tests/host_fixture.h
+++ b/src/apps/host/tests/host_fixture.h
@@ -8,6 +8,7 @@
 #include "http/server.h"
 #include "http/tests/test_support.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -48,7 +49,9 @@
 class host_fixture {
 public:
     /// Starts the host; `config` is the value of the operators' configuration row; empty: no row.
-    explicit host_fixture(const std::string& config);
+    explicit host_fixture(const std::string& config,
+                          std::chrono::milliseconds leave_delay = std::chrono::milliseconds(100),
+                          std::chrono::milliseconds stop_deadline = std::chrono::seconds(20));
 
     /// Registers a target with 4 slots for service "svc".
     void add_target(const std::string& id, const std::string& address, int sequence = 1);
