--- a/src/apps/host/tests/target_limits_test.cpp
+++ b/src/apps/host/tests/target_limits_test.cpp
@@ -224,8 +224,10 @@
     constexpr std::chrono::milliseconds step{5};
     constexpr std::chrono::milliseconds contact{3000};
     constexpr std::chrono::milliseconds window{4000};
-    for (const auto& [hosts, domains] :
-         std::map<std::size_t, std::size_t>{{10, 6}, {81, 6}, {3, 3}}) {
+    const std::map<std::size_t, std::size_t> domains_by_hosts{{10, 6}, {81, 6}, {3, 3}};
+    for (const auto& size : domains_by_hosts) {
+        const std::size_t hosts = size.first;
+        const std::size_t domains = size.second;
         for (const double limit : {0.5, 6.1, 15.1, 60.0}) {
             INFO(hosts, " hosts, limit ", limit);
             const std::string named = std::to_string(limit);
