Tell other hosts when a suspected request got its response

Cause, found on reading the change again: a host that hears of crashes but sees no response to the request itself counts crashes by chance as a series, and its quarantine holds on all hosts. Requests of a caller for one path share a fingerprint, so this would have refused frequent requests.

Change: a response to a suspected request is a notice as well, not only one to a request in quarantine; it clears the runs before it. Test: crash_watch_test, "nor do crashes by chance of a request that is answered elsewhere" (the former check held the request after its third crash).

--- a/src/apps/host/crash_watch.cpp
+++ b/src/apps/host/crash_watch.cpp
@@ -157,6 +157,20 @@
     return failure == std::errc() && stop == end ? std::optional(value) : std::nullopt;
 }
 
+/// Applies a success at that time: the runs before it are no evidence.
+void clear_until(crash_watch& watch, std::uint64_t fingerprint, base::time_point success_at)
+{
+    const auto found = watch.suspects.find(fingerprint);
+    if (found == watch.suspects.end()) {
+        return;
+    }
+    std::erase_if(found->second.runs,
+                  [success_at](const broken_request& run) { return run.broken_at <= success_at; });
+    if (found->second.level > 0 || found->second.runs.empty()) {
+        watch.suspects.erase(found);
+    }
+}
+
 void apply_quarantine(crash_watch& watch, std::uint64_t fingerprint, const fleet::notice& heard,
                       base::time_point now)
 {
@@ -168,7 +182,7 @@
         return;
     }
     if (level == 0) {
-        watch.suspects.erase(fingerprint);
+        clear_until(watch, fingerprint, heard.observed_at);
         return;
     }
     suspect& found = suspect_of(watch, fingerprint, now);
@@ -227,13 +241,10 @@
 std::optional<fleet::notice> on_response_completed(crash_watch& watch, std::uint64_t fingerprint,
                                                    base::time_point now)
 {
-    const auto found = watch.suspects.find(fingerprint);
-    if (found == watch.suspects.end()) {
+    if (watch.suspects.erase(fingerprint) == 0) {
         return std::nullopt;
     }
-    const bool was_quarantined = found->second.level > 0;
-    watch.suspects.erase(found);
-    return was_quarantined ? std::optional(quarantine_notice(fingerprint, 0, now)) : std::nullopt;
+    return quarantine_notice(fingerprint, 0, now);
 }
 
 std::vector<fleet::notice> apply_notice(crash_watch& watch, const fleet::notice& heard,
--- a/src/apps/host/crash_watch.h
+++ b/src/apps/host/crash_watch.h
@@ -56,7 +56,8 @@
 /// Called when the target has accepted a new connection.
 void on_target_running(crash_watch& watch, const base::target_id& target);
 
-/// Clears the suspicion. Returns a notice if the request was in quarantine.
+/// Clears the suspicion. Returns a notice if there was one: hosts that get no response to such a
+/// request themselves would count crashes by chance as a series.
 std::optional<fleet::notice> on_response_completed(crash_watch& watch, std::uint64_t fingerprint,
                                                    base::time_point now);
 
--- a/src/apps/host/tests/crash_watch_test.cpp
+++ b/src/apps/host/tests/crash_watch_test.cpp
@@ -117,6 +117,33 @@
                   watch, harmless, [] { return false; }, start + 2s)
                   .may_run);
     }
+    // Guards against a quarantine by a host that hears of all crashes but sees no response itself.
+    SUBCASE("nor do crashes by chance of a request that is answered elsewhere")
+    {
+        apps::crash_watch busy;
+        for (int i = 0; i < 10; ++i) {
+            const base::time_point now = start + i * 1s;
+            tell(crash(busy, "t" + std::to_string(i), harmless, now), watch, now + 300ms);
+            const auto answered = apps::on_response_completed(busy, harmless, now + 500ms);
+            REQUIRE(answered.has_value());
+            tell({*answered}, watch, now + 600ms);
+            CHECK(apps::rule_on(
+                      watch, harmless, [] { return false; }, now + 700ms)
+                      .may_run);
+        }
+        CHECK(watch.suspects.empty());
+    }
+    SUBCASE("a response ends no suspicion by a later crash")
+    {
+        const auto first = crash(watch, "t1", culprit, start);
+        apps::crash_watch other;
+        tell(crash(other, "t2", culprit, start + 1s), watch, start + 2s);
+        fleet::notice answered{fleet::notice_kind::quarantine, apps::subject_of(culprit), 0,
+                               start + 500ms};
+        apps::apply_notice(watch, answered, start + 3s);
+        CHECK(watch.suspects.at(culprit).runs.size() == 1);
+        CHECK_FALSE(first.empty());
+    }
     SUBCASE("nor do reports of hosts of an earlier version, which tell no times")
     {
         for (int host = 0; host < 10; ++host) {
