--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -86,8 +86,8 @@
         restore_store();
         return;
     default:
-        m_targets[target]->fault = static_cast<target_fault>(choice % 7);
-        record_fault(m_targets[target]->id() + " fault " + std::to_string(choice % 7));
+        m_targets[target]->set_fault(static_cast<target_fault>(choice % target_faults));
+        record_fault(m_targets[target]->id() + " fault " + std::to_string(choice % target_faults));
         return;
     }
 }
@@ -129,7 +129,8 @@
         remove_without_drain(target);
         return;
     default:
-        target.fault = target.fault == target_fault::none ? target_fault::slow : target.fault;
+        target.set_fault(target.fault() == target_fault::none ? target_fault::slow
+                                                              : target.fault());
         record_fault(target.id() + " slow");
         return;
     }
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -48,7 +48,8 @@
         // Half of the targets are faulty from the start, so that a short run covers many kinds of
         // faults.
         if (m_settings.faults == fault_set::all && i % 2 == 0) {
-            m_targets.back()->fault = static_cast<target_fault>(1 + m_random() % 6);
+            m_targets.back()->set_fault(
+                static_cast<target_fault>(1 + m_random() % (target_faults - 1)));
         }
     }
     m_started = base::boot_clock::now();
--- a/tests/soak/soak_target.h
+++ b/tests/soak/soak_target.h
@@ -7,7 +7,9 @@
 #include "tests/soak/invariant_checker.h"
 
 #include <cstdint>
+#include <deque>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -21,9 +23,12 @@
     rejects,
     mismatches_id,
     slow,
-    unresponsive
+    unresponsive,
+    limited, ///< Names a limit in each response.
 };
 
+inline constexpr unsigned target_faults = 8; ///< Including `none`.
+
 class soak_target {
 public:
     soak_target(http::loop& loop, std::string id, invariant_checker& checker, std::uint64_t seed);
@@ -33,7 +38,9 @@
 
     const std::string& id() const;
 
-    target_fault fault = target_fault::none;
+    void set_fault(target_fault started);
+    target_fault fault() const;
+
     bool is_draining = false;
     bool is_removed = false; ///< From the registry table.
     /// Later requests violate the drain invariant.
@@ -42,6 +49,7 @@
 private:
     void handle(const std::shared_ptr<http::exchange>& request);
     void run(const std::shared_ptr<http::exchange>& request);
+    void check_limit();
 
     http::loop& m_loop;
     std::string m_id;
@@ -49,6 +57,9 @@
     std::mt19937_64 m_random;
     http::server m_server;
     std::set<std::shared_ptr<http::exchange>> m_unanswered;
+    target_fault m_fault = target_fault::none;
+    std::optional<base::time_point> m_first_limited; ///< First response with the limit.
+    std::deque<base::time_point> m_arrivals;         ///< Since then, in the limit's window.
 };
 
 /// Body of a successful response to the request with this id.
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -77,7 +77,7 @@
 {
     // Which faults a run meets depends on its timing, so one run may lack a kind.
     constexpr std::uint64_t max_seed = 4;
-    const std::vector<std::string> expected = {"once", "refusal", "quota", "key"};
+    const std::vector<std::string> expected = {"once", "refusal", "quota", "key", "limit"};
     std::set<std::string> detected;
     for (std::uint64_t seed = 1; seed <= max_seed && detected.size() < expected.size(); ++seed) {
         const soak::soak_result result = soak::run_soak(settings_for(seed, "naive_host"));
