--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -49,14 +49,16 @@
 }
 
 /// Requests whose connections to the target broke shortly before may have ended it.
-void record_target_end(host_context& context, const base::target_id& target)
+void record_target_end(host_context& context, const base::target_id& target,
+                       const base::service_id& service)
 {
     const std::vector<fleet::notice> notices =
         on_target_ended(context.crashes, target, base::boot_clock::now());
     if (!notices.empty()) {
-        telemetry::log_event(
-            severity::warning, "target_crashed",
-            {{"target", target.value()}, {"notices", static_cast<std::uint64_t>(notices.size())}});
+        telemetry::log_event(severity::warning, "target_crashed",
+                             {{"target", target.value()},
+                              {"service", service.value()},
+                              {"notices", static_cast<std::uint64_t>(notices.size())}});
     }
     publish(context, notices);
 }
@@ -94,7 +96,8 @@
         fail_attempt(attempt_result::broken, "response belongs to another request");
         return;
     }
-    if (target != nullptr) {
+    // A misdirected request was answered by another target than the one it was sent to.
+    if (target != nullptr && head.status != status_misdirected) {
         apply_limit_header(m_context, *target, http::find_header(head.headers, names.limit), now);
     }
     const auto load = http::find_header(head.headers, names.load);
@@ -240,9 +243,10 @@
     if (target == nullptr || !has_unclear(m_context.crashes, m_target)) {
         return;
     }
-    m_context.check_target(*target, [&context = m_context, id = m_target](retries::liveness found) {
+    m_context.check_target(*target, [&context = m_context, id = m_target,
+                                     service = m_service](retries::liveness found) {
         if (found == retries::liveness::ended) {
-            record_target_end(context, id);
+            record_target_end(context, id, service);
         } else if (found == retries::liveness::running) {
             on_target_running(context.crashes, id);
         }
--- a/src/apps/host/tests/late_request_test.cpp
+++ b/src/apps/host/tests/late_request_test.cpp
@@ -24,12 +24,6 @@
            "x-attempt-id: id-1\r\nx-deadline-ms: " + time_left_ms + "\r\n" + length + "\r\n";
 }
 
-bool has_bytes(int connection)
-{
-    char byte = 0;
-    return recv(connection, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 std::string read_bytes(int connection)
 {
     std::array<char, 4096> bytes{};
@@ -42,7 +36,7 @@
 {
     const int connection = http::tests::connect_to(host.settings.entry_address);
     http::tests::write_all(connection, make_request("GET", "/safe/first", "2000"));
-    REQUIRE(host.run_until([&] { return has_bytes(connection); }));
+    REQUIRE(host.run_until([&] { return http::tests::has_bytes(connection); }));
     http::tests::read_until(connection, "whole answer");
     return connection;
 }
@@ -131,7 +125,7 @@
     {
         http::tests::write_all(connection, make_request("GET", "/safe/late", "200"));
         wait_unread(300ms);
-        REQUIRE(host.run_until([&] { return has_bytes(connection); }));
+        REQUIRE(host.run_until([&] { return http::tests::has_bytes(connection); }));
         const std::string got = read_bytes(connection);
         CHECK(got.find("HTTP/1.1 503") == 0);
         CHECK(got.find("\"not_run\":true") != std::string::npos);
@@ -141,7 +135,7 @@
     {
         http::tests::write_all(connection, make_request("GET", "/safe/late", "1500"));
         wait_unread(300ms);
-        REQUIRE(host.run_until([&] { return has_bytes(connection); }));
+        REQUIRE(host.run_until([&] { return http::tests::has_bytes(connection); }));
         REQUIRE(times_left.size() == 1);
         CHECK(times_left.front() <= 1200);
         CHECK(times_left.front() > 0);
--- a/src/apps/host/tests/late_stop_test.cpp
+++ b/src/apps/host/tests/late_stop_test.cpp
@@ -6,7 +6,6 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <string>
@@ -20,12 +19,6 @@
 
 const http::header_list with_key{{"x-key", "key"}, {"x-attempt-id", "id-1"}};
 
-bool has_bytes(int connection)
-{
-    char byte = 0;
-    return recv(connection, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 } // namespace
 
 // Guards against requests that are cut without an answer at the end of a planned stop.
@@ -108,7 +101,8 @@
         REQUIRE(host.run_until([&] { return host.app->dump()["closing"] == true; }));
         http::tests::write_all(in_head, "\r\nbody");
         http::tests::write_all(in_body, "dy");
-        REQUIRE(host.run_until([&] { return has_bytes(in_head) && has_bytes(in_body); }));
+        REQUIRE(host.run_until(
+            [&] { return http::tests::has_bytes(in_head) && http::tests::has_bytes(in_body); }));
         for (const int connection : {in_head, in_body}) {
             const std::string got = http::tests::read_until(connection, "}\n");
             CHECK(got.find("HTTP/1.1 503") == 0);
--- a/src/apps/host/tests/target_limit_test.cpp
+++ b/src/apps/host/tests/target_limit_test.cpp
@@ -3,6 +3,7 @@
 #include "http/exchange.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include <string>
 #include <vector>
@@ -72,4 +73,28 @@
         REQUIRE(retry_after.has_value());
         CHECK(std::stod(std::string(*retry_after)) <= 0.3);
     }
+    // Guards against the limit of another target that answers at the address meanwhile.
+    SUBCASE("a limit in the answer of another target at its address is not its own")
+    {
+        int misdirected = 0;
+        test_target::handler respond = respond_with_limit("");
+        test_target moved(host.loop, [&](const std::shared_ptr<http::exchange>& request) {
+            if (misdirected++ > 0) {
+                respond(request);
+                return;
+            }
+            http::response_head head;
+            head.status = 421;
+            const auto id = http::find_header(request->head().headers, "x-attempt-id");
+            head.headers = {{"x-attempt-id", std::string(id.value_or(""))}, {"server-limit", "0"}};
+            request->respond(head, "");
+        });
+        host.add_target("t2", moved.address());
+        host.await_targets(2);
+        REQUIRE(host.run_until([&] {
+            host.send("/safe/x", with_key);
+            return misdirected > 0;
+        }));
+        CHECK(host.app->dump()["services"]["svc"]["targets"]["t2"]["limit_per_s"].is_null());
+    }
 }
--- a/src/http/tests/test_support.cpp
+++ b/src/http/tests/test_support.cpp
@@ -232,6 +232,12 @@
     return out;
 }
 
+bool has_bytes(int descriptor)
+{
+    char byte = 0;
+    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void write_all(int descriptor, const std::string& text)
 {
     std::size_t done = 0;
--- a/src/http/tests/test_support.h
+++ b/src/http/tests/test_support.h
@@ -96,6 +96,9 @@
 /// Reads until the connection ends; `was_reset` is set to whether it ended with a reset.
 std::string read_all(int descriptor, bool* was_reset = nullptr);
 
+/// Whether bytes can be read without waiting.
+bool has_bytes(int descriptor);
+
 void write_all(int descriptor, const std::string& text);
 
 enum class connection_end : std::uint8_t {
