--- a/src/apps/host/notices.cpp
+++ b/src/apps/host/notices.cpp
@@ -11,22 +11,24 @@
 
 namespace {
 
-void log_quarantine(const fleet::notice& made, std::string_view source)
+bool is_quarantined(const host_context& context, const std::string& subject)
 {
-    if (made.kind == fleet::notice_kind::quarantine) {
-        telemetry::log_event(telemetry::severity::warning, "request_quarantined",
-                             {{"fingerprint", made.subject},
-                              {"level", static_cast<std::uint64_t>(made.value)},
-                              {"source", source}});
-    }
+    const auto known = context.notices.notices.find({fleet::notice_kind::quarantine, subject});
+    return known != context.notices.notices.end() && known->second.value > 0;
 }
 
 /// Keeps the notice. Returns whether it is news.
 bool keep(host_context& context, const fleet::notice& made, std::string_view source)
 {
+    // Responses to mere suspects are not worth a line.
+    const bool is_logged = made.kind == fleet::notice_kind::quarantine &&
+                           (made.value > 0 || is_quarantined(context, made.subject));
     const bool is_news = fleet::post(context.notices, made);
-    if (is_news) {
-        log_quarantine(made, source);
+    if (is_news && is_logged) {
+        telemetry::log_event(telemetry::severity::warning, "request_quarantined",
+                             {{"fingerprint", made.subject},
+                              {"level", static_cast<std::uint64_t>(made.value)},
+                              {"source", source}});
     }
     return is_news;
 }
