--- a/src/apps/host/crash_watch.cpp
+++ b/src/apps/host/crash_watch.cpp
@@ -30,7 +30,7 @@
 /// A check of whether the target still runs takes no longer.
 constexpr std::chrono::milliseconds check_time{500};
 
-/// For requests whose trial is up to another host, or whose check has not ended.
+/// Wait told to callers whose request another host may try.
 constexpr std::chrono::milliseconds short_wait{1000};
 
 /// Reports without times are repeated for five seconds, so all within this time are one crash.
@@ -288,8 +288,9 @@
     return notices;
 }
 
-crash_ruling rule_on(crash_watch& watch, std::uint64_t fingerprint,
-                     const std::function<bool()>& is_trial_host, base::time_point now)
+quarantine_decision check_quarantine(crash_watch& watch, std::uint64_t fingerprint,
+                                     const std::function<bool()>& is_trial_host,
+                                     base::time_point now)
 {
     if (watch.suspects.empty() && watch.unclear.empty()) {
         return {};
--- a/src/apps/host/crash_watch.h
+++ b/src/apps/host/crash_watch.h
@@ -71,15 +71,16 @@
                                          const std::vector<fleet::crash_report>& reports,
                                          base::time_point now);
 
-struct crash_ruling {
+struct quarantine_decision {
     bool may_run = true;
     bool is_trial = false;         ///< May run on one target, and not be retried.
     base::duration retry_after{0}; ///< If it may not run.
 };
 
 /// `is_trial_host`: whether this is the one host that tries a request whose quarantine has passed.
-crash_ruling rule_on(crash_watch& watch, std::uint64_t fingerprint,
-                     const std::function<bool()>& is_trial_host, base::time_point now);
+quarantine_decision check_quarantine(crash_watch& watch, std::uint64_t fingerprint,
+                                     const std::function<bool()>& is_trial_host,
+                                     base::time_point now);
 
 /// Whether an earlier run of the request, before the one sent at `sent_at`, has ended its target or
 /// may have.
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -171,17 +171,17 @@
         retries::fingerprint(m_account == nullptr ? "" : m_account->id.value(), m_service.value(),
                              head.method, head.path, m_exchange->body());
     const base::time_point now = base::boot_clock::now();
-    const crash_ruling ruling = rule_on(
+    const quarantine_decision decision = check_quarantine(
         m_context.crashes, m_fingerprint,
         [this, now] { return fleet::is_owner(m_context.members, subject_of(m_fingerprint), now); },
         now);
-    if (!ruling.may_run) {
-        m_retry_after = ruling.retry_after;
+    if (!decision.may_run) {
+        m_retry_after = decision.retry_after;
         refuse(
             {error_kind::overloaded, "requests with the same fingerprint crashed their targets"});
         return;
     }
-    m_is_trial = ruling.is_trial;
+    m_is_trial = decision.is_trial;
     retries::record_request(pool_of(m_context, m_service).budget, now);
     send_to_target();
 }
--- a/src/apps/host/target_limits.cpp
+++ b/src/apps/host/target_limits.cpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <string>
+#include <utility>
 
 namespace snipeshore::apps {
 
--- a/src/apps/host/tests/crash_fleet_test.cpp
+++ b/src/apps/host/tests/crash_fleet_test.cpp
@@ -94,10 +94,10 @@
         apps::crash_watch& watch = m_hosts[host].crashes;
         bool is_trial = false;
         if (is_first) {
-            const auto ruling = apps::rule_on(
+            const auto decision = apps::check_quarantine(
                 watch, culprit, [host] { return host == 0; }, m_now);
-            is_trial = ruling.is_trial;
-            if (!ruling.may_run) {
+            is_trial = decision.is_trial;
+            if (!decision.may_run) {
                 return;
             }
         }
--- a/src/apps/host/tests/crash_watch_test.cpp
+++ b/src/apps/host/tests/crash_watch_test.cpp
@@ -28,9 +28,10 @@
     return apps::on_target_ended(watch, base::target_id(target), at + 200ms);
 }
 
-apps::crash_ruling rule(apps::crash_watch& watch, base::time_point now, bool is_trial_host = true)
+apps::quarantine_decision rule(apps::crash_watch& watch, base::time_point now,
+                               bool is_trial_host = true)
 {
-    return apps::rule_on(
+    return apps::check_quarantine(
         watch, culprit, [is_trial_host] { return is_trial_host; }, now);
 }
 
@@ -113,7 +114,7 @@
                  watch, start + host * 100ms);
         }
         CHECK_FALSE(apps::is_quarantined(watch, harmless, start + 2s));
-        CHECK(apps::rule_on(
+        CHECK(apps::check_quarantine(
                   watch, harmless, [] { return false; }, start + 2s)
                   .may_run);
     }
@@ -127,7 +128,7 @@
             const auto answered = apps::on_response_completed(busy, harmless, now + 500ms);
             REQUIRE(answered.has_value());
             tell({*answered}, watch, now + 600ms);
-            CHECK(apps::rule_on(
+            CHECK(apps::check_quarantine(
                       watch, harmless, [] { return false; }, now + 700ms)
                       .may_run);
         }
@@ -187,7 +188,7 @@
 {
     apps::crash_watch watch;
     quarantine(watch);
-    const apps::crash_ruling held = rule(watch, start + 10s);
+    const apps::quarantine_decision held = rule(watch, start + 10s);
     CHECK_FALSE(held.may_run);
     CHECK(held.retry_after > 20s);
     CHECK(held.retry_after < 30s);
@@ -197,7 +198,7 @@
     }
     SUBCASE("a trial is not retried, and a second copy is refused meanwhile")
     {
-        const apps::crash_ruling trial = rule(watch, start + 40s);
+        const apps::quarantine_decision trial = rule(watch, start + 40s);
         CHECK(trial.may_run);
         CHECK(trial.is_trial);
         CHECK_FALSE(rule(watch, start + 40s).may_run);
