bulletin_test: crashes are not told after their lifetime

Found on reading the change again: when reports of crashes became notices, crash_watch_test lost the check that none is left to tell after a minute, and bulletin_test checked the end of a notice's lifetime for limits only.

--- a/src/fleet/tests/bulletin_test.cpp
+++ b/src/fleet/tests/bulletin_test.cpp
@@ -52,6 +52,16 @@
     }
 }
 
+TEST_CASE("a crash is not told for longer than hosts suspect its request")
+{
+    fleet::bulletin notices;
+    fleet::post(notices, {fleet::notice_kind::crash, "12/t1", 50, start});
+    CHECK(fleet::notices_to_tell(notices, start + 59s).size() == 1);
+    CHECK(fleet::notices_to_tell(notices, start + 61s).empty());
+    fleet::drop_expired(notices, start + 61s);
+    CHECK(notices.notices.empty());
+}
+
 // Guards against messages and memory that grow with the number of crashes.
 TEST_CASE("the number of notices is bounded for each kind")
 {
