--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,9 +1,8 @@
-"""Uploads within the limits of the configuration: does the host's process stay within its memory?"""
+"""A planned stop while pipelined requests run: are those that were passed on before it answered?"""
 import os
 import signal
 import socket
 import sys
-import threading
 import time
 import traceback
 
@@ -11,91 +10,68 @@
 import standins
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-MEMORY_MB = 260
-MAX_BODY_BYTES = 64 << 20  # `maxBodyBytes` of the configuration.
-BODY_BYTES = MAX_BODY_BYTES if standins.TROUBLE else 64 << 10
-UPLOADS = 3  # For each host, one after the other.
-DEADLINE_MS = 6000
-RESTART_S = 0.5
-
-
-class Platform:
-    """Kills a process that exceeds its memory, and starts processes that ended again."""
-
-    def __init__(self, deployment):
-        self.deployment, self.is_over = deployment, False
-        self.peaks = dict.fromkeys(deployment.hosts, 0.0)
-        self.thread = threading.Thread(target=self.watch)
-        self.thread.start()
-
-    def watch(self):
-        while not self.is_over:
-            for name in self.deployment.hosts:
-                self.check(name)
-            time.sleep(0.002)
-
-    def check(self, name):
-        host = self.deployment.hosts[name]
-        used = self.deployment.memory(name)
-        self.peaks[name] = max(self.peaks[name], used)
-        if used > MEMORY_MB:
-            self.deployment.record.add("%s uses %.0f MB, more than its %d MB: killed" % (
-                name, used, MEMORY_MB))
-            host["process"].send_signal(signal.SIGKILL)
-            host["process"].wait()
-        if host["process"].poll() is not None:
-            host["ends"] += 1
-            time.sleep(RESTART_S)
-            if not self.is_over:
-                self.deployment.start_host(name)
-
-    def stop(self):
-        self.is_over = True
-        self.thread.join()
-
-
-def exchange(deployment, name, method, path, body):
-    attempt = standins.attempt_id()
-    record = deployment.record
-    record.add("client sends %s %s %s with %d bytes to %s" % (attempt, method, path, len(body), name))
-    with socket.create_connection((deployment.hosts[name]["ip"], 8668), 1) as link:
-        link.settimeout(DEADLINE_MS / 1000)
-        try:
-            link.sendall(standins.head_of(method, path, attempt, DEADLINE_MS, len(body)) + body)
-        except OSError as failure:
-            record.add("client cannot send %s: %r" % (attempt, failure))
-            return
-        answer, _ = standins.read_answer(link, b"")
-    record.add("client gets for %s: status %d, %s %s" % (
-        attempt, answer.status, answer.end, getattr(answer, "failure", "")))
+CLIENTS = 3
+REQUESTS = 3  # Sent by each client at once on one connection.
+DEADLINE_MS = 4000
+TIMEOUT = "4000ms"
+WORK_S = 3.2  # With the time in the endpoint's queue.
 
 
 def play(deployment):
     record = deployment.record
     deployment.start()
-    platform = Platform(deployment)
-    try:
-        for number in range(UPLOADS):
-            for name in deployment.hosts:
-                deployment.wait_ready(name, 20)
-                exchange(deployment, name, "POST", "/order/100/%d" % number, bytes(BODY_BYTES))
-                time.sleep(1.0)
-    finally:
-        platform.stop()
-    ends = {name: host["ends"] for name, host in deployment.hosts.items()}
-    record.add("ends of processes: %s; most memory in MB: %s" % (
-        ends, {name: round(peak) for name, peak in platform.peaks.items()}))
-    return sum(1 for count in ends.values() if count >= 3) >= 2
+    ip = deployment.hosts["front-1"]["ip"]
+    links, sent = [], []
+    for number in range(CLIENTS):
+        link = socket.create_connection((ip, 8668), 1)
+        link.settimeout(10)
+        attempts = []
+        text = b""
+        for place in range(REQUESTS):
+            attempt, path = standins.attempt_id(), "/stock/2000/%d-%d" % (number, place)
+            text += standins.head_of("GET", path, attempt, DEADLINE_MS)
+            attempts.append((attempt, path))
+            record.add("client %d sends %s GET %s" % (number, attempt, path))
+        link.sendall(text)
+        links.append(link)
+        sent.append(attempts)
+    time.sleep(0.15)
+    running = {attempt for endpoint in deployment.endpoints for attempt in endpoint.ran}
+    if not all(attempt in running for attempts in sent for attempt, _ in attempts):
+        raise RuntimeError("not all requests were passed on at once")
+    stopped = time.monotonic()
+    if standins.TROUBLE:
+        deployment.signal("front-1", signal.SIGTERM)
+    lost = 0
+    for number, link in enumerate(links):
+        buffer = b""
+        for attempt, path in sent[number]:
+            answer, buffer = standins.read_answer(link, buffer)
+            is_right = answer.end == "whole" and answer.body == standins.body_for(path)
+            record.add("client %d gets for %s: status %d, %s, connection %s, %.2f s after the stop" % (
+                number, attempt, answer.status, answer.end, answer.headers.get("connection", "-"),
+                time.monotonic() - stopped))
+            lost += 0 if is_right or answer.status >= 500 else 1
+    done = {attempt for endpoint in deployment.endpoints for attempt in endpoint.answered}
+    record.add("%d of %d requests were passed on before the stop and their connection ended without "
+               "a complete answer; the endpoints had answered %d" % (
+                   lost, CLIENTS * REQUESTS, len(done)))
+    return lost > 0
 
 
 def main():
     deployment = None
     try:
         deployment = standins.Deployment(
-            FOLDER, 2, [("i-1", "desk", "guadalupe-a"), ("i-2", "desk", "aburra-a")],
-            [standins.route("order", "/order/", "unsafe", "desk", "6000ms", "2000ms")], MEMORY_MB)
+            FOLDER, 2, [("i-1", "desk", "guadalupe-a"), ("i-2", "desk", "guadalupe-a"),
+                        ("i-3", "desk", "aburra-a")],
+            [standins.route("stock", "/stock/", "safe", "desk", TIMEOUT, "3500ms")])
+        for endpoint in deployment.endpoints:
+            endpoint.work_s = WORK_S
+            endpoint.answered = []
+            endpoint.run = answer
         is_broken = play(deployment)
-        print("Fault: processes ended" if is_broken else "processes kept running")
+        print("LOST broken" if is_broken else "LOST held")
         return 1 if is_broken else 0
     except Exception:
         traceback.print_exc()
@@ -105,5 +81,16 @@
             deployment.stop()
 
 
+async def answer(endpoint, request, writer, own):
+    """Answers in full, if the caller is still there."""
+    is_open = await standins.Endpoint.answer(endpoint, request, writer, own)
+    is_cut = writer.transport.is_closing()
+    endpoint.record.add("%s has answered %s%s" % (
+        endpoint.name, own["X-Attempt-Id"], ", the host had closed" if is_cut else ""))
+    if not is_cut:
+        endpoint.answered.append(own["X-Attempt-Id"])
+    return is_open
+
+
 if __name__ == "__main__":
     standins.leave(main())
