Linger on connections that the server closes behind a response

Cause: libh2o closes the socket as soon as the kernel has taken the last byte of a response that ends the connection. A close with unread bytes, or bytes that arrive after it, make the kernel reset the connection and drop what it has not delivered. Unread bytes are sure here: a draining server reads no pipelined request.

Change: behind the last response, the server sends its end of stream, then reads and discards what the caller sends until the caller closes. A duplicate of the descriptor keeps the socket open over libh2o's close. It holds for responses of the handler, for libh2o's own 400 and 413, and for HTTP/2 during a drain. Bounds: 5 s, as many bytes as a request may have, and max_connections with the open ones; the oldest gives way to a new connection. Aborted responses close or reset as before. Not done where the caller has announced its last request itself: it sends nothing more. A drain ends only when the callers have closed, and when responses on connections that stay open were delivered; the stop deadlines of the programs bound it as before.

The same cause in all programs: snipeshore-host, snipeshore-entry, snipeshore-lookup and the administration listeners share http::server.

Tests: http_test, lingering_close_test.cpp.

--- a/src/http/internal/connection_state.cpp
+++ b/src/http/internal/connection_state.cpp
@@ -1,8 +1,10 @@
 #include "http/internal/connection_state.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <chrono>
@@ -26,4 +28,10 @@
     return now - std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
+bool has_undelivered_bytes(int descriptor)
+{
+    int bytes = 0;
+    return ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 } // namespace snipeshore::http
--- a/src/http/internal/connection_state.h
+++ b/src/http/internal/connection_state.h
@@ -11,4 +11,7 @@
 /// When the last bytes arrived, whether they were read or not; now if the kernel does not tell.
 base::time_point last_bytes_received_at(int descriptor);
 
+/// Whether the peer has not acknowledged everything that was written to the connection.
+bool has_undelivered_bytes(int descriptor);
+
 } // namespace snipeshore::http
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr int http_1_1 = 0x101;
-constexpr int http_2_0 = 0x200;
 constexpr int status_internal_error = 500;
 
 /// Time after `abort` in which a chunk in flight may still reach the caller.
@@ -69,12 +68,6 @@
     return std::find(h2o_headers.begin(), h2o_headers.end(), name) != h2o_headers.end();
 }
 
-server_connection* connection_of(const h2o_req_t& request)
-{
-    h2o_socket_t* socket = request.conn->callbacks->get_socket(request.conn);
-    return static_cast<server_connection*>(socket->on_close.data);
-}
-
 /// Makes the connection close with a reset, which no client treats as the end of a response.
 void reset_on_close(int descriptor)
 {
@@ -91,6 +84,12 @@
 
 } // namespace
 
+server_connection* connection_of(const h2o_req_t& request)
+{
+    h2o_socket_t* socket = request.conn->callbacks->get_socket(request.conn);
+    return static_cast<server_connection*>(socket->on_close.data);
+}
+
 struct server_exchange::pool_slot {
     std::shared_ptr<server_exchange> exchange;
 };
@@ -100,8 +99,9 @@
     auto made = std::make_shared<server_exchange>(owner, request);
     void* memory = h2o_mem_alloc_shared(&request.pool, sizeof(pool_slot), on_dispose);
     new (memory) pool_slot{made};
+    server_connection* connection = connection_of(request);
+    connection->is_http2 = !made->is_http1();
     if (made->is_http1()) {
-        server_connection* connection = connection_of(request);
         connection->running = made;
         made->m_is_closed = connection->has_caller_disconnected;
     }
@@ -111,6 +111,7 @@
 
 server_exchange::server_exchange(server::impl& owner, h2o_req_t& request)
     : m_owner(&owner), m_loop(&owner.owner), m_request(&request),
+      m_is_last_of_caller(request.http1_is_persistent == 0 && !owner.is_draining()),
       m_received_at(last_bytes_received_at(connection_of(request)->descriptor))
 {
     m_generator.super.proceed = on_proceed;
@@ -167,6 +168,11 @@
     return m_request != nullptr && m_request->version < http_2_0;
 }
 
+bool server_exchange::should_linger() const
+{
+    return m_is_finished && !m_is_closed && !m_is_last_of_caller;
+}
+
 bool server_exchange::is_bound() const
 {
     return m_request != nullptr;
--- a/src/http/internal/server_exchange.h
+++ b/src/http/internal/server_exchange.h
@@ -36,6 +36,10 @@
 
     bool is_http1() const;
 
+    /// Whether the connection has to linger if it is closed behind this response. An aborted
+    /// response ends with a close or a reset at once, so that no caller takes it for complete.
+    bool should_linger() const;
+
     /// Whether h2o has not yet disposed of the request.
     bool is_bound() const;
 
@@ -79,6 +83,7 @@
     server::impl* m_owner;
     loop* m_loop;
     h2o_req_t* m_request;
+    bool m_is_last_of_caller; ///< The caller has announced that no request follows.
     generator m_generator{};
     request_head m_head;
     std::string m_body;
--- a/src/http/internal/server_impl.h
+++ b/src/http/internal/server_impl.h
@@ -3,6 +3,7 @@
 
 #include "http/internal/caller_watch.h"
 #include "http/internal/h2o.h"
+#include "http/internal/lingering_connections.h"
 #include "http/internal/loop_impl.h"
 #include "http/server.h"
 #include "http/types/message.h"
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -19,6 +21,8 @@
 class server_exchange;
 struct server_connection;
 
+inline constexpr int http_2_0 = 0x200; ///< As in `h2o_req_t::version`.
+
 /// Outlives the `server` until its connections are closed.
 struct server::impl final : socket_owner, std::enable_shared_from_this<server::impl> {
     impl(loop& owner, request_handler handler);
@@ -37,6 +41,7 @@
 
     bool is_closed() const override;
     bool is_draining() const;
+    bool is_delivering() const;
 
     /// See `server::allow_pipelining`.
     std::function<bool(const request_head&)> may_pipeline;
@@ -54,12 +59,14 @@
 
 private:
     struct h2o_handler;
+    struct h2o_logger;
 
     base::status open_tls();
     base::status open_listener();
     void configure();
     void set_accepting(bool accepting);
     void accept_waiting();
+    void accept_if_possible();
     void accept_one(h2o_socket_t* socket);
     void stop_listening();
     void on_caller_event(std::uint64_t id, caller_event event);
@@ -73,20 +80,30 @@
     static std::shared_ptr<pipelined_exchange> take_pipelined(server_connection& connection,
                                                               const request_head& head);
     void drop_pipelined(server_connection& connection);
+    /// Called when h2o is about to dispose of a request, and to close the connection if it is not
+    /// persistent.
+    void on_request_end(const h2o_req_t& request);
+    /// Makes the connection linger when h2o closes it.
+    static void linger_on_close(server_connection& connection);
     void check_idle();
+    void end_drain();
+    bool is_lingering() const;
     int on_request(h2o_req_t* request);
 
     static void on_connection(h2o_socket_t* listener, const char* failure);
     static int on_request_entry(h2o_handler_t* self, h2o_req_t* request);
+    static void on_request_end_entry(h2o_logger_t* self, h2o_req_t* request);
 
     h2o_globalconf_t m_config{};
     h2o_context_t m_context{};
     h2o_accept_ctx_t m_accept{};
     bool m_is_configured = false;
     bool m_is_draining = false;
+    bool m_is_shut_down = false;
     SSL_CTX* m_tls = nullptr;
     h2o_socket_t* m_listener = nullptr;
     std::unique_ptr<caller_watch> m_watch;
+    std::optional<lingering_connections> m_lingering; ///< Set while the server is listening.
     std::uint64_t m_last_connection = 0;
     std::function<void()> m_on_idle;
     timer_id m_idle_timer = 0;
@@ -94,13 +111,24 @@
 
 /// One accepted connection.
 struct server_connection {
+    server_connection() = default;
+    ~server_connection();
+    server_connection(const server_connection&) = delete;
+    server_connection& operator=(const server_connection&) = delete;
+    server_connection(server_connection&&) = delete;
+    server_connection& operator=(server_connection&&) = delete;
+
     std::uint64_t id = 0;
     server::impl* owner = nullptr;
     h2o_socket_t* socket = nullptr;
     int descriptor = -1;
+    int lingering_descriptor = -1; ///< Keeps the socket open after h2o has closed it; -1: unset.
+    bool is_http2 = false;
     bool has_caller_disconnected = false;
     std::weak_ptr<server_exchange> running; ///< HTTP/1 only: the request in progress.
     std::deque<std::shared_ptr<pipelined_exchange>> pipelined; ///< The requests after it, in order.
 };
 
+server_connection* connection_of(const h2o_req_t& request);
+
 } // namespace snipeshore::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -23,10 +23,6 @@
 constexpr int accepts_per_round = 16;
 constexpr int listen_backlog = 1024;
 
-/// Time without requests after which a drain is complete: a request that a caller sent on an idle
-/// connection before it was informed of the drain arrives within this time.
-constexpr std::chrono::milliseconds drain_quiet_time{100};
-
 base::status bad_setting(std::string detail)
 {
     return base::error{base::error_kind::bad_setting, std::move(detail)};
@@ -57,6 +53,12 @@
     server::impl* owner;
 };
 
+/// `h2o_logger_t` with a pointer to its server.
+struct server::impl::h2o_logger {
+    h2o_logger_t super;
+    server::impl* owner;
+};
+
 server::impl::impl(loop& owner_loop, request_handler request_callback)
     : owner(owner_loop), handler(std::move(request_callback))
 {}
@@ -89,6 +91,11 @@
         return opened;
     }
     configure();
+    m_lingering.emplace(
+        owner, lingering_limits{settings.linger_timeout, settings.max_request_bytes}, [this] {
+            accept_if_possible();
+            check_idle();
+        });
     m_watch = std::make_unique<caller_watch>(
         owner.internals().evloop,
         [this](std::uint64_t id, caller_event event) { on_caller_event(id, event); });
@@ -156,6 +163,12 @@
     auto* made = reinterpret_cast<h2o_handler*>(h2o_create_handler(path, sizeof(h2o_handler)));
     made->super.on_req = on_request_entry;
     made->owner = this;
+    // h2o binds requests that it rejects itself to the fallback path.
+    for (h2o_pathconf_t* one : {path, &host->fallback_path}) {
+        auto* logger = reinterpret_cast<h2o_logger*>(h2o_create_logger(one, sizeof(h2o_logger)));
+        logger->super.log_access = on_request_end_entry;
+        logger->owner = this;
+    }
     h2o_context_init(&m_context, owner.internals().evloop, &m_config);
     m_accept.ctx = &m_context;
     m_accept.hosts = m_config.hosts;
@@ -192,6 +205,9 @@
 void server::impl::accept_waiting()
 {
     for (int i = 0; i < accepts_per_round; ++i) {
+        if (connections.size() + m_lingering->size() >= settings.max_connections) {
+            m_lingering->close_oldest();
+        }
         if (connections.size() >= settings.max_connections) {
             set_accepting(false);
             return;
@@ -219,13 +235,8 @@
     h2o_accept(&m_accept, socket);
 }
 
-void server::impl::connection_closed(std::uint64_t id)
+void server::impl::accept_if_possible()
 {
-    const auto found = connections.find(id);
-    if (found != connections.end()) {
-        drop_pipelined(*found->second);
-        connections.erase(found);
-    }
     if (!m_is_draining && connections.size() < settings.max_connections) {
         set_accepting(true);
     }
@@ -261,6 +272,11 @@
     return reinterpret_cast<h2o_handler*>(self)->owner->on_request(request);
 }
 
+void server::impl::on_request_end_entry(h2o_logger_t* self, h2o_req_t* request)
+{
+    reinterpret_cast<h2o_logger*>(self)->owner->on_request_end(*request);
+}
+
 int server::impl::on_request(h2o_req_t* request)
 {
     const auto exchange = server_exchange::create(*this, *request);
@@ -270,6 +286,9 @@
     }
     server_connection* connection = exchange->is_http1() ? exchange->connection() : nullptr;
     if (connection == nullptr) {
+        if (m_is_draining) {
+            linger_on_close(*exchange->connection());
+        }
         handler(exchange);
         return 0;
     }
@@ -286,57 +305,6 @@
     return 0;
 }
 
-void server::impl::exchange_started(const std::shared_ptr<server_exchange>& exchange)
-{
-    exchanges.emplace(exchange.get(), exchange);
-    if (m_idle_timer != 0) {
-        owner.cancel(std::exchange(m_idle_timer, 0));
-    }
-}
-
-void server::impl::exchange_ended(const server_exchange* exchange)
-{
-    exchanges.erase(exchange);
-    check_idle();
-}
-
-void server::impl::check_idle()
-{
-    if (!m_is_draining || !exchanges.empty() || !m_on_idle || m_idle_timer != 0) {
-        return;
-    }
-    m_idle_timer = owner.schedule(base::boot_clock::now() + drain_quiet_time, [this] {
-        m_idle_timer = 0;
-        const auto callback = std::exchange(m_on_idle, nullptr);
-        callback();
-    });
-}
-
-void server::impl::drain(std::function<void()> on_idle)
-{
-    m_on_idle = std::move(on_idle);
-    if (!m_is_draining) {
-        m_is_draining = true;
-        stop_listening();
-        if (m_is_configured) {
-            h2o_context_request_shutdown(&m_context);
-        }
-    }
-    check_idle();
-}
-
-void server::impl::stop_listening()
-{
-    if (m_listener == nullptr) {
-        return;
-    }
-    // Connections in the listen backlog would be reset when the listener is closed.
-    while (h2o_socket_t* socket = h2o_evloop_socket_accept(m_listener)) {
-        accept_one(socket);
-    }
-    h2o_socket_close(std::exchange(m_listener, nullptr));
-}
-
 void server::impl::shut_down()
 {
     if (m_listener != nullptr) {
@@ -345,6 +313,10 @@
     m_is_draining = true;
     m_on_idle = nullptr;
     handler = nullptr;
+    m_is_shut_down = true;
+    if (m_lingering.has_value()) {
+        m_lingering->close_all();
+    }
     if (m_idle_timer != 0) {
         owner.cancel(std::exchange(m_idle_timer, 0));
     }
@@ -371,7 +343,7 @@
 
 bool server::impl::is_closed() const
 {
-    return connections.empty();
+    return connections.empty() && !is_lingering();
 }
 
 bool server::impl::is_draining() const
@@ -419,6 +391,11 @@
     return m_impl->exchanges.size();
 }
 
+bool server::is_delivering() const
+{
+    return m_impl->is_delivering();
+}
+
 void server::drain(std::function<void()> on_idle)
 {
     m_impl->drain(std::move(on_idle));
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -26,6 +26,9 @@
     /// Time to receive a request; h2o applies it to idle HTTP/1.1 connections as well.
     std::chrono::milliseconds request_timeout{10000};
     std::size_t max_connections = 10000; ///< Further connections wait in the listen backlog.
+    /// How long a caller may take to close its end after the server has closed the connection
+    /// behind a response. Longer than a full send buffer takes at 10 Mbit/s.
+    std::chrono::milliseconds linger_timeout{5000};
 };
 
 using request_handler = std::function<void(std::shared_ptr<exchange>)>;
@@ -61,10 +64,14 @@
     /// Number of requests whose response is not complete.
     std::size_t active_requests() const;
 
-    /// Stops accepting connections, makes open connections close after their requests (HTTP/2:
-    /// GOAWAY) and calls `on_idle` when no request is left. Requests that arrive on open
-    /// connections shortly afterwards are still served, as HTTP/1.1 cannot announce the drain on an
-    /// idle connection.
+    /// Whether a response may not have reached its caller yet.
+    bool is_delivering() const;
+
+    /// Stops accepting connections, makes open connections close after the requests that were
+    /// passed to the handler (HTTP/2: GOAWAY) and calls `on_idle` when no request is left and the
+    /// callers have received the responses or `linger_timeout` has passed. Requests that arrive on
+    /// open connections shortly afterwards are still served, as HTTP/1.1 cannot announce the drain
+    /// on an idle connection.
     void drain(std::function<void()> on_idle);
 
     /// Internal to the module.
--- a/src/http/tests/test_support.cpp
+++ b/src/http/tests/test_support.cpp
@@ -192,10 +192,14 @@
     return m_listener->accepted();
 }
 
-int connect_to(const std::string& address)
+int connect_to(const std::string& address, int receive_buffer_bytes)
 {
     auto parsed = parse_address(address);
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (receive_buffer_bytes != 0) {
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+                   sizeof(receive_buffer_bytes));
+    }
     if (connect(descriptor, parsed->get(), parsed->length) != 0) {
         throw std::runtime_error("cannot connect to " + address);
     }
--- a/src/http/tests/test_support.h
+++ b/src/http/tests/test_support.h
@@ -86,8 +86,9 @@
     std::unique_ptr<raw_server> m_listener;
 };
 
-/// Connects a blocking socket and returns its descriptor.
-int connect_to(const std::string& address);
+/// Connects a blocking socket and returns its descriptor. With a small receive buffer, most of a
+/// response waits in the server's kernel until the caller reads.
+int connect_to(const std::string& address, int receive_buffer_bytes = 0);
 
 /// Reads until the text occurs or the peer closes; returns everything read, including bytes after
 /// the text.
