Answer the pipelined requests that were passed on before a drain

Cause: a draining server marked each response as the last of its connection, also while responses to later requests of the connection were under way.

Change: during a drain the connection closes behind the last request that was passed to the handler. What stands behind that one is not run and not answered. As started requests are answered now, a host goes on to start pipelined requests until it closes; before, those that came after the SIGTERM waited for their predecessors and were dropped at the drain.

The same cause elsewhere: the first request of a connection announces "close", or is HTTP/1.0: then none behind it is started (parse_pipelined_requests). A response that breaks off still ends the connection and those behind it: with a length, nothing can follow it.

--- a/src/apps/host/host_listeners.cpp
+++ b/src/apps/host/host_listeners.cpp
@@ -65,9 +65,7 @@
 
 bool host_app::allows_pipelining(const http::request_head& head) const
 {
-    // A stopping host closes connections; the responses of pipelined requests that ran early would
-    // be lost.
-    if (m_context.is_leaving || m_context.routes == nullptr) {
+    if (m_context.routes == nullptr) {
         return false;
     }
     const auto route = routing::find_route(*m_context.routes, head.authority, head.path);
--- a/src/apps/host/tests/late_stop_test.cpp
+++ b/src/apps/host/tests/late_stop_test.cpp
@@ -8,6 +8,7 @@
 
 #include <unistd.h>
 
+#include <future>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,33 @@
         REQUIRE(host.run_until([&] { return got.has_value(); }));
         CHECK(got->status == 200);
     }
+    SUBCASE("are answered on the connection on which they were pipelined")
+    {
+        const std::string request = "GET /safe/x HTTP/1.1\r\nhost: a.example\r\nx-key: key\r\n"
+                                    "x-attempt-id: id-1\r\n\r\n";
+        const int caller = http::tests::connect_to(host.settings.entry_address);
+        http::tests::write_all(caller, request + request);
+        REQUIRE(host.run_until([&] { return held.size() == 2; }));
+        host.app->stop();
+        http::tests::write_all(caller, request);
+        REQUIRE(host.run_until([&] { return held.size() == 3; }));
+        REQUIRE(host.run_until([&] { return host.app->dump()["closing"] == true; }));
+        for (const auto& one : held) {
+            respond_success(one);
+        }
+        auto reading =
+            std::async(std::launch::async, [&] { return http::tests::read_all(caller); });
+        REQUIRE(host.run_until([&] {
+            return reading.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+        }));
+        const std::string got = reading.get();
+        std::size_t answers = 0;
+        for (std::size_t at = 0; (at = got.find("HTTP/1.1 200", at)) != std::string::npos; ++at) {
+            ++answers;
+        }
+        CHECK(answers == 3);
+        close(caller);
+    }
     SUBCASE("get an answer that promises nothing if they still run at its end")
     {
         std::optional<reply> safe;
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -291,8 +291,9 @@
 void server_exchange::begin_response(const response_head& head)
 {
     m_phase = phase::open;
-    if (m_owner->is_draining()) {
-        m_request->http1_is_persistent = 0;
+    if (is_http1() && m_owner->is_draining()) {
+        // The responses to pipelined requests that were passed on follow on this connection.
+        m_request->http1_is_persistent = connection()->pipelined.empty() ? 0 : 1;
     }
     m_has_body = has_response_body(m_head.method, head.status);
     m_length = head.content_length;
--- a/src/http/tests/pipelining_test.cpp
+++ b/src/http/tests/pipelining_test.cpp
@@ -155,6 +155,27 @@
         respond_to("/3");
         await("answer to /3");
     }
+    // Guards against responses that are lost at a planned stop: the connection was closed behind
+    // the first one, although later requests were already running.
+    SUBCASE("a drain closes the connection behind the last request that was passed on")
+    {
+        write_all(caller, request("/1") + request("/2") + request("/3"));
+        REQUIRE(run_until(event_loop, [&] { return arrived.size() == 3; }));
+        bool is_idle = false;
+        http_server.drain([&] { is_idle = true; });
+        write_all(caller, request("/4"));
+        respond_to("/3");
+        respond_to("/1");
+        std::string got = await("answer to /1");
+        CHECK(got.find("close") == std::string::npos);
+        respond_to("/2");
+        got += await("answer to /3");
+        CHECK(got.find("answer to /2") < got.find("Connection: close"));
+        CHECK(got.find("Connection: close") < got.find("answer to /3"));
+        CHECK(arrived.size() == 3);
+        shutdown(caller, SHUT_WR);
+        CHECK(run_until(event_loop, [&] { return is_idle; }));
+    }
     SUBCASE("a disconnect of the caller closes all of them")
     {
         write_all(caller, request("/1") + request("/2"));
