Share the memory for response bytes among all requests of a process

Reported by operators of similar systems: a machine that had called targets whose bytes had no end ran out of memory, and the requests of other callers ended with it.

It could happen here. Each response was bounded (256 KiB and one piece, and 64 KiB of head), their sum was not. snipeshore-host on, 30 targets that send a body without end, 1,200 callers that do not read, 639 of them forwarded: 426 MB resident (a small host has 260), 139 MB received and unread, 1,123 MB in the kernel's send buffers. Idle connections that got bytes: 152 MB unread on 623 of them. Ruled out: heads without end (11 MB, 320 callers) and a single target (64 connections of 0.7 MB).

Cause: limits per connection, none over all of them; the kernel's send buffer had none of ours at all.

Change: - a response may buffer an eighth of what is free of 32 MiB, at most 256 KiB as before (response_buffers), in snipeshore-host and snipeshore-entry; - receive buffers share 8 MiB, 8 to 128 KiB each; that of an idle connection is 2 KiB; - the kernel keeps 128 KiB of a response beyond the caller's window (TCP_NOTSENT_LOWAT).

New metrics snipeshore_response_buffer_bytes, snipeshore_lingering_connections; `stopped` has the key undelivered.

--- a/src/apps/common/response_stream.cpp
+++ b/src/apps/common/response_stream.cpp
@@ -1,5 +1,6 @@
 #include "apps/common/response_stream.h"
 
+#include "apps/common/response_buffers.h"
 #include "http/client.h"
 #include "http/exchange.h"
 
@@ -7,15 +8,29 @@
 
 namespace snipeshore::apps {
 
-response_stream::response_stream(std::shared_ptr<http::exchange> exchange)
-    : m_exchange(std::move(exchange))
+namespace {
+
+/// A paused target is resumed when the buffer has fallen to this part of its limit.
+constexpr std::size_t resume_parts = 4;
+
+} // namespace
+
+response_stream::response_stream(std::shared_ptr<http::exchange> exchange,
+                                 response_buffers& buffers)
+    : m_exchange(std::move(exchange)), m_buffers(buffers)
 {}
 
+response_stream::~response_stream()
+{
+    m_buffers.used -= m_buffer.size() + m_in_flight_bytes;
+}
+
 void response_stream::start(http::response_head head)
 {
     m_exchange->on_writable([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->m_write_in_flight = false;
+            self->m_buffers.used -= std::exchange(self->m_in_flight_bytes, 0);
             self->flush();
         }
     });
@@ -26,8 +41,9 @@
 {
     m_bytes += chunk.size();
     m_buffer.append(chunk);
+    m_buffers.used += chunk.size();
     flush();
-    if (m_buffer.size() > high_water_bytes && m_paused_call == nullptr) {
+    if (m_buffer.size() > limit_per_response(m_buffers) && m_paused_call == nullptr) {
         m_paused_call = &call;
         call.pause();
     }
@@ -64,6 +80,7 @@
     }
     if (!m_buffer.empty()) {
         m_write_in_flight = true;
+        m_in_flight_bytes = m_buffer.size();
         m_exchange->write(std::exchange(m_buffer, {}));
     } else if (m_ended && m_on_sent != nullptr) {
         m_exchange->finish();
@@ -71,7 +88,8 @@
         on_sent();
         return;
     }
-    if (m_paused_call != nullptr && m_buffer.size() < low_water_bytes) {
+    if (m_paused_call != nullptr &&
+        m_buffer.size() <= limit_per_response(m_buffers) / resume_parts) {
         std::exchange(m_paused_call, nullptr)->resume();
     }
 }
--- a/src/apps/common/response_stream.h
+++ b/src/apps/common/response_stream.h
@@ -16,15 +16,23 @@
 
 namespace snipeshore::apps {
 
+struct response_buffers;
+
 /// Buffers the data that the caller's connection cannot accept yet. Pauses reading from the target
-/// when the buffer exceeds `high_water_bytes`, until it falls below `low_water_bytes`.
+/// when the buffer exceeds the limit of `response_buffers`, until the caller has taken most of it.
 /// Not thread-safe: used on the loop's thread only.
 class response_stream : public std::enable_shared_from_this<response_stream> {
 public:
-    explicit response_stream(std::shared_ptr<http::exchange> exchange);
+    /// `buffers` has to outlive the stream.
+    response_stream(std::shared_ptr<http::exchange> exchange, response_buffers& buffers);
+    ~response_stream();
+    response_stream(const response_stream&) = delete;
+    response_stream& operator=(const response_stream&) = delete;
+    response_stream(response_stream&&) = delete;
+    response_stream& operator=(response_stream&&) = delete;
 
     void start(http::response_head head);
-    /// Pauses `call`, which delivers the response, when the buffer exceeds `high_water_bytes`.
+    /// Pauses `call`, which delivers the response, when the buffer exceeds its limit.
     void write(std::string_view chunk, http::client_call& call);
     /// Calls `on_sent` after the last chunk has been passed to the connection.
     void finish(std::function<void()> on_sent);
@@ -37,13 +45,10 @@
 private:
     void flush();
 
-    /// Buffer size above which the target is paused. Large enough to keep the caller's connection
-    /// busy until the target is resumed.
-    static constexpr std::size_t high_water_bytes = 256U << 10U;
-    static constexpr std::size_t low_water_bytes = 64U << 10U;
-
     std::shared_ptr<http::exchange> m_exchange;
+    response_buffers& m_buffers;
     std::string m_buffer;
+    std::size_t m_in_flight_bytes = 0; ///< Passed to the connection, which has not sent them yet.
     std::uint64_t m_bytes = 0;
     http::client_call* m_paused_call = nullptr;
     std::function<void()> m_on_sent;
--- a/src/apps/entry/entry_app.cpp
+++ b/src/apps/entry/entry_app.cpp
@@ -41,9 +41,19 @@
       m_tickets(m_node, m_snapshots.state(), m_settings.identity.host, m_incarnation,
                 tickets::derive_fleet_secret(m_settings.identity.fleet_secret)),
       m_crashes(loop, m_client, m_node, m_snapshots.state(), m_settings.identity.host),
-      m_services{
-          m_settings.identity, loop, m_client, m_metrics, m_snapshots.state(), m_shares, m_tickets,
-          m_crashes,           {},   {},       {},        m_settings.max_tasks},
+      m_services{m_settings.identity,
+                 loop,
+                 m_client,
+                 m_metrics,
+                 m_snapshots.state(),
+                 m_shares,
+                 m_tickets,
+                 m_crashes,
+                 {},
+                 {},
+                 {},
+                 {},
+                 m_settings.max_tasks},
       m_targets(loop, m_client, m_services.pools),
       m_server(loop,
                [this](std::shared_ptr<http::exchange> exchange) {
@@ -206,6 +216,14 @@
     refresh_entry_metrics(m_services, m_metrics);
     m_metrics.gauge("snipeshore_open_connections", "Open connections of callers.")
         .Set(static_cast<double>(m_server.open_connections()));
+    m_metrics
+        .gauge("snipeshore_lingering_connections",
+               "Connections that this host has closed and their callers have not.")
+        .Set(static_cast<double>(m_server.lingering_count()));
+    m_metrics
+        .gauge("snipeshore_response_buffer_bytes",
+               "Bytes of responses held for callers who read slowly.")
+        .Set(static_cast<double>(m_services.buffers.used));
 }
 
 } // namespace snipeshore::apps
--- a/src/apps/entry/entry_services.h
+++ b/src/apps/entry/entry_services.h
@@ -2,6 +2,7 @@
 /// the event loop.
 #pragma once
 
+#include "apps/common/response_buffers.h"
 #include "apps/entry/refusal_log.h"
 #include "apps/entry/service_pool.h"
 #include "base/types/ids.h"
@@ -45,6 +46,7 @@
     crash_monitor& crashes;
     std::unordered_map<base::service_id, service_pool> pools;
     refusal_log refusals;
+    response_buffers buffers;
     /// Requests in progress; keeps their tasks alive.
     std::unordered_set<std::shared_ptr<request_task>> tasks;
     std::size_t max_tasks = 4096;
--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -439,7 +439,7 @@
     }
     passed_on.headers.push_back({"snipeshore-request-id", m_request_id});
     passed_on.headers.push_back({"snipeshore-host", m_services.identity.host.value()});
-    m_stream = std::make_shared<response_stream>(m_exchange);
+    m_stream = std::make_shared<response_stream>(m_exchange, m_services.buffers);
     m_stream->start(std::move(passed_on));
 }
 
--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -143,7 +143,7 @@
 {
     cancel_timer();
     m_is_streaming = true;
-    m_stream = std::make_shared<response_stream>(m_exchange);
+    m_stream = std::make_shared<response_stream>(m_exchange, m_context.buffers);
     m_stream->start(head);
 }
 
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -575,7 +575,8 @@
         return;
     }
     telemetry::log_event(severity::info, "stopped",
-                         {{"requests_cut", static_cast<std::uint64_t>(m_context.tasks.size())}});
+                         {{"requests_cut", static_cast<std::uint64_t>(m_context.tasks.size())},
+                          {"undelivered", m_entry->is_delivering()}});
     m_loop.stop();
 }
 
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -1,6 +1,7 @@
 /// @file State shared by the request tasks of one host. Used only on the loop's thread.
 #pragma once
 
+#include "apps/common/response_buffers.h"
 #include "apps/host/crash_watch.h"
 #include "apps/host/target_choice.h"
 #include "apps/host/target_pool.h"
@@ -49,6 +50,7 @@
     /// When the process ends; no request runs longer.
     base::time_point stop_deadline = base::time_point::max();
     std::mt19937_64 random;
+    response_buffers buffers;
     /// Keeps the requests in progress alive.
     std::unordered_set<std::shared_ptr<forward_task>> tasks;
     std::size_t max_tasks = 2048;
--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -63,6 +63,11 @@
         static_cast<double>(m_context.tasks.size()));
     set("snipeshore_caller_connections", "Open connections of callers.",
         static_cast<double>(m_entry->open_connections()));
+    set("snipeshore_lingering_connections",
+        "Connections that this host has closed and their callers have not.",
+        static_cast<double>(m_entry->lingering_count()));
+    set("snipeshore_response_buffer_bytes", "Bytes of responses held for callers who read slowly.",
+        static_cast<double>(m_context.buffers.used));
     set("snipeshore_config_version", "Version of the configuration in force.",
         static_cast<double>(config_version()));
     set("snipeshore_targets_known", "Registered targets.",
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -22,6 +22,13 @@
 /// avoids sending a request while the peer closes the connection.
 constexpr double usable_idle_fraction = 0.7;
 
+/// Limits what the kernel buffers for one connection, and thereby the size of one read. With
+/// 256 KiB, 20 downloads through a proxy used twice the memory and were not faster on loopback.
+constexpr std::size_t max_receive_buffer_bytes = 128U << 10U;
+
+/// Enough for the head of a response and some chunks.
+constexpr std::size_t min_receive_buffer_bytes = 8U << 10U;
+
 /// Cancels the call when it is destroyed.
 class call_handle final : public client_call {
 public:
@@ -300,6 +307,13 @@
     }
 }
 
+int client::impl::receive_buffer_bytes() const
+{
+    const std::size_t share =
+        settings.receive_buffer_bytes / std::max<std::size_t>(1, m_calls.size());
+    return static_cast<int>(std::clamp(share, min_receive_buffer_bytes, max_receive_buffer_bytes));
+}
+
 void client::impl::shut_down()
 {
     is_shut_down = true;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -75,6 +75,9 @@
     /// How long an idle connection is kept. Must be shorter than the peers' own idle timeouts, so
     /// that no request is sent on a connection that the peer is closing.
     std::chrono::milliseconds idle_timeout{5000};
+    /// Limit of what the kernel buffers of responses, shared by the requests in progress. Each
+    /// connection gets 8 KiB to 128 KiB of it.
+    std::size_t receive_buffer_bytes = 8U << 20U;
     /// Accepts responses without a length, which end when the connection closes. Such a response
     /// looks complete if the peer fails without a reset.
     bool accepts_close_delimited = false;
--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-/// Limits what the kernel buffers for one connection, and thereby the size of one read. With
-/// 256 KiB, 20 downloads through a proxy used twice the memory and were not faster on loopback.
-constexpr int receive_buffer_bytes = 128 << 10;
+/// Receive buffer of a connection without a request. A target that sends nevertheless would
+/// otherwise fill the buffers of all its connections.
+constexpr int idle_receive_buffer_bytes = 2 << 10;
 
 /// The limit of h2o.
 constexpr std::size_t max_headers = 100;
@@ -50,6 +50,11 @@
     return {kind, address + ": " + std::string(cause)};
 }
 
+void set_receive_buffer(h2o_socket_t* socket, int bytes)
+{
+    setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
 bool sends_length(std::string_view method, std::string_view body)
 {
     return !body.empty() || method == "POST" || method == "PUT" || method == "PATCH";
@@ -213,9 +218,7 @@
     if (m_connect_timer != 0) {
         m_owner->owner.cancel(std::exchange(m_connect_timer, 0));
     }
-    const int descriptor = h2o_socket_get_fd(m_h2o->sock);
-    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
-               sizeof(receive_buffer_bytes));
+    set_receive_buffer(m_h2o->sock, m_owner->receive_buffer_bytes());
     m_encoded_request = write_head(m_request.head, m_request.body);
     m_encoded_request += m_request.body;
     m_request.body.clear();
@@ -436,6 +439,8 @@
     if (must_close_connection() || m_h2o->sock->input->size > head_length) {
         // Extra bytes after a response without a body would be read as the next response.
         h2o_socket_close(h2o_http1client_steal_socket(m_h2o));
+    } else {
+        set_receive_buffer(m_h2o->sock, idle_receive_buffer_bytes);
     }
     m_is_in_h2o = false;
     release_connection();
@@ -459,6 +464,8 @@
     if (failure == h2o_http1client_error_is_eos) {
         if (self->must_close_connection()) {
             h2o_socket_close(h2o_http1client_steal_socket(h2o));
+        } else {
+            set_receive_buffer(h2o->sock, idle_receive_buffer_bytes);
         }
         self->release_connection();
         self->finish_body(is_last_chunk_read);
--- a/src/http/internal/client_impl.h
+++ b/src/http/internal/client_impl.h
@@ -47,6 +47,9 @@
     /// that the peer has announced.
     void limit_idle_time(const std::string& address, std::chrono::seconds announced);
 
+    /// Size of the receive buffer of a connection whose call is started now.
+    int receive_buffer_bytes() const;
+
     /// Cancels all calls when the `client` is destroyed.
     void shut_down();
 
--- a/src/http/internal/lingering_connections.cpp
+++ b/src/http/internal/lingering_connections.cpp
@@ -74,11 +74,6 @@
     }
 }
 
-bool lingering_connections::empty() const
-{
-    return m_connections.empty();
-}
-
 std::size_t lingering_connections::size() const
 {
     return m_connections.size();
--- a/src/http/internal/lingering_connections.h
+++ b/src/http/internal/lingering_connections.h
@@ -48,7 +48,6 @@
     void close_oldest();
     void close_all();
 
-    bool empty() const;
     std::size_t size() const;
 
 private:
--- a/src/http/internal/server_closing.cpp
+++ b/src/http/internal/server_closing.cpp
@@ -112,7 +112,8 @@
 
 void server::impl::check_idle()
 {
-    if (!m_is_draining || !exchanges.empty() || is_lingering() || !m_on_idle || m_idle_timer != 0) {
+    if (!m_is_draining || !exchanges.empty() || lingering_count() != 0 || !m_on_idle ||
+        m_idle_timer != 0) {
         return;
     }
     m_idle_timer = owner.schedule(base::boot_clock::now() + drain_quiet_time, [this] {
@@ -131,14 +132,14 @@
     callback();
 }
 
-bool server::impl::is_lingering() const
+std::size_t server::impl::lingering_count() const
 {
-    return m_lingering.has_value() && !m_lingering->empty();
+    return m_lingering.has_value() ? m_lingering->size() : 0;
 }
 
 bool server::impl::is_delivering() const
 {
-    return !exchanges.empty() || is_lingering() ||
+    return !exchanges.empty() || lingering_count() != 0 ||
            std::any_of(connections.begin(), connections.end(), [](const auto& entry) {
                return has_undelivered_bytes(entry.second->descriptor);
            });
--- a/src/http/internal/server_impl.h
+++ b/src/http/internal/server_impl.h
@@ -42,6 +42,7 @@
     bool is_closed() const override;
     bool is_draining() const;
     bool is_delivering() const;
+    std::size_t lingering_count() const;
 
     /// See `server::allow_pipelining`.
     std::function<bool(const request_head&)> may_pipeline;
@@ -87,7 +88,6 @@
     static void linger_on_close(server_connection& connection);
     void check_idle();
     void end_drain();
-    bool is_lingering() const;
     int on_request(h2o_req_t* request);
 
     static void on_connection(h2o_socket_t* listener, const char* failure);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -23,6 +23,10 @@
 constexpr int accepts_per_round = 16;
 constexpr int listen_backlog = 1024;
 
+/// Limits what the kernel keeps of a response beyond what the caller's window lets it send.
+/// Otherwise its buffer grows to megabytes for each caller that reads slowly.
+constexpr int max_unsent_bytes = 128 << 10;
+
 base::status bad_setting(std::string detail)
 {
     return base::error{base::error_kind::bad_setting, std::move(detail)};
@@ -39,6 +43,12 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
 }
 
+void limit_unsent_bytes(int descriptor)
+{
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max_unsent_bytes,
+               sizeof(max_unsent_bytes));
+}
+
 void on_connection_closed(void* data)
 {
     const auto* connection = static_cast<server_connection*>(data);
@@ -230,6 +240,7 @@
     socket->on_close.cb = on_connection_closed;
     socket->on_close.data = connection.get();
     enable_keep_alive(connection->descriptor);
+    limit_unsent_bytes(connection->descriptor);
     m_watch->add(connection->descriptor, connection->id, is_pipelining_enabled());
     connections.emplace(connection->id, std::move(connection));
     h2o_accept(&m_accept, socket);
@@ -343,7 +354,7 @@
 
 bool server::impl::is_closed() const
 {
-    return connections.empty() && !is_lingering();
+    return connections.empty() && lingering_count() == 0;
 }
 
 bool server::impl::is_draining() const
@@ -386,6 +397,11 @@
     return m_impl->connections.size();
 }
 
+std::size_t server::lingering_count() const
+{
+    return m_impl->lingering_count();
+}
+
 std::size_t server::active_requests() const
 {
     return m_impl->exchanges.size();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -61,6 +61,9 @@
 
     std::size_t open_connections() const;
 
+    /// Number of connections that the server has closed and their callers have not.
+    std::size_t lingering_count() const;
+
     /// Number of requests whose response is not complete.
     std::size_t active_requests() const;
 
