soak: callers that read large responses slowly and send on

A quarter of the callers with open connections ask for 100 KB, read them slowly with a small receive buffer and send further batches meanwhile. A response that closes the connection no longer explains requests behind it that a target has run.

--- a/tests/soak/open_caller.cpp
+++ b/tests/soak/open_caller.cpp
@@ -27,6 +27,12 @@
 constexpr int max_pause_ms = 120;
 constexpr std::size_t max_batch = 4;
 
+/// Of a slow caller: its receive buffer, what it reads at once, and how often it sends a batch
+/// before the last one is answered (once in so many polls).
+constexpr int small_buffer_bytes = 4 << 10;
+constexpr std::size_t slow_read_bytes = 8U << 10U;
+constexpr unsigned send_on_polls = 50;
+
 /// Longest time in which a host responds: more than the time limit of the requests.
 constexpr auto response_bound = 4000ms;
 /// Longest time until a host that runs reads a request.
@@ -52,7 +58,8 @@
 
 open_caller::open_caller(std::string name, std::string address, invariant_checker& checker,
                          std::uint64_t seed)
-    : m_name(std::move(name)), m_address(std::move(address)), m_checker(checker), m_random(seed)
+    : m_name(std::move(name)), m_address(std::move(address)), m_checker(checker), m_random(seed),
+      m_is_slow(seed % 4 == 0)
 {}
 
 open_caller::~open_caller()
@@ -77,7 +84,7 @@
         m_output = std::exchange(m_delayed_body, {});
         m_sent.back().sent = now;
     }
-    if (m_sent.empty() && now >= m_next_step) {
+    if (is_due(now)) {
         send_batch(key);
     }
     flush();
@@ -104,6 +111,10 @@
 {
     auto address = http::parse_address(m_address);
     m_descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (m_is_slow) {
+        setsockopt(m_descriptor, SOL_SOCKET, SO_RCVBUF, &small_buffer_bytes,
+                   sizeof(small_buffer_bytes));
+    }
     if (::connect(m_descriptor, address->get(), address->length) != 0 && errno != EINPROGRESS) {
         disconnect();
         return;
@@ -112,13 +123,22 @@
     setsockopt(m_descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+bool open_caller::is_due(base::time_point now)
+{
+    if (m_sent.empty()) {
+        return now >= m_next_step;
+    }
+    return m_is_slow && m_sent.size() <= max_batch && m_delayed_body.empty() &&
+           m_random() % send_on_polls == 0;
+}
+
 void open_caller::send_batch(const std::string& key)
 {
     const std::size_t size = 1 + m_random() % max_batch;
     const bool ends_with_body = m_random() % 2 == 0;
     for (std::size_t i = 0; i < size; ++i) {
         const bool has_body = ends_with_body && i + 1 == size;
-        const std::string id = m_name + "-" + std::to_string(++m_requests);
+        const std::string id = m_name + (m_is_slow ? "-large" : "-") + std::to_string(++m_requests);
         m_output += std::string(has_body ? "POST /once/open" : "GET /safe/open") +
                     " HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: " + id + "\r\nx-key: " + key +
                     "\r\nx-deadline-ms: 1500\r\n";
@@ -146,12 +166,13 @@
 {
     std::array<char, 16384> buffer{};
     for (;;) {
-        const ssize_t got = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+        const ssize_t got =
+            recv(m_descriptor, buffer.data(), m_is_slow ? slow_read_bytes : buffer.size(), 0);
         if (got > 0) {
             m_input.append(buffer.data(), static_cast<std::size_t>(got));
             while (take_response()) {
             }
-            if (m_descriptor < 0) {
+            if (m_descriptor < 0 || m_is_slow) {
                 return;
             }
             continue;
@@ -196,6 +217,10 @@
                           base::boot_clock::now());
     if (closes) {
         for (const sent_request& unread : m_sent) {
+            if (m_checker.has_run(unread.id)) {
+                m_checker.on_violation("answer: " + unread.id + " ran, but the response to " +
+                                       request.id + " closed its connection");
+            }
             m_checker.on_unread(unread.id);
         }
         disconnect();
--- a/tests/soak/open_caller.h
+++ b/tests/soak/open_caller.h
@@ -13,9 +13,10 @@
 class invariant_checker;
 
 /// Sends batches of pipelined requests on one connection until the host closes it, and connects
-/// again. A request that the host has read but not answered violates the answer invariant. A
+/// again. Some callers ask for large responses, read them slowly and send further batches
+/// meanwhile. A request that the host has read but not answered violates the answer invariant. A
 /// connection that closes without having been read explains its last request, and a response with
-/// `Connection: close` explains all requests after it.
+/// `Connection: close` explains all requests after it that no target has run.
 class open_caller {
 public:
     open_caller(std::string name, std::string address, invariant_checker& checker,
@@ -42,6 +43,8 @@
     };
 
     void connect();
+    /// Whether to send a batch now.
+    bool is_due(base::time_point now);
     void send_batch(const std::string& key);
     void flush();
     void receive();
@@ -54,6 +57,7 @@
     std::string m_address;
     invariant_checker& m_checker;
     std::mt19937_64 m_random;
+    bool m_is_slow; ///< Reads large responses slowly and sends on.
     int m_descriptor = -1;
     std::string m_output;
     std::string m_delayed_body; ///< Body of the last request, written separately from its head.
--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t body_bytes = 3000;
+constexpr std::size_t large_body_bytes = 100'000;
 constexpr std::chrono::milliseconds work_time{5};
 constexpr std::chrono::milliseconds slow_time{400};
 
@@ -30,8 +31,9 @@
 
 std::string expected_body(const std::string& request_id)
 {
+    const bool is_large = request_id.find("-large") != std::string::npos;
     std::string body;
-    while (body.size() < body_bytes) {
+    while (body.size() < (is_large ? large_body_bytes : body_bytes)) {
         body += request_id + "/";
     }
     return body;
