--- a/src/http/tests/lingering_close_test.cpp
+++ b/src/http/tests/lingering_close_test.cpp
@@ -1,11 +1,14 @@
+#include "http/tests/test_certificate.h"
 #include "http/tests/test_support.h"
 
 #include <doctest/doctest.h>
+#include <openssl/ssl.h>
 
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <future>
 #include <string>
 #include <thread>
@@ -85,6 +88,53 @@
     bool is_idle = false;
 };
 
+/// A caller over TLS, for use on a thread of its own.
+class tls_caller {
+public:
+    explicit tls_caller(const std::string& address)
+        : m_context(SSL_CTX_new(TLS_client_method())), m_session(SSL_new(m_context)),
+          m_descriptor(connect_to(address, small_buffer_bytes))
+    {
+        SSL_set_fd(m_session, m_descriptor);
+        SSL_connect(m_session);
+    }
+
+    ~tls_caller()
+    {
+        SSL_free(m_session);
+        SSL_CTX_free(m_context);
+        close(m_descriptor);
+    }
+
+    tls_caller(const tls_caller&) = delete;
+    tls_caller& operator=(const tls_caller&) = delete;
+    tls_caller(tls_caller&&) = delete;
+    tls_caller& operator=(tls_caller&&) = delete;
+
+    void send(const std::string& text)
+    {
+        SSL_write(m_session, text.data(), static_cast<int>(text.size()));
+    }
+
+    /// Reads until the connection ends, by a notice of the server or by a reset.
+    received receive_all()
+    {
+        received result;
+        std::vector<char> chunk(small_buffer_bytes);
+        int count = 0;
+        while ((count = SSL_read(m_session, chunk.data(), small_buffer_bytes)) > 0) {
+            result.text.append(chunk.data(), static_cast<std::size_t>(count));
+        }
+        result.was_reset = SSL_get_error(m_session, count) != SSL_ERROR_ZERO_RETURN;
+        return result;
+    }
+
+private:
+    SSL_CTX* m_context;
+    SSL* m_session;
+    int m_descriptor;
+};
+
 } // namespace
 
 // Guards against responses that lose their end at a planned stop: the connection was closed while
@@ -109,6 +159,40 @@
     CHECK(run_until(drained.event_loop, [&] { return drained.is_idle; }));
 }
 
+// Guards against the same over TLS.
+TEST_CASE("a drain delivers the last response over TLS to a caller that sends on")
+{
+    loop event_loop;
+    const test_certificate files;
+    std::shared_ptr<exchange> held;
+    server http_server(event_loop, [&](const std::shared_ptr<exchange>& from) { held = from; });
+    server_settings settings = loopback();
+    settings.certificate_file = files.certificate();
+    settings.key_file = files.key();
+    REQUIRE(base::is_ok(http_server.listen(settings)));
+    std::atomic<bool> is_closed{false};
+    auto calling = std::async(std::launch::async, [&] {
+        tls_caller caller(http_server.bound_address());
+        caller.send(get_request("/first"));
+        while (!is_closed) {
+            std::this_thread::yield();
+        }
+        caller.send(get_request("/second"));
+        return caller.receive_all();
+    });
+    REQUIRE(run_until(event_loop, [&] { return held != nullptr; }));
+    bool is_idle = false;
+    http_server.drain([&] { is_idle = true; });
+    held->respond({}, std::string(body_bytes, 'x'));
+    REQUIRE(run_until(event_loop, [&] { return http_server.open_connections() == 0; }));
+    CHECK(http_server.lingering_count() == 1);
+    is_closed = true;
+    REQUIRE(run_until(event_loop, [&] { return is_idle; }));
+    const received got = calling.get();
+    CHECK_FALSE(got.was_reset);
+    CHECK(got.text.ends_with(std::string(body_bytes, 'x')));
+}
+
 // Guards against the same for a response that began before the drain, on a connection that stays
 // open behind it.
 TEST_CASE("a drain ends only when the responses were delivered")
