--- a/src/apps/host/tests/late_stop_test.cpp
+++ b/src/apps/host/tests/late_stop_test.cpp
@@ -8,7 +8,6 @@
 
 #include <unistd.h>
 
-#include <future>
 #include <string>
 #include <vector>
 
@@ -88,12 +87,8 @@
         for (const auto& one : held) {
             respond_success(one);
         }
-        auto reading =
-            std::async(std::launch::async, [&] { return http::tests::read_all(caller); });
-        REQUIRE(host.run_until([&] {
-            return reading.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
-        }));
-        const std::string got = reading.get();
+        const std::string got =
+            http::tests::run_in_thread(host.loop, [&] { return http::tests::read_all(caller); });
         std::size_t answers = 0;
         for (std::size_t at = 0; (at = got.find("HTTP/1.1 200", at)) != std::string::npos; ++at) {
             ++answers;
--- a/src/http/tests/client_server_test.cpp
+++ b/src/http/tests/client_server_test.cpp
@@ -21,13 +21,6 @@
 /// A third of the growth allowed for an entry process with 20 downloads.
 constexpr std::int64_t max_parallel_growth_kib = 21504;
 
-server_settings loopback()
-{
-    server_settings settings;
-    settings.address = "127.0.0.1:0";
-    return settings;
-}
-
 /// Streams `left` bytes, one chunk at a time.
 struct byte_source {
     std::shared_ptr<exchange> to;
--- a/src/http/tests/pipelining_test.cpp
+++ b/src/http/tests/pipelining_test.cpp
@@ -21,13 +21,6 @@
     return method + " " + path + " HTTP/1.1\r\nHost: a\r\nX-Id: " + path + "\r\n" + more + "\r\n";
 }
 
-server_settings loopback()
-{
-    server_settings settings;
-    settings.address = "127.0.0.1:0";
-    return settings;
-}
-
 } // namespace
 
 TEST_CASE("pipelined requests are parsed")
@@ -93,11 +86,7 @@
         held.at(path)->respond({}, "answer to " + path);
     };
     const auto await = [&](const std::string& text) {
-        auto reading = std::async(std::launch::async, [&] { return read_until(caller, text); });
-        REQUIRE(run_until(event_loop, [&] {
-            return reading.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
-        }));
-        return reading.get();
+        return run_in_thread(event_loop, [&] { return read_until(caller, text); });
     };
     SUBCASE("sent together")
     {
--- a/src/http/tests/server_test.cpp
+++ b/src/http/tests/server_test.cpp
@@ -16,29 +16,6 @@
 
 namespace {
 
-server_settings loopback()
-{
-    server_settings settings;
-    settings.address = "127.0.0.1:0";
-    return settings;
-}
-
-/// Runs `work` on a separate thread while the loop runs on this one.
-template <typename Work>
-auto run_in_thread(loop& event_loop, Work work)
-{
-    auto running = std::async(std::launch::async, work);
-    CHECK(run_until(event_loop, [&] {
-        return running.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
-    }));
-    return running.get();
-}
-
-struct raw_response {
-    std::string text;
-    bool was_reset = false;
-};
-
 /// Sends bytes on a new connection and reads until the connection ends.
 raw_response send_raw(loop& event_loop, const std::string& address, const std::string& bytes)
 {
--- a/src/http/tests/test_support.cpp
+++ b/src/http/tests/test_support.cpp
@@ -88,6 +88,13 @@
     return true;
 }
 
+server_settings loopback()
+{
+    server_settings settings;
+    settings.address = "127.0.0.1:0";
+    return settings;
+}
+
 base::time_point from_now(std::chrono::milliseconds delay)
 {
     return base::boot_clock::now() + delay;
--- a/src/http/tests/test_support.h
+++ b/src/http/tests/test_support.h
@@ -7,10 +7,13 @@
 #include "http/loop.h"
 #include "http/server.h"
 
+#include <doctest/doctest.h>
+
 #include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -25,6 +28,20 @@
 bool run_until(loop& event_loop, const std::function<bool()>& holds,
                std::chrono::milliseconds limit = std::chrono::seconds(60));
 
+/// Runs `work` on a separate thread while the loop runs on this one.
+template <typename Work>
+auto run_in_thread(loop& event_loop, Work work)
+{
+    auto running = std::async(std::launch::async, work);
+    CHECK(run_until(event_loop, [&] {
+        return running.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+    }));
+    return running.get();
+}
+
+/// Settings of a server on a free loopback port.
+server_settings loopback();
+
 base::time_point from_now(std::chrono::milliseconds delay);
 
 /// False under AddressSanitizer, which keeps freed memory, so resident memory is meaningless.
@@ -94,6 +111,12 @@
 /// the text.
 std::string read_until(int descriptor, const std::string& text);
 
+/// What a caller received until its connection ended.
+struct raw_response {
+    std::string text;
+    bool was_reset = false;
+};
+
 /// Reads until the connection ends; `was_reset` is set to whether it ended with a reset.
 std::string read_all(int descriptor, bool* was_reset = nullptr);
 
