Compile doctest once, and run the tests before lint

Change: the implementation is a generated file of a library that all test programs link, so it is neither compiled 41 times nor linted, as it has no line of the project. `make test` runs the tests before lint, so that a red test shows first.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,8 @@
 	tools/install-packages
 	tools/build
 	tools/check-format
-	tools/check-lint
 	tools/run-tests
+	tools/check-lint
 
 bench:
 	tools/install-packages
--- a/cmake/snipeshore.cmake
+++ b/cmake/snipeshore.cmake
@@ -33,6 +33,14 @@
   target_link_libraries(${name} PRIVATE snipeshore_options ${ARG_DEPENDS})
 endfunction()
 
+# Compiled once: the linter repeats a file for each compile command. The implementation of doctest is
+# generated, as it has no code of the project to check.
+file(CONFIGURE OUTPUT ${CMAKE_BINARY_DIR}/doctest_implementation.cpp
+  CONTENT "#define DOCTEST_CONFIG_IMPLEMENT\n#include <doctest/doctest.h>\n")
+add_library(snipeshore_test_main STATIC EXCLUDE_FROM_ALL
+  ${CMAKE_SOURCE_DIR}/tests/support/doctest_main.cpp ${CMAKE_BINARY_DIR}/doctest_implementation.cpp)
+target_link_libraries(snipeshore_test_main PRIVATE snipeshore_options)
+
 # snipeshore_add_test(NAME SOURCES ... DEPENDS ...): a doctest program registered with CTest.
 # Property tests use a fixed seed; RC_PARAMS in the environment selects another one.
 function(snipeshore_add_test name)
@@ -40,11 +48,11 @@
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
-  add_executable(${name} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/tests/support/doctest_main.cpp)
+  add_executable(${name} ${ARG_SOURCES})
   if(NOT SNIPESHORE_TESTS)
     set_target_properties(${name} PROPERTIES EXCLUDE_FROM_ALL ON)
   endif()
-  target_link_libraries(${name} PRIVATE snipeshore_options rapidcheck ${ARG_DEPENDS})
+  target_link_libraries(${name} PRIVATE snipeshore_options snipeshore_test_main rapidcheck ${ARG_DEPENDS})
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
--- a/tests/support/doctest_main.cpp
+++ b/tests/support/doctest_main.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT
 #include <doctest/doctest.h>
 
 #include <cstdlib>
