End a response that has begun with the route's deadline

Cause: the timer of the route's deadline was cancelled with the first byte of the response, and the call to the target had the caller's deadline.

Change: the call to the target has the request's deadline, the earlier one of both, for the whole response. The task's timer only abandons slow attempts. As responses are now cut in the middle, the cause of the delay is found from the last byte and the pauses in reading: a silent target has failed and is ejected, also behind a head that was held back (its own head counted as a sign that it was busy); a slow one counts with its time; a slow caller says nothing about its target, and its time does not count as the target's.

--- a/src/apps/common/response_stream.cpp
+++ b/src/apps/common/response_stream.cpp
@@ -45,6 +45,8 @@
     flush();
     if (m_buffer.size() > limit_per_response(m_buffers) && m_paused_call == nullptr) {
         m_paused_call = &call;
+        m_pauses.is_paused = true;
+        m_pauses.was_paused = true;
         call.pause();
     }
 }
@@ -52,20 +54,33 @@
 void response_stream::finish(std::function<void()> on_sent)
 {
     m_ended = true;
-    m_paused_call = nullptr;
+    detach_call();
     m_on_sent = std::move(on_sent);
     flush();
 }
 
 void response_stream::abort()
 {
-    m_paused_call = nullptr;
+    detach_call();
     m_exchange->abort();
 }
 
 void response_stream::detach_call()
 {
     m_paused_call = nullptr;
+    end_pause();
+}
+
+void response_stream::end_pause()
+{
+    if (std::exchange(m_pauses.is_paused, false)) {
+        m_pauses.resumed_at = base::boot_clock::now();
+    }
+}
+
+const retries::reading_pauses& response_stream::pauses() const
+{
+    return m_pauses;
 }
 
 std::uint64_t response_stream::bytes() const
@@ -90,6 +105,7 @@
     }
     if (m_paused_call != nullptr &&
         m_buffer.size() <= limit_per_response(m_buffers) / resume_parts) {
+        end_pause();
         std::exchange(m_paused_call, nullptr)->resume();
     }
 }
--- a/src/apps/common/response_stream.h
+++ b/src/apps/common/response_stream.h
@@ -1,6 +1,8 @@
 /// @file Streams a target's response to the caller through a bounded buffer.
 #pragma once
 
+#include "retries/types/response_progress.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -41,9 +43,11 @@
     void detach_call();
 
     std::uint64_t bytes() const;
+    const retries::reading_pauses& pauses() const;
 
 private:
     void flush();
+    void end_pause();
 
     std::shared_ptr<http::exchange> m_exchange;
     response_buffers& m_buffers;
@@ -51,6 +55,7 @@
     std::size_t m_in_flight_bytes = 0; ///< Passed to the connection, which has not sent them yet.
     std::uint64_t m_bytes = 0;
     http::client_call* m_paused_call = nullptr;
+    retries::reading_pauses m_pauses;
     std::function<void()> m_on_sent;
     bool m_write_in_flight = false;
     bool m_ended = false;
--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -7,6 +7,7 @@
 #include "http/exchange.h"
 #include "retries/liveness.h"
 #include "retries/next_step.h"
+#include "retries/response_progress.h"
 #include "retries/retry_budget.h"
 #include "telemetry/event_log.h"
 #include "telemetry/metrics.h"
@@ -86,6 +87,7 @@
 {
     const wire_names& names = m_context.settings.names;
     const base::time_point now = base::boot_clock::now();
+    m_last_byte_at = now;
     pooled_target* target = current_target();
     if (target != nullptr) {
         target->last_response_at = now;
@@ -141,7 +143,7 @@
 
 void forward_task::start_streaming(const http::response_head& head)
 {
-    cancel_timer();
+    cancel_abandon();
     m_is_streaming = true;
     m_stream = std::make_shared<response_stream>(m_exchange, m_context.buffers);
     m_stream->start(head);
@@ -150,6 +152,7 @@
 void forward_task::on_body(std::string_view chunk)
 {
     m_response_bytes += chunk.size();
+    m_last_byte_at = base::boot_clock::now();
     if (m_buffered_head.has_value()) {
         m_buffered_body.append(chunk);
     } else if (m_is_streaming && m_stream != nullptr && m_call != nullptr) {
@@ -169,11 +172,7 @@
         record_break();
     }
     if (m_is_streaming) {
-        record_target_failure(attempt_result::broken, cause.detail);
-        end_attempt(false);
-        m_stream->abort();
-        record_end(m_status, "answer_cut");
-        finish_task();
+        abort_streaming(cause);
         return;
     }
     if (cause.kind == error_kind::cancelled) {
@@ -187,7 +186,46 @@
         return;
     }
     count_sent();
-    fail_attempt(is_late ? attempt_result::timed_out : attempt_result::broken, cause.detail);
+    if (is_late) {
+        fail_attempt(attempt_result::timed_out, retries::describe(find_delay_cause()));
+        return;
+    }
+    fail_attempt(attempt_result::broken, cause.detail);
+}
+
+void forward_task::abort_streaming(const error& cause)
+{
+    const bool is_late = cause.kind == error_kind::deadline_exceeded;
+    const retries::delay_cause delay = find_delay_cause();
+    record_target_failure(is_late ? attempt_result::timed_out : attempt_result::broken,
+                          is_late ? retries::describe(delay) : cause.detail);
+    const bool is_slow = is_late && delay == retries::delay_cause::slow_target;
+    end_attempt(is_slow ? service_time() : std::nullopt);
+    m_stream->abort();
+    record_end(m_status, is_late ? retries::to_string(delay) : "answer_cut");
+    finish_task();
+}
+
+retries::delay_cause forward_task::find_delay_cause() const
+{
+    retries::response_progress progress{m_last_byte_at, {}};
+    if (m_stream != nullptr) {
+        progress.pauses = m_stream->pauses();
+    }
+    return retries::find_delay_cause(progress, base::boot_clock::now());
+}
+
+bool forward_task::has_answered_others(const pooled_target& target) const
+{
+    return target.last_response_at > m_last_byte_at.value_or(m_sent_at);
+}
+
+std::optional<base::duration> forward_task::service_time() const
+{
+    if (m_stream != nullptr && m_stream->pauses().was_paused) {
+        return std::nullopt;
+    }
+    return base::boot_clock::now() - m_sent_at;
 }
 
 void forward_task::count_sent()
@@ -210,7 +248,11 @@
             on_success(*target);
         }
     }
-    end_attempt(m_status < first_failure_status);
+    const bool is_success = m_status < first_failure_status;
+    if (is_success) {
+        record_transfer();
+    }
+    end_attempt(is_success ? service_time() : std::nullopt);
     if (const auto cleared =
             on_response_completed(m_context.crashes, m_fingerprint, base::boot_clock::now())) {
         publish(m_context, {*cleared});
@@ -253,17 +295,19 @@
     });
 }
 
-void forward_task::end_attempt(bool is_success)
+void forward_task::record_transfer()
+{
+    if (const pooled_target* target = current_target(); target != nullptr) {
+        on_transferred(pool_of(m_context, m_service), *target, m_sent,
+                       m_exchange->body().size() + m_response_bytes, base::boot_clock::now());
+    }
+}
+
+void forward_task::end_attempt(std::optional<base::duration> service_time)
 {
-    target_pool& pool = pool_of(m_context, m_service);
-    const base::time_point now = base::boot_clock::now();
     if (pooled_target* target = current_target(); target != nullptr) {
-        on_ended(pool, *target, m_sent, is_success ? std::optional(now - m_sent_at) : std::nullopt,
-                 now);
-        if (is_success) {
-            on_transferred(pool, *target, m_sent, m_exchange->body().size() + m_response_bytes,
-                           now);
-        }
+        on_ended(pool_of(m_context, m_service), *target, m_sent, service_time,
+                 base::boot_clock::now());
     }
     m_response_bytes = 0;
     m_target = {};
@@ -276,8 +320,10 @@
         (result == attempt_result::rejected && !rejects_despite_free_slots(*target))) {
         return;
     }
-    if (result == attempt_result::timed_out && target->last_response_at > m_sent_at) {
-        return; // It is at work on other requests, so it is busy rather than broken.
+    if (result == attempt_result::timed_out &&
+        (has_answered_others(*target) ||
+         find_delay_cause() != retries::delay_cause::silent_target)) {
+        return; // It is at work on this or other requests, so it is busy rather than broken.
     }
     const base::time_point now = base::boot_clock::now();
     const bool is_hard = result == attempt_result::not_sent ||
@@ -303,7 +349,7 @@
 {
     const std::string detail(cause);
     const base::time_point now = base::boot_clock::now();
-    cancel_timer();
+    cancel_abandon();
     m_buffered_head.reset();
     m_buffered_body.clear();
     // A request that may have ended two targets in a row is not sent to a third one at once.
@@ -312,7 +358,9 @@
         (m_is_trial || has_crashed_before(m_context.crashes, m_fingerprint, m_sent_at));
     record_target_failure(result, detail);
     const base::target_id target = m_target;
-    end_attempt(false);
+    const bool is_slow = result == attempt_result::timed_out &&
+                         find_delay_cause() == retries::delay_cause::slow_target;
+    end_attempt(is_slow ? service_time() : std::nullopt);
     const auto call = std::move(m_call);
     retries::next_step step = plan_next(result);
     retries::retry_budget& budget = pool_of(m_context, m_service).budget;
@@ -368,7 +416,7 @@
     }
     m_call.reset();
     if (!m_target.value().empty()) {
-        end_attempt(false);
+        end_attempt(std::nullopt);
     }
     return_unused_token();
     record_end(0, "caller_gone");
@@ -383,7 +431,7 @@
     m_may_have_run = m_may_have_run || (m_call != nullptr && m_call->request_sent());
     m_call.reset();
     if (!m_target.value().empty()) {
-        end_attempt(false);
+        end_attempt(std::nullopt);
     }
     refuse({m_may_have_run ? error_kind::deadline_exceeded : error_kind::stopping,
             "this host has stopped"});
@@ -391,7 +439,7 @@
 
 void forward_task::finish_task()
 {
-    cancel_timer();
+    cancel_abandon();
     m_is_finished = true;
     m_context.tasks.erase(shared_from_this());
 }
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -111,7 +111,6 @@
     if (const auto time_left = read_time_left(head.headers, names.time_left)) {
         m_deadline = m_arrived + *time_left;
     }
-    m_caller_deadline = m_deadline;
     if (m_route->time_limit.count() > 0) {
         m_deadline = std::min<base::time_point>(m_deadline, m_arrived + m_route->time_limit);
     }
@@ -280,6 +279,7 @@
     m_target = target.entry.id;
     m_rank = placement.rank;
     m_sent_at = now;
+    m_last_byte_at.reset();
     m_tried.push_back(m_target);
     m_sent = on_sent(pool, target, traits(), placement.wait, now);
 
@@ -287,8 +287,7 @@
     request.address = target.entry.address;
     request.head = make_head(target, now);
     request.body = std::string(m_exchange->body());
-    // A response that has started may continue until the caller's own deadline.
-    request.deadline = m_caller_deadline;
+    request.deadline = m_deadline;
     // Without an id, only a connection of its own shows that a response belongs to the request.
     request.needs_new_connection = !is_idempotent() && m_id.empty();
     request.before_write = [weak = weak_from_this()](http::request_head& head) {
@@ -296,35 +295,33 @@
         return self != nullptr && self->refresh_before_write(head);
     };
     m_call = m_context.client.send(std::move(request), make_callbacks());
-    arm_timer(attempt_deadline(placement, now));
+    schedule_abandon(attempt_deadline(placement, now));
 }
 
-void forward_task::arm_timer(base::time_point deadline)
+void forward_task::schedule_abandon(base::time_point time)
 {
-    m_timer = m_context.loop.schedule(deadline, [weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (self != nullptr) {
-            self->m_timer = 0;
-            self->on_time_out();
+    if (time >= m_deadline) {
+        return;
+    }
+    m_abandon_timer = m_context.loop.schedule(time, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->m_abandon_timer = 0;
+            self->abandon_attempt();
         }
     });
 }
 
-void forward_task::cancel_timer()
+void forward_task::cancel_abandon()
 {
-    if (m_timer != 0) {
-        m_context.loop.cancel(std::exchange(m_timer, 0));
+    if (m_abandon_timer != 0) {
+        m_context.loop.cancel(std::exchange(m_abandon_timer, 0));
     }
 }
 
-void forward_task::on_time_out()
+void forward_task::abandon_attempt()
 {
-    if (m_is_finished || m_is_streaming || m_call == nullptr) {
-        return;
-    }
-    const base::time_point now = base::boot_clock::now();
-    if (now < m_deadline && !may_abandon(now)) {
-        arm_timer(m_deadline);
+    if (m_is_finished || m_is_streaming || m_call == nullptr ||
+        !may_abandon(base::boot_clock::now())) {
         return;
     }
     if (!m_call->request_sent()) {
@@ -402,7 +399,7 @@
         on_caller_disconnected();
         return;
     }
-    end_attempt(false);
+    end_attempt(std::nullopt);
     refuse({m_may_have_run ? error_kind::deadline_exceeded : error_kind::deadline_not_run,
             "the deadline passed before a connection to the target was there"});
 }
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -10,6 +10,7 @@
 #include "base/types/ids.h"
 #include "http/client.h"
 #include "retries/types/next_step.h"
+#include "retries/types/response_progress.h"
 #include "routing/types/route_table.h"
 
 #include <cstdint>
@@ -71,11 +72,11 @@
     base::time_point attempt_deadline(const affinity::placement& placement,
                                       base::time_point now) const;
     http::call_callbacks make_callbacks();
-    void arm_timer(base::time_point deadline);
-    void cancel_timer();
-    void on_time_out();
-    /// Whether the current attempt may be abandoned for another target: the target has sent no
-    /// response since the attempt started, and another target has room for the request.
+    void schedule_abandon(base::time_point time);
+    void cancel_abandon();
+    void abandon_attempt();
+    /// Whether the current attempt may be abandoned for another target: the target is silent, also
+    /// to other requests, and another target has room for the request.
     bool may_abandon(base::time_point now);
 
     void on_head(const http::response_head& head);
@@ -102,8 +103,17 @@
     void record_break();
     /// Finds out whether the current target has ended, if requests broke there without a response.
     void check_target();
-    void end_attempt(bool is_success);
+    /// `service_time`: what the target needed; empty if it is unknown.
+    void end_attempt(std::optional<base::duration> service_time);
+    void record_transfer();
+    /// Empty if the caller has delayed the response.
+    std::optional<base::duration> service_time() const;
     void start_streaming(const http::response_head& head);
+    /// Aborts a response of which the caller has received a part.
+    void abort_streaming(const base::error& cause);
+    retries::delay_cause find_delay_cause() const;
+    /// Whether the target has sent anything to others since it last sent something to this request.
+    bool has_answered_others(const pooled_target& target) const;
     void refuse(const base::error& cause);
     void record_end(int status, std::string_view outcome);
     void finish_task();
@@ -120,8 +130,9 @@
     std::uint64_t m_object = 0;
     std::uint64_t m_fingerprint = 0; ///< Same for all repetitions of this request.
     base::time_point m_arrived;
-    base::time_point m_deadline;        ///< For the first byte of the response.
-    base::time_point m_caller_deadline; ///< For the whole response.
+    /// The target's whole response has to be there by then: the earlier one of the caller's and the
+    /// route's.
+    base::time_point m_deadline;
     base::duration m_retry_after{0};
     bool m_is_trial = false;  ///< Tries whether the request still crashes its target.
     bool m_has_token = false; ///< Whether a token of the account's share was taken.
@@ -133,8 +144,8 @@
     sent_request m_sent;
     std::size_t m_response_bytes = 0;
     std::uint32_t m_rank = 0;
-    /// Time-out of the attempt, until its response is streamed; 0: not set.
-    std::uint64_t m_timer = 0;
+    std::optional<base::time_point> m_last_byte_at;     ///< Empty until the response begins.
+    std::uint64_t m_abandon_timer = 0;                  ///< 0: not set.
     std::optional<http::response_head> m_buffered_head; ///< Head of a response that is buffered.
     std::string m_buffered_body;
 
--- a/src/apps/host/tests/host_fixture.cpp
+++ b/src/apps/host/tests/host_fixture.cpp
@@ -67,7 +67,8 @@
 }
 
 host_fixture::host_fixture(const std::string& config, std::chrono::milliseconds leave_delay,
-                           std::chrono::milliseconds stop_deadline)
+                           std::chrono::milliseconds stop_deadline,
+                           const std::string& metrics_address)
     : store(loop), m_client(loop, {})
 {
     settings.host = base::host_id("h1");
@@ -80,6 +81,7 @@
     settings.names = platform_adapter::make_names();
     settings.leave_delay = leave_delay;
     settings.stop_deadline = stop_deadline;
+    settings.metrics_address = metrics_address;
     if (!config.empty()) {
         store.set("op", "config", config);
     }
--- a/src/apps/host/tests/host_fixture.h
+++ b/src/apps/host/tests/host_fixture.h
@@ -51,7 +51,8 @@
     /// Starts the host; `config` is the value of the operators' configuration row; empty: no row.
     explicit host_fixture(const std::string& config,
                           std::chrono::milliseconds leave_delay = std::chrono::milliseconds(100),
-                          std::chrono::milliseconds stop_deadline = std::chrono::seconds(20));
+                          std::chrono::milliseconds stop_deadline = std::chrono::seconds(20),
+                          const std::string& metrics_address = "");
 
     /// Registers a target with 4 slots for service "svc".
     void add_target(const std::string& id, const std::string& address, int sequence = 1);
