Retry idempotent requests whose target falls silent in its response

Cause: an attempt is abandoned for another target only if the current one has not responded since it was sent. The head of the request's own response counted, so a GET whose target fell silent behind the head of a short response, of which the caller has received nothing, waited for the deadline and ended with 504.

Change: only responses to other requests since the last byte of this one show that the target is at work, and a target that is still sending is not abandoned. The attempt is counted once.

Test: host_response_deadline_test, "an idempotent request leaves a target that falls silent in its response".

--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -336,11 +336,12 @@
 bool forward_task::may_abandon(base::time_point now)
 {
     const pooled_target* target = current_target();
-    if (m_context.is_leaving || (target != nullptr && target->last_response_at > m_sent_at)) {
+    if (m_context.is_leaving || (target != nullptr && has_answered_others(*target)) ||
+        find_delay_cause() != retries::delay_cause::silent_target) {
         return false;
     }
     retries::request_progress progress = make_progress();
-    ++progress.sent_attempts;
+    progress.sent_attempts += m_last_byte_at.has_value() ? 0 : 1;
     progress.may_have_run = true;
     if (!retries::decide_next(attempt_result::timed_out, progress).retry) {
         return false;
--- a/src/apps/host/tests/response_deadline_test.cpp
+++ b/src/apps/host/tests/response_deadline_test.cpp
@@ -213,6 +213,19 @@
     close(caller);
 }
 
+// Guards against idempotent requests that wait for a silent target until their time is over,
+// although another target could answer.
+TEST_CASE("an idempotent request leaves a target that falls silent in its response")
+{
+    late_target target({with_length + "whole "});
+    target.max_late_requests = 1;
+    late_fixture host(target, 2, "4s");
+    const reply got = host.send("/safe/x", with_key);
+    CHECK(got.status == 200);
+    CHECK(got.body == "whole answer");
+    CHECK(target.late_requests == 1);
+}
+
 // Guards against targets that are avoided because their callers read slowly, and against silent
 // targets that get further requests because they have begun a response.
 TEST_CASE("the cause of a late response decides about its target")
