entry: tell silent targets, slow targets and slow callers apart

Cause: snipeshore-entry recorded each response that was incomplete at its deadline as a failure of the target, also if the caller had not read it, and the time of responses that callers read slowly as the target's latency, which hedges and choices are derived from.

Change: the same cause as in snipeshore-host decides: a silent target has failed, a slow one counts with its time, a slow caller is not counted. request_done and the metric name the cause.

Test: entry_test, "the cause of a response that is incomplete at its deadline decides about its target".

--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -16,6 +16,7 @@
 #include "http/loop.h"
 #include "retries/decide.h"
 #include "retries/quarantine.h"
+#include "retries/response_progress.h"
 #include "retries/retry_budget.h"
 #include "targets/forwarded_head.h"
 #include "targets/response_signals.h"
@@ -58,6 +59,20 @@
     return status >= 500 ? balancing::outcome::failure : balancing::outcome::success;
 }
 
+/// Outcome of a response that was incomplete at its deadline.
+balancing::outcome outcome_of(retries::delay_cause delay)
+{
+    switch (delay) {
+    case retries::delay_cause::silent_target:
+        return balancing::outcome::failure;
+    case retries::delay_cause::slow_target:
+        return balancing::outcome::success; // The balancer learns the time that the target takes.
+    case retries::delay_cause::slow_caller:
+        break;
+    }
+    return balancing::outcome::cancelled;
+}
+
 } // namespace
 
 void request_task::start(entry_services& services, std::shared_ptr<http::exchange> exchange)
@@ -334,7 +349,7 @@
     // Without the echo, only a connection of its own shows that a response belongs to the request.
     const bool expects_echo = m_pool->echoes_attempts[target];
     request.needs_new_connection = is_non_idempotent() && !expects_echo;
-    m_open_attempts.push_back({number, target, now, id, expects_echo, nullptr});
+    m_open_attempts.push_back({number, target, now, id, expects_echo, std::nullopt, nullptr});
     m_open_attempts.back().call =
         m_services.client.send(std::move(request), make_callbacks(number));
     consider_hedge();
@@ -400,10 +415,11 @@
 void request_task::on_head(unsigned number, const http::response_head& head)
 {
     m_has_sent = true;
-    const attempt* current = find_attempt(number);
+    attempt* current = find_attempt(number);
     if (current == nullptr || m_winner != 0) {
         return;
     }
+    current->last_byte_at = base::boot_clock::now();
     if (!is_own_response(*current, head)) {
         end_attempt(number, balancing::outcome::failure);
         decide_after_failure(
@@ -488,6 +504,7 @@
     if (m_stream == nullptr || current == nullptr || number != m_winner) {
         return;
     }
+    current->last_byte_at = base::boot_clock::now();
     if (is_non_idempotent() && !m_is_response_too_large_to_cache) {
         m_is_response_too_large_to_cache =
             m_cached_response.body.size() + chunk.size() > max_cached_response_bytes;
@@ -510,7 +527,8 @@
 void request_task::on_end(unsigned number, const http::call_end& end)
 {
     m_has_sent = m_has_sent || end.request_sent;
-    if (find_attempt(number) == nullptr) {
+    const attempt* current = find_attempt(number);
+    if (current == nullptr) {
         return;
     }
     if (base::is_ok(end.outcome)) {
@@ -519,10 +537,7 @@
     }
     const error cause = base::error_of(end.outcome);
     if (m_stream != nullptr) {
-        m_stream->abort();
-        end_attempt(number, balancing::outcome::failure);
-        record_end(m_status, base::response_for(cause.kind).name);
-        finish_task();
+        abort_streaming(*current, cause);
         return;
     }
     const bool is_broken = end.request_sent && (cause.kind == error_kind::target_failed ||
@@ -535,12 +550,30 @@
     decide_after_failure(cause);
 }
 
+void request_task::abort_streaming(const attempt& current, const error& cause)
+{
+    const bool is_late = cause.kind == error_kind::deadline_exceeded;
+    const retries::delay_cause delay = retries::find_delay_cause(
+        {current.last_byte_at, m_stream->pauses()}, base::boot_clock::now());
+    m_stream->abort();
+    end_attempt(current.number, is_late ? outcome_of(delay) : balancing::outcome::failure);
+    record_end(m_status, is_late ? retries::to_string(delay) : base::response_for(cause.kind).name);
+    finish_task();
+}
+
 void request_task::on_complete(unsigned number)
 {
     const attempt* current = find_attempt(number);
-    add_latency(m_pool->latencies, base::boot_clock::now() - current->started);
+    // The time of a response that its caller delayed says nothing about the target.
+    const bool is_delayed = m_stream->pauses().was_paused;
+    if (!is_delayed) {
+        add_latency(m_pool->latencies, base::boot_clock::now() - current->started);
+    }
     m_stream->detach_call();
-    end_attempt(number, m_is_shed ? balancing::outcome::load_shed : outcome_of(m_status));
+    const bool is_success = outcome_of(m_status) == balancing::outcome::success;
+    end_attempt(number, m_is_shed                  ? balancing::outcome::load_shed
+                        : is_success && is_delayed ? balancing::outcome::cancelled
+                                                   : outcome_of(m_status));
     m_services.crashes.on_success(m_fingerprint);
     if (is_non_idempotent() && !m_is_response_too_large_to_cache) {
         m_services.tickets.complete(*m_claim, std::move(m_cached_response));
--- a/src/apps/entry/request_task.h
+++ b/src/apps/entry/request_task.h
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -67,8 +68,9 @@
         unsigned number = 0;
         std::uint32_t target = 0;
         base::time_point started;
-        std::string id;            ///< Echoed by targets in their responses.
-        bool expects_echo = false; ///< The target echoed ids before the attempt.
+        std::string id;                               ///< Echoed by targets in their responses.
+        bool expects_echo = false;                    ///< The target echoed ids before the attempt.
+        std::optional<base::time_point> last_byte_at; ///< Empty until the response begins.
         std::unique_ptr<http::client_call> call;
     };
 
@@ -81,6 +83,8 @@
     void on_end(unsigned number, const http::call_end& end);
     void on_complete(unsigned number);
     void on_connection_broken(unsigned number, const base::error& cause);
+    /// Aborts a response of which the caller has received a part.
+    void abort_streaming(const attempt& current, const base::error& cause);
     attempt* find_attempt(unsigned number);
     void end_attempt(unsigned number, balancing::outcome result);
     void end_other_attempts(unsigned winner);
--- a/src/apps/entry/tests/request_task_test.cpp
+++ b/src/apps/entry/tests/request_task_test.cpp
@@ -7,6 +7,7 @@
 #include "apps/entry/ticket_service.h"
 #include "http/exchange.h"
 #include "http/server.h"
+#include "http/tests/late_target.h"
 #include "http/tests/test_support.h"
 #include "inner/node.h"
 #include "telemetry/metrics.h"
@@ -106,9 +107,27 @@
         return m_server.bound_address();
     }
 
-    reply send_safe(const std::string& path = "/safe")
+    reply send_safe(const std::string& path = "/safe", const http::header_list& headers = {})
     {
-        return send(get(m_server.bound_address(), path));
+        http::client_request request = get(m_server.bound_address(), path);
+        request.head.headers = headers;
+        return send(request);
+    }
+
+    /// Waits until no request is in progress.
+    void await_end()
+    {
+        REQUIRE(run_until(m_loop, [&] { return m_services.tasks.empty(); }));
+    }
+
+    void await_request(const late_target& target)
+    {
+        REQUIRE(run_until(m_loop, [&] { return target.late_requests > 0; }));
+    }
+
+    const balancing::target_state& target_state() const
+    {
+        return m_services.pools.begin()->second.balancer.targets.front();
     }
 
 private:
@@ -315,6 +334,41 @@
     }
 }
 
+// Guards against targets that are avoided because their callers read slowly, and against silent or
+// slow targets that count as good ones.
+TEST_CASE("the cause of a response that is incomplete at its deadline decides about its target")
+{
+    const http::header_list one_second{{"snipeshore-deadline-ms", "1000"}};
+    SUBCASE("a silent target has failed")
+    {
+        late_target target({with_length + "whole "});
+        entry_fixture entry(target.address());
+        CHECK(entry.send_safe("/safe/x", one_second).status == 0);
+        CHECK(entry.target_state().failures_in_row == 1);
+    }
+    SUBCASE("a slow target has been slow")
+    {
+        late_target target(drip);
+        entry_fixture entry(target.address());
+        CHECK(entry.send_safe("/safe/x", one_second).status == 0);
+        CHECK(entry.target_state().failures_in_row == 0);
+        CHECK(entry.target_state().latency_ms > 0);
+    }
+    SUBCASE("that of a slow caller is neither")
+    {
+        late_target target(flood);
+        entry_fixture entry(target.address());
+        const int caller = connect_to(entry.address(), 4096);
+        write_all(caller, "GET /safe/x HTTP/1.1\r\nhost: test\r\n"
+                          "snipeshore-deadline-ms: 1000\r\n\r\n");
+        entry.await_request(target);
+        entry.await_end();
+        CHECK(entry.target_state().failures_in_row == 0);
+        CHECK(entry.target_state().latency_ms == 0);
+        close(caller);
+    }
+}
+
 // Guards against work for callers that have left, as `host_late_request_test` does: the loop finds
 // the request and the close at once.
 TEST_CASE("a request whose caller has left by the time it is read is sent to no target")
