entry_test: late responses over TLS, with HTTP/1.1 and HTTP/2

Guards against callers that are held past the deadline over the other transports, and against a late response that looks complete there.

--- a/src/apps/entry/tests/request_task_test.cpp
+++ b/src/apps/entry/tests/request_task_test.cpp
@@ -8,6 +8,7 @@
 #include "http/exchange.h"
 #include "http/server.h"
 #include "http/tests/late_target.h"
+#include "http/tests/test_certificate.h"
 #include "http/tests/test_support.h"
 #include "inner/node.h"
 #include "telemetry/metrics.h"
@@ -72,7 +73,8 @@
 /// The part of an entry process that forwards requests, with one target.
 class entry_fixture {
 public:
-    explicit entry_fixture(const std::string& target_address)
+    explicit entry_fixture(const std::string& target_address,
+                           const test_certificate* certificate = nullptr)
         : m_server(m_loop, [this](std::shared_ptr<http::exchange> exchange) {
               apps::request_task::start(m_services, std::move(exchange));
           })
@@ -85,6 +87,10 @@
         apps::update_pool(pool, service, m_fleet, identity.host, identity.failure_domain, now);
         http::server_settings settings;
         settings.address = "127.0.0.1:0";
+        if (certificate != nullptr) {
+            settings.certificate_file = certificate->certificate();
+            settings.key_file = certificate->key();
+        }
         REQUIRE(base::is_ok(m_server.listen(settings)));
     }
 
@@ -102,6 +108,11 @@
         return send(request);
     }
 
+    command_result run(const std::string& command)
+    {
+        return run_command(m_loop, command);
+    }
+
     std::string address() const
     {
         return m_server.bound_address();
@@ -369,6 +380,36 @@
     }
 }
 
+// Guards against late responses that look complete, and against callers that are held by them, over
+// the other transports.
+TEST_CASE("a response that is incomplete at its deadline ends visibly over TLS")
+{
+    const test_certificate files;
+    late_target target({with_chunks + "6\r\nwhole \r\n"});
+    entry_fixture entry(target.address(), &files);
+    std::string version;
+    int expected_code = 0;
+    SUBCASE("with HTTP/1.1")
+    {
+        constexpr int curl_partial_file = 18;
+        version = "--http1.1";
+        expected_code = curl_partial_file;
+    }
+    SUBCASE("with HTTP/2")
+    {
+        constexpr int curl_http2_stream = 92;
+        version = "--http2";
+        expected_code = curl_http2_stream;
+    }
+    const command_result seen =
+        entry.run("curl -sS --max-time 25 --cacert " + files.certificate() + " " + version +
+                  " -H 'host: test' -H 'snipeshore-deadline-ms: 1000' https://" + entry.address() +
+                  "/safe/x");
+    CHECK(seen.code == expected_code);
+    CHECK(seen.output.find("whole ") != std::string::npos);
+    CHECK(entry.target_state().failures_in_row == 1);
+}
+
 // Guards against work for callers that have left, as `host_late_request_test` does: the loop finds
 // the request and the close at once.
 TEST_CASE("a request whose caller has left by the time it is read is sent to no target")
--- a/src/http/tests/server_test.cpp
+++ b/src/http/tests/server_test.cpp
@@ -29,26 +29,6 @@
     });
 }
 
-struct command_result {
-    int code = 0;
-    std::string output;
-};
-
-command_result run_command(loop& event_loop, const std::string& command)
-{
-    return run_in_thread(event_loop, [&] {
-        command_result seen;
-        FILE* pipe = popen((command + " 2>&1").c_str(), "r");
-        std::array<char, 4096> chunk{};
-        std::size_t count = 0;
-        while ((count = fread(chunk.data(), 1, chunk.size(), pipe)) > 0) {
-            seen.output.append(chunk.data(), count);
-        }
-        seen.code = WEXITSTATUS(pclose(pipe));
-        return seen;
-    });
-}
-
 constexpr int frame_data = 0;
 constexpr int frame_headers = 1;
 constexpr int frame_reset = 3;
--- a/src/http/tests/test_support.cpp
+++ b/src/http/tests/test_support.cpp
@@ -10,6 +10,8 @@
 
 #include <array>
 #include <cerrno>
+#include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <stdexcept>
 #include <utility>
@@ -327,4 +329,19 @@
     state->call = http_client.send(std::move(request), std::move(callbacks));
 }
 
+command_result run_command(loop& event_loop, const std::string& command)
+{
+    return run_in_thread(event_loop, [&] {
+        command_result seen;
+        FILE* pipe = popen((command + " 2>&1").c_str(), "r");
+        std::array<char, 4096> chunk{};
+        std::size_t count = 0;
+        while ((count = fread(chunk.data(), 1, chunk.size(), pipe)) > 0) {
+            seen.output.append(chunk.data(), count);
+        }
+        seen.code = WEXITSTATUS(pclose(pipe));
+        return seen;
+    });
+}
+
 } // namespace snipeshore::http::tests
--- a/src/http/tests/test_support.h
+++ b/src/http/tests/test_support.h
@@ -134,6 +134,14 @@
 /// Writes the text to a connection that the caller closes next; determines how it ends then.
 void write_and_end(int descriptor, const std::string& text, connection_end how);
 
+struct command_result {
+    int code = 0;
+    std::string output;
+};
+
+/// Runs a shell command while the loop runs.
+command_result run_command(loop& event_loop, const std::string& command);
+
 /// Everything that the callbacks of a call reported.
 struct call_record {
     std::optional<response_head> head;
