Count the time of a request from its first bytes

Cause: received_at was the arrival of the connection's last bytes, so the deadline, the timeout and the time left for targets began with the end of the body. Ruled out: time lost behind the handler (refresh_before_write counts from the arrival).

Change: a request has arrived when h2o read the first bytes of its head, or when its last bytes came if that was earlier. h2o's stamp is of the wall clock; if the clock was set since the connection's last request, only the kernel's answer counts.

Tests: http_test, "a request has arrived when its first bytes have", and host_late_request_test, "the time in which a body arrives is taken off the deadline". Both pass now.

--- a/src/apps/host/tests/late_request_test.cpp
+++ b/src/apps/host/tests/late_request_test.cpp
@@ -142,3 +142,49 @@
     }
     close(connection);
 }
+
+// Guards against targets that run a request for a caller whose time has passed while it sent the
+// body: the time began with the last byte.
+TEST_CASE("the time in which a body arrives is taken off the deadline")
+{
+    host_fixture host(plain_config);
+    std::vector<int> times_left;
+    test_target target(host.loop, [&](const std::shared_ptr<http::exchange>& request) {
+        const auto left = http::find_header(request->head().headers, "x-deadline-ms");
+        times_left.push_back(std::stoi(std::string(left.value_or("-1"))));
+        respond_success(request);
+    });
+    host.add_target("t1", target.address());
+    host.await_targets(1);
+    std::string framing = "content-length: 4";
+    std::string first = "bo";
+    std::string rest = "dy";
+    const auto send_slowly = [&](const std::string& time_left) {
+        std::string head = make_request("POST", "/once/x", time_left);
+        head.replace(head.find("content-length: 0"), 17, framing);
+        const int connection = http::tests::connect_to(host.settings.entry_address);
+        http::tests::write_all(connection, head + first);
+        const base::time_point end = base::boot_clock::now() + 300ms;
+        REQUIRE(host.run_until([&] { return base::boot_clock::now() > end; }));
+        http::tests::write_all(connection, rest);
+        REQUIRE(host.run_until([&] { return http::tests::has_bytes(connection); }));
+        std::string got = read_bytes(connection);
+        close(connection);
+        return got;
+    };
+    SUBCASE("with a length") {}
+    SUBCASE("in chunks")
+    {
+        framing = "transfer-encoding: chunked";
+        first = "2\r\nbo\r\n";
+        rest = "2\r\ndy\r\n0\r\n\r\n";
+    }
+    const std::string late = send_slowly("200");
+    CHECK(late.starts_with("HTTP/1.1 503"));
+    CHECK(late.find("\"not_run\":true") != std::string::npos);
+    CHECK(times_left.empty());
+    CHECK(send_slowly("1500").starts_with("HTTP/1.1 200"));
+    REQUIRE(times_left.size() == 1);
+    CHECK(times_left.front() <= 1200);
+    CHECK(times_left.front() > 0);
+}
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -27,8 +27,8 @@
     /// Address of the caller, "ip:port".
     virtual const std::string& peer_address() const = 0;
 
-    /// When the last bytes of the request arrived; earlier than the time at which the loop read
-    /// them if the loop was busy.
+    /// When the first bytes of the request arrived, as far as it is known. Bytes that waited for a
+    /// busy loop count from the arrival of the last of them.
     virtual base::time_point received_at() const = 0;
 
     /// Whether the caller has not closed its end of the connection. Asks the kernel, because a busy
--- a/src/http/internal/connection_state.cpp
+++ b/src/http/internal/connection_state.cpp
@@ -28,6 +28,12 @@
     return now - std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
+base::duration wall_clock_offset()
+{
+    return std::chrono::system_clock::now().time_since_epoch() -
+           base::boot_clock::now().time_since_epoch();
+}
+
 bool has_undelivered_bytes(int descriptor)
 {
     int bytes = 0;
--- a/src/http/internal/connection_state.h
+++ b/src/http/internal/connection_state.h
@@ -11,6 +11,9 @@
 /// When the last bytes arrived, whether they were read or not; now if the kernel does not tell.
 base::time_point last_bytes_received_at(int descriptor);
 
+/// Difference of the wall clock to the boot clock.
+base::duration wall_clock_offset();
+
 /// Whether the peer has not acknowledged everything that was written to the connection.
 bool has_undelivered_bytes(int descriptor);
 
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -8,7 +8,9 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <new>
+#include <optional>
 #include <utility>
 
 namespace snipeshore::http {
@@ -65,6 +67,33 @@
     return std::find(h2o_headers.begin(), h2o_headers.end(), name) != h2o_headers.end();
 }
 
+/// h2o stamps requests with the wall clock. A larger change of its offset since the last request of
+/// the connection is a step of the clock; adjustments by NTP are below 0.5 ms a second.
+constexpr std::chrono::milliseconds max_clock_adjustment{100};
+
+/// When h2o read the first bytes of the request; empty if the wall clock was set meanwhile.
+std::optional<base::time_point> first_bytes_read_at(const h2o_req_t& request,
+                                                    server_connection& connection)
+{
+    const base::duration offset = wall_clock_offset();
+    const base::duration before = std::exchange(connection.wall_clock_offset, offset);
+    const timeval& begin = request.timestamps.request_begin_at;
+    if (begin.tv_sec == 0 || std::chrono::abs(offset - before) > max_clock_adjustment) {
+        return std::nullopt;
+    }
+    const base::duration wall_time =
+        std::chrono::seconds(begin.tv_sec) + std::chrono::microseconds(begin.tv_usec);
+    return base::time_point(wall_time - offset);
+}
+
+base::time_point arrival_of(const h2o_req_t& request)
+{
+    server_connection& connection = *connection_of(request);
+    const base::time_point last_bytes_at = last_bytes_received_at(connection.descriptor);
+    return std::min(last_bytes_at,
+                    first_bytes_read_at(request, connection).value_or(last_bytes_at));
+}
+
 /// Makes the connection close with a reset, which no client treats as the end of a response.
 void reset_on_close(int descriptor)
 {
@@ -109,7 +138,7 @@
 server_exchange::server_exchange(server::impl& owner, h2o_req_t& request)
     : m_owner(&owner), m_loop(&owner.owner), m_request(&request),
       m_is_last_of_caller(request.http1_is_persistent == 0 && !owner.is_draining()),
-      m_received_at(last_bytes_received_at(connection_of(request)->descriptor))
+      m_received_at(arrival_of(request))
 {
     m_generator.super.proceed = on_proceed;
     m_generator.super.stop = on_stop;
--- a/src/http/internal/server_impl.h
+++ b/src/http/internal/server_impl.h
@@ -1,6 +1,7 @@
 /// @file State of a server; internal to the module.
 #pragma once
 
+#include "base/time.h"
 #include "http/internal/caller_watch.h"
 #include "http/internal/h2o.h"
 #include "http/internal/lingering_connections.h"
@@ -125,6 +126,7 @@
     int lingering_descriptor = -1; ///< Keeps the socket open after h2o has closed it; -1: unset.
     bool is_http2 = false;
     bool has_caller_disconnected = false;
+    base::duration wall_clock_offset{0}; ///< To the boot clock, at the start of the last request.
     std::weak_ptr<server_exchange> running; ///< HTTP/1 only: the request in progress.
     std::deque<std::shared_ptr<pipelined_exchange>> pipelined; ///< The requests after it, in order.
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "base/time.h"
+#include "http/internal/connection_state.h"
 #include "http/internal/pipelined_exchange.h"
 #include "http/internal/server_exchange.h"
 #include "http/internal/server_impl.h"
@@ -237,6 +238,7 @@
     connection->owner = this;
     connection->socket = socket;
     connection->descriptor = h2o_socket_get_fd(socket);
+    connection->wall_clock_offset = wall_clock_offset();
     socket->on_close.cb = on_connection_closed;
     socket->on_close.data = connection.get();
     enable_keep_alive(connection->descriptor);
--- a/src/http/tests/server_test.cpp
+++ b/src/http/tests/server_test.cpp
@@ -523,6 +523,41 @@
     CHECK(base::is_ok(second.end->outcome));
 }
 
+// Guards against deadlines that begin when the body is complete, so that targets work for callers
+// whose time is over, and against deadlines that begin while a connection is idle.
+TEST_CASE("a request has arrived when its first bytes have")
+{
+    loop event_loop;
+    std::optional<base::time_point> arrived;
+    server http_server(event_loop, [&](const std::shared_ptr<exchange>& from) {
+        arrived = from->received_at();
+        from->respond({}, "done");
+    });
+    REQUIRE(base::is_ok(http_server.listen(loopback())));
+    const auto pass_time = [&] {
+        const base::time_point end = from_now(std::chrono::milliseconds(200));
+        REQUIRE(run_until(event_loop, [&] { return base::boot_clock::now() > end; }));
+    };
+    const int caller = connect_to(http_server.bound_address());
+    for (int i = 0; i < 2; ++i) {
+        pass_time();
+        const base::time_point begin = base::boot_clock::now();
+        write_all(caller, "POST / HTTP/1.1\r\nhost: a\r\ncontent-le");
+        pass_time();
+        write_all(caller, "ngth: 8\r\n\r\nhalf");
+        pass_time();
+        CHECK(!arrived.has_value());
+        const base::time_point before_last_bytes = begin + std::chrono::milliseconds(200);
+        write_all(caller, "rest");
+        REQUIRE(run_until(event_loop, [&] { return arrived.has_value(); }));
+        CHECK(*arrived < before_last_bytes);
+        // The kernel and h2o tell times in whole milliseconds.
+        CHECK(*arrived > begin - std::chrono::milliseconds(50));
+        arrived.reset();
+    }
+    close(caller);
+}
+
 TEST_CASE("connections over the limit wait until one closes")
 {
     loop event_loop;
