Refuse requests whose bodies are not complete at their deadline

Cause: h2o 2.2 calls a handler only when the body is complete, so no deadline was known before. Only h2o's time limit, which is also that of idle connections, ended the request. Ruled out: a timer in the handlers, which do not get the request.

Change: 100 ms after bytes of a caller, and at the deadlines found so, the server looks at the unfinished requests that h2o lists and refuses those that are late with 408 request_incomplete. The refusal is written past h2o, which is then told that the caller has closed, so the request cannot run behind its refusal. Host and entry give the deadline of a request by the same functions as for complete ones.

--- a/src/apps/entry/entry_app.cpp
+++ b/src/apps/entry/entry_app.cpp
@@ -59,6 +59,12 @@
 
 base::status entry_app::start()
 {
+    m_server.limit_bodies({[this](const http::request_head& head, base::time_point arrived) {
+                               return body_deadline(m_services, head, arrived);
+                           },
+                           [this](const http::request_head& head) {
+                               return refuse_unfinished(m_services, head);
+                           }});
     base::status started = m_node.start({}, make_service());
     if (base::is_ok(started)) {
         started = m_server.listen(m_settings.server);
--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -75,6 +75,39 @@
 
 } // namespace
 
+base::time_point body_deadline(const entry_services& services, const http::request_head& head,
+                               base::time_point arrived)
+{
+    const auto& config = services.fleet.config;
+    std::chrono::milliseconds limit = config::route{}.deadline;
+    if (config != nullptr) {
+        const auto match = match_route(*config, head.authority, head.method, head.path);
+        limit = base::is_ok(match) ? base::value_of(match).route->deadline : limit;
+    }
+    // An invalid deadline is refused when the body is complete.
+    const auto time = deadline_of(head, limit);
+    return arrived + (base::is_ok(time) ? base::value_of(time) : limit);
+}
+
+std::pair<http::response_head, std::string> refuse_unfinished(entry_services& services,
+                                                              const http::request_head& head)
+{
+    const error cause{error_kind::request_incomplete,
+                      "the deadline passed before the body was complete"};
+    const std::string id = request_id_of(head);
+    const std::string_view kind = base::response_for(cause.kind).name;
+    services.metrics
+        .counter("snipeshore_requests_total", "Requests by service and outcome.",
+                 {{"service", "unknown"}, {"outcome", std::string(kind)}})
+        .Increment();
+    telemetry::log_event(telemetry::severity::info, "refused",
+                         {{"request_id", id}, {"kind", kind}, {"cause", cause.detail}});
+    // For a request with a ticket, "not run" would cover all requests with that ticket.
+    const bool not_run = !http::find_header(head.headers, "snipeshore-ticket").has_value();
+    return {refusal_head(cause, not_run, id, std::chrono::seconds(0)),
+            base::error_body(cause, id, not_run)};
+}
+
 void request_task::start(entry_services& services, std::shared_ptr<http::exchange> exchange)
 {
     const auto task = std::make_shared<request_task>(services, std::move(exchange));
--- a/src/apps/entry/request_task.h
+++ b/src/apps/entry/request_task.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace snipeshore::config {
@@ -34,6 +35,14 @@
 struct ticket_claim;
 struct service_pool;
 
+/// When the time of a request ends whose first bytes came at `arrived`.
+base::time_point body_deadline(const entry_services& services, const http::request_head& head,
+                               base::time_point arrived);
+
+/// Records and makes the response to a request whose body was not complete at its deadline.
+std::pair<http::response_head, std::string> refuse_unfinished(entry_services& services,
+                                                              const http::request_head& head);
+
 /// Resolves the route and the key, claims the ticket, applies the account's limits, sends the
 /// request to a target and passes its response on. Must only be used on the thread of the event
 /// loop.
--- a/src/apps/entry/tests/request_task_test.cpp
+++ b/src/apps/entry/tests/request_task_test.cpp
@@ -85,6 +85,12 @@
         apps::service_pool& pool =
             m_services.pools.emplace(service.id, apps::make_pool(service, now)).first->second;
         apps::update_pool(pool, service, m_fleet, identity.host, identity.failure_domain, now);
+        m_server.limit_bodies({[this](const http::request_head& head, base::time_point arrived) {
+                                   return apps::body_deadline(m_services, head, arrived);
+                               },
+                               [this](const http::request_head& head) {
+                                   return apps::refuse_unfinished(m_services, head);
+                               }});
         http::server_settings settings;
         settings.address = "127.0.0.1:0";
         if (certificate != nullptr) {
@@ -108,6 +114,11 @@
         return send(request);
     }
 
+    std::string read_all_from(int connection)
+    {
+        return run_in_thread(m_loop, [&] { return read_all(connection); });
+    }
+
     command_result run(const std::string& command)
     {
         return run_command(m_loop, command);
@@ -380,6 +391,27 @@
     }
 }
 
+// Guards against callers that get no answer because they stopped within a body.
+TEST_CASE("a request whose body is not complete at its deadline is refused")
+{
+    late_target target({with_length});
+    entry_fixture entry(target.address());
+    std::string ticket;
+    SUBCASE("and has not run") {}
+    SUBCASE("and says nothing of other requests with its ticket")
+    {
+        ticket = "snipeshore-ticket: x\r\n";
+    }
+    const int caller = connect_to(entry.address());
+    write_all(caller, "POST /once/x HTTP/1.1\r\nhost: test\r\nsnipeshore-deadline-ms: 300\r\n" +
+                          ticket + "content-length: 4\r\n\r\nbo");
+    const std::string got = entry.read_all_from(caller);
+    CHECK(got.starts_with("HTTP/1.1 408"));
+    CHECK((got.find("snipeshore-not-run: 1") != std::string::npos) == ticket.empty());
+    CHECK(target.late_requests == 0);
+    close(caller);
+}
+
 // Guards against late responses that look complete, and against callers that are held by them, over
 // the other transports.
 TEST_CASE("a response that is incomplete at its deadline ends visibly over TLS")
--- a/src/apps/host/forward_report.cpp
+++ b/src/apps/host/forward_report.cpp
@@ -76,10 +76,7 @@
     const base::duration took = base::boot_clock::now() - m_arrived;
     const base::duration sent_after = m_tried.empty() ? base::duration{0} : m_sent_at - m_arrived;
     const std::string route = m_route == nullptr ? "none" : m_route->name;
-    m_context.metrics
-        .counter("snipeshore_requests_total", "Requests by route and outcome.",
-                 {{"route", route}, {"outcome", std::string(outcome)}})
-        .Increment();
+    count_request(m_context, route, outcome);
     if (m_sent_attempts > 0) {
         m_context.metrics
             .counter("snipeshore_target_rank_total",
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -27,9 +27,6 @@
 
 namespace {
 
-/// Time limit of a request for which neither the caller nor the route sets one.
-constexpr std::chrono::seconds default_time_limit{60};
-
 /// Subtracted from the time left for the target, so that this host's own response is in time.
 constexpr std::chrono::milliseconds response_reserve{10};
 
@@ -107,13 +104,7 @@
     const std::uint64_t random = m_context.random();
     m_service = routing::pick_service(*m_route, random);
     m_object = object_hash(head.headers, names, *m_route, random);
-    m_deadline = m_arrived + default_time_limit;
-    if (const auto time_left = read_time_left(head.headers, names.time_left)) {
-        m_deadline = m_arrived + *time_left;
-    }
-    if (m_route->time_limit.count() > 0) {
-        m_deadline = std::min<base::time_point>(m_deadline, m_arrived + m_route->time_limit);
-    }
+    m_deadline = request_deadline(head.headers, names.time_left, m_route, m_arrived);
     return {};
 }
 
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -23,6 +23,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace snipeshore::http {
@@ -30,8 +31,13 @@
 class loop;
 class server;
 struct request_head;
+struct response_head;
 } // namespace snipeshore::http
 
+namespace snipeshore::routing {
+struct route;
+}
+
 namespace snipeshore::apps {
 
 /// Belongs to the loop's thread. The store must outlive it.
@@ -62,7 +68,11 @@
 private:
     base::status listen();
     /// Whether the request may run before the earlier requests of its connection are answered.
+    /// Null if there is none.
+    const routing::route* find_route(const http::request_head& head) const;
     bool allows_pipelining(const http::request_head& head) const;
+    /// Records and makes the response to a request whose body was not complete at its deadline.
+    std::pair<http::response_head, std::string> refuse_unfinished(const http::request_head& head);
     void register_host();
     /// Registers the host again if the store has lost its registration: at once when the store has
     /// begun a later era, else from time to time.
--- a/src/apps/host/host_context.cpp
+++ b/src/apps/host/host_context.cpp
@@ -3,6 +3,9 @@
 #include "apps/host/forward_task.h"
 #include "fleet/members.h"
 #include "retries/retry_budget.h"
+#include "telemetry/metrics.h"
+
+#include <prometheus/counter.h>
 
 #include <chrono>
 
@@ -46,6 +49,14 @@
     return pool;
 }
 
+void count_request(host_context& context, const std::string& route, std::string_view outcome)
+{
+    context.metrics
+        .counter("snipeshore_requests_total", "Requests by route and outcome.",
+                 {{"route", route}, {"outcome", std::string(outcome)}})
+        .Increment();
+}
+
 void update_budgets(host_context& context)
 {
     const retries::budget_settings settings = budget_for(context);
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -16,6 +16,8 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -65,6 +67,9 @@
 /// Returns the pool of the service; creates it on first use.
 target_pool& pool_of(host_context& context, const base::service_id& service);
 
+/// Counts a request that has ended.
+void count_request(host_context& context, const std::string& route, std::string_view outcome);
+
 /// Updates the retry budgets to the number of hosts that are currently known.
 void update_budgets(host_context& context);
 
--- a/src/apps/host/host_listeners.cpp
+++ b/src/apps/host/host_listeners.cpp
@@ -1,12 +1,16 @@
 #include "apps/host/forward_task.h"
 #include "apps/host/host_app.h"
+#include "apps/host/request_parts.h"
+#include "base/error_response.h"
 #include "fleet/members.h"
 #include "http/exchange.h"
 #include "http/server.h"
 #include "routing/route_table.h"
+#include "telemetry/event_log.h"
 
 #include <algorithm>
 #include <chrono>
+#include <string>
 #include <utility>
 
 // Listeners of host_app for callers' requests, look-ups and the platform's readiness checks.
@@ -45,6 +49,13 @@
         });
     m_entry->allow_pipelining(
         [this](const http::request_head& head) { return allows_pipelining(head); });
+    m_entry->limit_bodies({[this](const http::request_head& head, base::time_point arrived) {
+                               return request_deadline(head.headers, m_settings.names.time_left,
+                                                       find_route(head), arrived);
+                           },
+                           [this](const http::request_head& head) {
+                               return refuse_unfinished(head);
+                           }});
     m_lookup = std::make_unique<http::server>(
         m_loop,
         [this](const std::shared_ptr<http::exchange>& request) { handle_lookup(*request); });
@@ -63,13 +74,40 @@
     return status;
 }
 
-bool host_app::allows_pipelining(const http::request_head& head) const
+const routing::route* host_app::find_route(const http::request_head& head) const
 {
     if (m_context.routes == nullptr) {
-        return false;
+        return nullptr;
     }
     const auto route = routing::find_route(*m_context.routes, head.authority, head.path);
-    return base::is_ok(route) && base::value_of(route)->repeats == routing::repeat::idempotent;
+    return base::is_ok(route) ? base::value_of(route) : nullptr;
+}
+
+bool host_app::allows_pipelining(const http::request_head& head) const
+{
+    const routing::route* route = find_route(head);
+    return route != nullptr && route->repeats == routing::repeat::idempotent;
+}
+
+std::pair<http::response_head, std::string>
+host_app::refuse_unfinished(const http::request_head& head)
+{
+    const base::error cause{base::error_kind::request_incomplete,
+                            "the deadline passed before the body was complete"};
+    const base::error_response& response = base::response_for(cause.kind);
+    const std::string id(http::find_header(head.headers, m_settings.names.request_id).value_or(""));
+    const routing::route* route = find_route(head);
+    const std::string route_name = route == nullptr ? "none" : route->name;
+    count_request(m_context, route_name, response.name);
+    telemetry::log_event(telemetry::severity::info, "refused",
+                         {{"request_id", id},
+                          {"kind", response.name},
+                          {"cause", cause.detail},
+                          {"route", route_name}});
+    http::response_head refusal;
+    refusal.status = response.http_status;
+    refusal.headers.push_back({"content-type", "application/json"});
+    return {std::move(refusal), base::error_body(cause, id, true)};
 }
 
 void host_app::handle_ready(http::exchange& request) const
--- a/src/apps/host/request_parts.cpp
+++ b/src/apps/host/request_parts.cpp
@@ -13,6 +13,9 @@
 /// Longest time limit that a caller can set; larger values are reduced to it.
 constexpr std::int64_t max_wait_ms = 3'600'000;
 
+/// Time limit of a request for which neither the caller nor the route sets one.
+constexpr std::chrono::seconds default_time_limit{60};
+
 /// Hop-by-hop headers other than those that describe the body.
 constexpr std::array<std::string_view, 6> connection_headers = {
     "te", "trailer", "proxy-connection", "proxy-authenticate", "proxy-authorization", "expect"};
@@ -68,6 +71,17 @@
     return std::chrono::milliseconds(std::min(value, max_wait_ms));
 }
 
+base::time_point request_deadline(const http::header_list& headers, std::string_view time_left_name,
+                                  const routing::route* route, base::time_point arrived)
+{
+    const base::time_point callers =
+        arrived + read_time_left(headers, time_left_name).value_or(default_time_limit);
+    if (route == nullptr || route->time_limit.count() <= 0) {
+        return callers;
+    }
+    return std::min<base::time_point>(callers, arrived + route->time_limit);
+}
+
 std::uint64_t object_hash(const http::header_list& headers, const wire_names& names,
                           const routing::route& route, std::uint64_t fallback)
 {
--- a/src/apps/host/request_parts.h
+++ b/src/apps/host/request_parts.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "apps/host/types/wire_names.h"
+#include "base/time.h"
 #include "http/types/message.h"
 #include "routing/types/route_table.h"
 
@@ -20,6 +21,11 @@
 std::optional<std::chrono::milliseconds> read_time_left(const http::header_list& headers,
                                                         std::string_view name);
 
+/// End of the time for a request: the earlier one of the caller's limit and the route's, which is
+/// absent for requests without a route.
+base::time_point request_deadline(const http::header_list& headers, std::string_view time_left_name,
+                                  const routing::route* route, base::time_point arrived);
+
 /// Hash that directs the requests of one route for one object to the same targets. It includes the
 /// route because what a target knows of an object helps on that route only. Returns `fallback` for
 /// routes without affinity and for requests without an object.
--- a/src/base/error_response.cpp
+++ b/src/base/error_response.cpp
@@ -69,6 +69,8 @@
      "A flag or environment variable is invalid."},
     {stale, "stale", 409, true, after_delay, "The sender's view is out of date."},
     {cancelled, "cancelled", 499, false, no, "The caller closed the connection."},
+    {request_incomplete, "request_incomplete", 408, true, after_fix,
+     "The body was not complete at the request's deadline."},
     {internal, "internal", 500, false, if_idempotent, "A fault of the system itself."},
 }};
 
--- a/src/base/types/error_kind.h
+++ b/src/base/types/error_kind.h
@@ -45,6 +45,7 @@
     bad_setting,
     stale,
     cancelled,
+    request_incomplete,
     internal,
 };
 
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -86,14 +86,6 @@
     return base::time_point(wall_time - offset);
 }
 
-base::time_point arrival_of(const h2o_req_t& request)
-{
-    server_connection& connection = *connection_of(request);
-    const base::time_point last_bytes_at = last_bytes_received_at(connection.descriptor);
-    return std::min(last_bytes_at,
-                    first_bytes_read_at(request, connection).value_or(last_bytes_at));
-}
-
 /// Makes the connection close with a reset, which no client treats as the end of a response.
 void reset_on_close(int descriptor)
 {
@@ -110,6 +102,28 @@
 
 } // namespace
 
+request_head read_head(const h2o_req_t& request)
+{
+    request_head head;
+    head.method = to_string(request.input.method);
+    head.path = to_string(request.input.path);
+    head.authority = to_string(request.input.authority);
+    head.headers.reserve(request.headers.size);
+    for (std::size_t i = 0; i < request.headers.size; ++i) {
+        const h2o_header_t& one = request.headers.entries[i];
+        head.headers.push_back({to_string(*one.name), to_string(one.value)});
+    }
+    return head;
+}
+
+base::time_point arrival_of(const h2o_req_t& request)
+{
+    server_connection& connection = *connection_of(request);
+    const base::time_point last_bytes_at = last_bytes_received_at(connection.descriptor);
+    return std::min(last_bytes_at,
+                    first_bytes_read_at(request, connection).value_or(last_bytes_at));
+}
+
 server_connection* connection_of(const h2o_req_t& request)
 {
     h2o_socket_t* socket = request.conn->callbacks->get_socket(request.conn);
@@ -129,6 +143,7 @@
     connection->is_http2 = !made->is_http1();
     if (made->is_http1()) {
         connection->running = made;
+        connection->body_deadline.reset();
         made->m_is_closed = connection->has_caller_disconnected;
     }
     owner.exchange_started(made);
@@ -148,14 +163,7 @@
 
 void server_exchange::read_request()
 {
-    m_head.method = to_string(m_request->input.method);
-    m_head.path = to_string(m_request->input.path);
-    m_head.authority = to_string(m_request->input.authority);
-    m_head.headers.reserve(m_request->headers.size);
-    for (std::size_t i = 0; i < m_request->headers.size; ++i) {
-        const h2o_header_t& one = m_request->headers.entries[i];
-        m_head.headers.push_back({to_string(*one.name), to_string(one.value)});
-    }
+    m_head = read_head(*m_request);
     m_body = to_string(m_request->entity);
     socket_address peer;
     if (m_request->conn->callbacks->get_peername(m_request->conn, peer.get()) != 0) {
--- a/src/http/internal/server_exchange.h
+++ b/src/http/internal/server_exchange.h
@@ -12,6 +12,11 @@
 
 struct server_connection;
 
+request_head read_head(const h2o_req_t& request);
+
+/// When the first bytes of the request arrived, as far as it is known.
+base::time_point arrival_of(const h2o_req_t& request);
+
 /// Refers to an h2o request until h2o disposes of the request.
 class server_exchange final : public exchange,
                               public std::enable_shared_from_this<server_exchange> {
--- a/src/http/internal/server_impl.h
+++ b/src/http/internal/server_impl.h
@@ -22,6 +22,9 @@
 class server_exchange;
 struct server_connection;
 
+/// After this time, a request of which bytes have arrived is looked at if it is not complete.
+inline constexpr std::chrono::milliseconds body_check_delay{100};
+
 inline constexpr int http_2_0 = 0x200; ///< As in `h2o_req_t::version`.
 
 /// Outlives the `server` until its connections are closed.
@@ -48,6 +51,9 @@
     /// See `server::allow_pipelining`.
     std::function<bool(const request_head&)> may_pipeline;
 
+    /// See `server::limit_bodies`.
+    body_limit bodies;
+
     void connection_closed(std::uint64_t id);
     void exchange_started(const std::shared_ptr<server_exchange>& exchange);
     void exchange_ended(const server_exchange* exchange);
@@ -87,6 +93,12 @@
     void on_request_end(const h2o_req_t& request);
     /// Makes the connection linger when h2o closes it.
     static void linger_on_close(server_connection& connection);
+    bool is_limiting_bodies() const;
+    /// Keeps the earlier one if a check is scheduled already.
+    void schedule_body_check(base::time_point time);
+    /// Refuses the requests whose bodies are late.
+    void check_bodies();
+    void refuse_unfinished(server_connection& connection, const request_head& head);
     void check_idle();
     void end_drain();
     int on_request(h2o_req_t* request);
@@ -108,6 +120,8 @@
     std::uint64_t m_last_connection = 0;
     std::function<void()> m_on_idle;
     timer_id m_idle_timer = 0;
+    timer_id m_body_timer = 0; ///< Set while bodies may be incomplete.
+    base::time_point m_body_check_at{};
 };
 
 /// One accepted connection.
@@ -126,6 +140,7 @@
     int lingering_descriptor = -1; ///< Keeps the socket open after h2o has closed it; -1: unset.
     bool is_http2 = false;
     bool has_caller_disconnected = false;
+    std::optional<base::time_point> body_deadline; ///< Of a request with an incomplete body.
     base::duration wall_clock_offset{0}; ///< To the boot clock, at the start of the last request.
     std::weak_ptr<server_exchange> running; ///< HTTP/1 only: the request in progress.
     std::deque<std::shared_ptr<pipelined_exchange>> pipelined; ///< The requests after it, in order.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -243,7 +243,8 @@
     socket->on_close.data = connection.get();
     enable_keep_alive(connection->descriptor);
     limit_unsent_bytes(connection->descriptor);
-    m_watch->add(connection->descriptor, connection->id, is_pipelining_enabled());
+    m_watch->add(connection->descriptor, connection->id,
+                 is_pipelining_enabled() || is_limiting_bodies());
     connections.emplace(connection->id, std::move(connection));
     h2o_accept(&m_accept, socket);
 }
@@ -265,6 +266,7 @@
         on_caller_disconnected(*found->second);
     } else {
         start_pipelined_requests(*found->second);
+        schedule_body_check(base::boot_clock::now() + body_check_delay);
     }
 }
 
@@ -333,6 +335,9 @@
     if (m_idle_timer != 0) {
         owner.cancel(std::exchange(m_idle_timer, 0));
     }
+    if (m_body_timer != 0) {
+        owner.cancel(std::exchange(m_body_timer, 0));
+    }
     if (!m_is_configured) {
         return;
     }
@@ -384,6 +389,11 @@
     m_impl->may_pipeline = std::move(filter);
 }
 
+void server::limit_bodies(body_limit limit)
+{
+    m_impl->bodies = std::move(limit);
+}
+
 void server::set_request_timeout(std::chrono::milliseconds timeout)
 {
     m_impl->set_request_timeout(timeout);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "base/result.h"
+#include "base/time.h"
+#include "http/types/message.h"
 
 #include <chrono>
 #include <cstddef>
@@ -9,12 +11,12 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace snipeshore::http {
 
 class exchange;
 class loop;
-struct request_head;
 
 struct server_settings {
     std::string address;          ///< "ip:port"; port 0 selects a free port.
@@ -33,6 +35,14 @@
 
 using request_handler = std::function<void(std::shared_ptr<exchange>)>;
 
+/// Ends requests whose bodies do not arrive in time.
+struct body_limit {
+    /// When the body of the request, whose first bytes came at `arrived`, has to be complete.
+    std::function<base::time_point(const request_head&, base::time_point arrived)> deadline;
+    /// The response to a request whose body is late. The handler never gets that request.
+    std::function<std::pair<response_head, std::string>(const request_head&)> refuse;
+};
+
 /// Listens on one address. Must be used on the loop's thread only, and the loop has to outlive it.
 /// A caller that closes its sending side while its request is in progress counts as disconnected.
 /// The destructor aborts the requests in progress without calling their callbacks.
@@ -53,6 +63,10 @@
     /// closes first, so they have to be idempotent. Must be called before `listen`.
     void allow_pipelining(std::function<bool(const request_head&)> filter);
 
+    /// Applies to HTTP/1.1 without TLS. Must be called before `listen`. Without it, and elsewhere,
+    /// only `server_settings::request_timeout` ends a request whose body does not arrive.
+    void limit_bodies(body_limit limit);
+
     /// Changes `server_settings::request_timeout` of open and new connections.
     void set_request_timeout(std::chrono::milliseconds timeout);
 
