--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -195,14 +195,19 @@
 
 void forward_task::abort_streaming(const error& cause)
 {
-    const bool is_late = cause.kind == error_kind::deadline_exceeded;
-    const retries::delay_cause delay = find_delay_cause();
-    record_target_failure(is_late ? attempt_result::timed_out : attempt_result::broken,
-                          is_late ? retries::describe(delay) : cause.detail);
-    const bool is_slow = is_late && delay == retries::delay_cause::slow_target;
-    end_attempt(is_slow ? service_time() : std::nullopt);
+    attempt_result result = attempt_result::broken;
+    std::string_view detail = cause.detail;
+    std::string_view outcome = "answer_cut";
+    if (cause.kind == error_kind::deadline_exceeded) {
+        const retries::delay_cause delay = find_delay_cause();
+        result = attempt_result::timed_out;
+        detail = retries::describe(delay);
+        outcome = retries::to_string(delay);
+    }
+    record_target_failure(result, detail);
+    end_attempt(failed_service_time(result));
     m_stream->abort();
-    record_end(m_status, is_late ? retries::to_string(delay) : "answer_cut");
+    record_end(m_status, outcome);
     finish_task();
 }
 
@@ -228,6 +233,13 @@
     return base::boot_clock::now() - m_sent_at;
 }
 
+std::optional<base::duration> forward_task::failed_service_time(attempt_result result) const
+{
+    const bool is_slow = result == attempt_result::timed_out &&
+                         find_delay_cause() == retries::delay_cause::slow_target;
+    return is_slow ? service_time() : std::nullopt;
+}
+
 void forward_task::count_sent()
 {
     m_may_have_run = true;
@@ -358,9 +370,7 @@
         (m_is_trial || has_crashed_before(m_context.crashes, m_fingerprint, m_sent_at));
     record_target_failure(result, detail);
     const base::target_id target = m_target;
-    const bool is_slow = result == attempt_result::timed_out &&
-                         find_delay_cause() == retries::delay_cause::slow_target;
-    end_attempt(is_slow ? service_time() : std::nullopt);
+    end_attempt(failed_service_time(result));
     const auto call = std::move(m_call);
     retries::next_step step = plan_next(result);
     retries::retry_budget& budget = pool_of(m_context, m_service).budget;
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -108,6 +108,8 @@
     void record_transfer();
     /// Empty if the caller has delayed the response.
     std::optional<base::duration> service_time() const;
+    /// Time after which a failed attempt was ended although its target was still sending.
+    std::optional<base::duration> failed_service_time(retries::attempt_result result) const;
     void start_streaming(const http::response_head& head);
     /// Aborts a response of which the caller has received a part.
     void abort_streaming(const base::error& cause);
--- a/src/http/internal/server_bodies.cpp
+++ b/src/http/internal/server_bodies.cpp
@@ -1,4 +1,3 @@
-#include "http/internal/message_check.h"
 #include "http/internal/server_exchange.h"
 #include "http/internal/server_impl.h"
 
