--- a/src/apps/host/tests/response_deadline_test.cpp
+++ b/src/apps/host/tests/response_deadline_test.cpp
@@ -125,7 +125,7 @@
     SUBCASE("also if it has sent only interim or incomplete heads")
     {
         std::string first_bytes = "HTTP/1.1 103 Early Hints\r\n\r\n";
-        SUBCASE("")
+        SUBCASE("and a part of the final head")
         {
             first_bytes += "HTTP/1.1 200 OK\r\nx-attempt-id:";
         }
