Relay requests of hosts that have lost their paths to all targets

Each target was judged alone, so nothing concluded from the failure of all of them that the host itself was cut; look-ups went on naming it, no other host was asked for help, and after the cut the targets counted as cold, because they had accepted no connection.

reachability decides from probes whether a host can open connections to any target: two rounds of four, half of them to the targets that responded last, the rest spread over failure domains and services. It begins on failures of several targets or on silence, and ends after several rounds in a row, more of them when links come and go.

While a host is cut it tells the others, look-ups name hosts that reach targets (fleet/host_choice), and requests that still arrive are relayed through one of them, once. That host handles them as its own callers' requests: key, limits, quarantine, budget and attempts count there only. A host that stops, is cut, is half full or has an older configuration passes a relayed request on unhandled. A request that may have reached a target is not relayed.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -5,6 +5,8 @@
 #include "apps/host/notices.h"
 #include "apps/host/target_limits.h"
 #include "http/exchange.h"
+#include "limits/fleet_share.h"
+#include "reachability/target_reach.h"
 #include "retries/liveness.h"
 #include "retries/next_step.h"
 #include "retries/response_progress.h"
@@ -88,6 +90,7 @@
     const wire_names& names = m_context.settings.names;
     const base::time_point now = base::boot_clock::now();
     m_last_byte_at = now;
+    reachability::on_response(m_context.reach, now);
     pooled_target* target = current_target();
     if (target != nullptr) {
         target->last_response_at = now;
@@ -182,6 +185,10 @@
     if (!end.request_sent) {
         ++m_unsent_attempts;
         check_target();
+        if (cause.kind == error_kind::connect_failed) {
+            reachability::on_connect_failed(m_context.reach, m_target, base::boot_clock::now());
+            m_context.update_reach();
+        }
         fail_attempt(attempt_result::not_sent, cause.detail);
         return;
     }
@@ -372,6 +379,9 @@
     const base::target_id target = m_target;
     end_attempt(failed_service_time(result));
     const auto call = std::move(m_call);
+    if (result == attempt_result::not_sent && hand_over()) {
+        return;
+    }
     retries::next_step step = plan_next(result);
     retries::retry_budget& budget = pool_of(m_context, m_service).budget;
     step.retry = step.retry && !is_suspect;
@@ -419,6 +429,31 @@
     return retries::decide_next(result, make_progress());
 }
 
+bool forward_task::hand_over()
+{
+    if (m_may_have_run || !m_context.relay(m_exchange, *m_route, m_account)) {
+        return false;
+    }
+    cancel_abandon();
+    m_call.reset();
+    end_attempt(std::nullopt);
+    if (m_has_token) {
+        // The other host takes a token of its own.
+        limits::return_token(m_context.shares[m_account->id], base::boot_clock::now());
+    }
+    record_end(0, "handed_over");
+    finish_task();
+    return true;
+}
+
+void forward_task::on_targets_cut()
+{
+    const bool is_connecting = m_call != nullptr && !m_call->request_sent();
+    if (!m_is_finished && is_connecting) {
+        hand_over();
+    }
+}
+
 void forward_task::on_caller_disconnected()
 {
     if (m_is_finished) {
--- a/src/apps/host/forward_report.cpp
+++ b/src/apps/host/forward_report.cpp
@@ -1,6 +1,7 @@
 #include "apps/host/forward_task.h"
 
 #include "apps/host/host_context.h"
+#include "apps/host/request_parts.h"
 #include "base/error_response.h"
 #include "http/exchange.h"
 #include "prediction/service_times.h"
@@ -10,9 +11,7 @@
 #include <prometheus/counter.h>
 #include <prometheus/histogram.h>
 
-#include <algorithm>
 #include <chrono>
-#include <cstdio>
 #include <utility>
 
 // Part of forward_task that refuses requests, and writes the log and the metrics of each.
@@ -23,35 +22,17 @@
 
 namespace {
 
-/// Minimum delay before a refused caller retries; before that the targets are still full.
-constexpr std::chrono::milliseconds min_retry_after{100};
-
 double to_milliseconds(base::duration time)
 {
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
-std::string format_seconds(base::duration time)
-{
-    char text[32];
-    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(time).count());
-    return text;
-}
-
 } // namespace
 
 void forward_task::refuse(const error& cause)
 {
     return_unused_token();
     const base::error_response& response = base::response_for(cause.kind);
-    http::response_head head;
-    head.status = response.http_status;
-    head.headers.push_back({"content-type", "application/json"});
-    if (response.retry == base::retry_advice::after_delay ||
-        response.retry == base::retry_advice::other_host) {
-        head.headers.push_back({"retry-after", format_seconds(std::max<base::duration>(
-                                                   m_retry_after, min_retry_after))});
-    }
     telemetry::log_event(severity::info, "refused",
                          {{"request_id", m_id},
                           {"kind", response.name},
@@ -66,7 +47,8 @@
                           {"sent", static_cast<std::uint64_t>(m_sent_attempts)},
                           {"after_ms", to_milliseconds(base::boot_clock::now() - m_arrived)}});
     const bool not_run = response.not_run && !m_may_have_run;
-    m_exchange->respond(std::move(head), base::error_body(cause, m_id, not_run));
+    auto [head, body] = make_refusal(cause, m_id, not_run, m_retry_after);
+    m_exchange->respond(std::move(head), std::move(body));
     record_end(response.http_status, response.name);
     finish_task();
 }
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -10,6 +10,7 @@
 #include "http/loop.h"
 #include "limits/fleet_share.h"
 #include "prediction/service_times.h"
+#include "reachability/target_reach.h"
 #include "retries/next_step.h"
 #include "retries/quarantine.h"
 #include "retries/retry_budget.h"
@@ -199,6 +200,9 @@
     const base::time_point now = base::boot_clock::now();
     const auto placement = place(now);
     if (!placement.has_value()) {
+        if (hand_over()) {
+            return;
+        }
         m_retry_after =
             time_to_room(pool_of(m_context, m_service), now).value_or(base::duration{0});
         refuse({retries::final_error(attempt_result::rejected, m_may_have_run),
@@ -286,6 +290,8 @@
         return self != nullptr && self->refresh_before_write(head);
     };
     m_call = m_context.client.send(std::move(request), make_callbacks());
+    reachability::on_request_sent(m_context.reach, placement.finish, now);
+    m_context.update_reach();
     schedule_abandon(attempt_deadline(placement, now));
 }
 
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -42,6 +42,10 @@
     forward_task(forward_task&&) = delete;
     forward_task& operator=(forward_task&&) = delete;
 
+    /// Called when this host has lost its paths to all targets: a request that waits for a
+    /// connection is handed over to another host.
+    void on_targets_cut();
+
     /// Answers a request whose response has not begun, because the process ends.
     void end_by_stop();
 
@@ -57,6 +61,9 @@
     prediction::request_traits traits() const;
     std::optional<affinity::placement> place(base::time_point now) const;
     void send_to_target();
+    /// Lets another host handle a request that no target has received, if this host has lost its
+    /// paths to all targets. Returns whether that ended the task.
+    bool hand_over();
     affinity::admission decide_admission(const affinity::placement& placement) const;
     base::status check_placement(const affinity::placement& placement);
     void start_attempt(const affinity::placement& placement);
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -101,7 +101,8 @@
                    rows::row_store& store)
     : m_loop(loop), m_settings(std::move(settings)), m_formats(std::move(formats)), m_store(store),
       m_client(loop, target_client_settings()), m_context{m_settings, loop, m_client, m_metrics},
-      m_checks(loop, m_client), m_self(make_member(m_settings)),
+      m_checks(loop, m_client), m_reach_watch(m_context, m_checks, [this] { on_reach_changed(); }),
+      m_self(make_member(m_settings)), m_request_relay(m_context, m_self),
       m_relay(m_context, m_self, store,
               [this](std::uint64_t era) {
                   for (auto* table : {&m_operator_rows, &m_target_rows, &m_host_rows}) {
@@ -125,7 +126,10 @@
       m_peers(m_context, m_self,
               {{m_formats.operator_table, &m_operator_rows},
                {m_formats.target_table, &m_target_rows},
-               {m_formats.host_table, &m_host_rows}}),
+               {m_formats.host_table, &m_host_rows}},
+              [this](const std::shared_ptr<http::exchange>& request) {
+                  m_request_relay.receive(request);
+              }),
       m_admin(loop, m_metrics,
               {[this] { return dump(); }, [this] { return is_ready(); },
                [this] {
@@ -142,6 +146,13 @@
                                     std::function<void(retries::liveness)> done) {
         m_checks.start(target.entry.id, target.entry.address, std::move(done));
     };
+    m_context.update_reach = [this] {
+        m_reach_watch.update();
+    };
+    m_context.relay = [this](const std::shared_ptr<http::exchange>& exchange,
+                             const routing::route& route, const routing::account* account) {
+        return m_request_relay.take_over(exchange, route, account);
+    };
     m_context.borrow = [this](const base::account_id& account, std::function<void()> done) {
         return m_peers.borrow(account, std::move(done));
     };
@@ -459,6 +470,32 @@
     }
 }
 
+void host_app::on_reach_changed()
+{
+    const bool is_cut = m_context.reach.is_cut;
+    m_self.reaches_targets = !is_cut;
+    m_peers.spread();
+    telemetry::log_event(
+        severity::warning, is_cut ? "targets_cut" : "targets_reached",
+        {{"requests", static_cast<std::uint64_t>(m_context.tasks.size())},
+         {"rounds_to_recover", static_cast<std::uint64_t>(m_context.reach.rounds_to_recover)}});
+    m_metrics
+        .counter("snipeshore_target_cuts_total",
+                 "Times that this host lost or regained its paths to all targets.",
+                 {{"change", is_cut ? "lost" : "regained"}})
+        .Increment();
+    if (!is_cut) {
+        for (auto& [service, pool] : m_context.pools) {
+            forget_failures(pool);
+        }
+        return;
+    }
+    const std::unordered_set<std::shared_ptr<forward_task>> running = m_context.tasks;
+    for (const std::shared_ptr<forward_task>& task : running) {
+        task->on_targets_cut();
+    }
+}
+
 void host_app::housekeep()
 {
     const base::time_point now = base::boot_clock::now();
@@ -546,7 +583,17 @@
 void host_app::drain()
 {
     m_context.is_closing = true;
-    m_entry->drain([this] { finish_stop(); });
+    m_entry->drain([this] { finish_stop_when_idle(); });
+}
+
+void host_app::finish_stop_when_idle()
+{
+    if (m_context.tasks.empty() || base::boot_clock::now() >= m_stop_deadline) {
+        finish_stop();
+        return;
+    }
+    m_loop.schedule(base::boot_clock::now() + idle_check_interval,
+                    [this] { finish_stop_when_idle(); });
 }
 
 void host_app::finish_stop()
@@ -559,6 +606,7 @@
     for (const std::shared_ptr<forward_task>& task : running) {
         task->end_by_stop();
     }
+    m_request_relay.end_by_stop();
     m_registration = m_store.write(m_formats.host_table, m_settings.host.value(), std::nullopt,
                                    [](const base::status&) {});
     m_loop.schedule(base::boot_clock::now() + deregistration_delay,
@@ -568,7 +616,8 @@
 void host_app::stop_loop_when_idle()
 {
     // A caller may have sent a request before it noticed that its connection is closing.
-    const bool is_busy = !m_context.tasks.empty() || m_entry->is_delivering();
+    const bool is_busy = !m_context.tasks.empty() || !m_request_relay.is_idle() ||
+                         m_entry->is_delivering() || m_peers.is_delivering();
     if (is_busy && base::boot_clock::now() < m_stop_deadline) {
         m_loop.schedule(base::boot_clock::now() + idle_check_interval,
                         [this] { stop_loop_when_idle(); });
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -5,7 +5,9 @@
 #include "apps/common/admin_server.h"
 #include "apps/host/host_context.h"
 #include "apps/host/peer_exchange.h"
+#include "apps/host/reach_watch.h"
 #include "apps/host/relay_store.h"
+#include "apps/host/request_relay.h"
 #include "apps/host/target_checks.h"
 #include "apps/host/target_registry.h"
 #include "apps/host/types/host_settings.h"
@@ -80,7 +82,6 @@
     void check_ready();
     void handle_ready(http::exchange& request) const;
     void handle_lookup(http::exchange& request) const;
-    base::region_id region_of(const base::failure_domain_id& domain) const;
 
     void on_operator_rows(const std::vector<rows::row>& changes);
     void apply_config(const rows::row& change);
@@ -97,11 +98,14 @@
     void make_pools(); ///< For the services of the configuration.
     void update_targets();
     void update_shares();
+    void on_reach_changed();
     void housekeep();
     void remove_unlisted(const base::host_id& host);
     void remove_expired_hosts();
     void refresh_metrics();
     void drain();
+    /// Stops once requests that other hosts relay have ended as well.
+    void finish_stop_when_idle();
     void finish_stop();
     void stop_loop_when_idle();
 
@@ -113,7 +117,9 @@
     http::client m_client;
     host_context m_context;
     target_checks m_checks;
+    reach_watch m_reach_watch;
     fleet::member m_self;
+    request_relay m_request_relay;
     relay_store m_relay;
     target_registry m_registry;
     std::set<base::failure_domain_id> m_drained;
--- a/src/apps/host/host_context.cpp
+++ b/src/apps/host/host_context.cpp
@@ -49,6 +49,12 @@
     return pool;
 }
 
+base::region_id region_of(const host_context& context, const base::failure_domain_id& domain)
+{
+    const auto found = context.settings.regions.find(domain);
+    return found == context.settings.regions.end() ? base::region_id() : found->second;
+}
+
 void count_request(host_context& context, const std::string& route, std::string_view outcome)
 {
     context.metrics
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -10,6 +10,7 @@
 #include "fleet/bulletin.h"
 #include "fleet/types/member.h"
 #include "limits/types/fleet_share.h"
+#include "reachability/types/target_reach.h"
 #include "retries/liveness.h"
 #include "routing/types/route_table.h"
 
@@ -23,6 +24,7 @@
 
 namespace snipeshore::http {
 class client;
+class exchange;
 class loop;
 } // namespace snipeshore::http
 
@@ -46,6 +48,7 @@
     fleet::member_table members;
     fleet::bulletin notices;
     crash_watch crashes;
+    reachability::target_reach reach;
     bool is_leaving = false; ///< A planned stop has begun.
     /// New requests are refused because the process ends before they could finish.
     bool is_closing = false;
@@ -60,6 +63,12 @@
     std::function<void()> spread;
     /// Finds out whether a target has ended, see `target_checks::start`.
     std::function<void(const pooled_target&, std::function<void(retries::liveness)>)> check_target;
+    /// Called after each event that was recorded in `reach`, see `reach_watch::update`.
+    std::function<void()> update_reach;
+    /// Relays a request through another host, see `request_relay::take_over`.
+    std::function<bool(const std::shared_ptr<http::exchange>&, const routing::route&,
+                       const routing::account*)>
+        relay;
     /// Requests token grants for an account from other hosts, see `peer_exchange::borrow`.
     std::function<bool(const base::account_id&, std::function<void()>)> borrow;
 };
@@ -67,6 +76,9 @@
 /// Returns the pool of the service; creates it on first use.
 target_pool& pool_of(host_context& context, const base::service_id& service);
 
+/// Empty if the settings do not name the failure domain.
+base::region_id region_of(const host_context& context, const base::failure_domain_id& domain);
+
 /// Counts a request that has ended.
 void count_request(host_context& context, const std::string& route, std::string_view outcome);
 
--- a/src/apps/host/host_listeners.cpp
+++ b/src/apps/host/host_listeners.cpp
@@ -2,6 +2,7 @@
 #include "apps/host/host_app.h"
 #include "apps/host/request_parts.h"
 #include "base/error_response.h"
+#include "fleet/host_choice.h"
 #include "fleet/members.h"
 #include "http/exchange.h"
 #include "http/server.h"
@@ -21,8 +22,6 @@
 /// Time-out for the next request on an idle caller connection until the configuration is loaded.
 constexpr std::chrono::milliseconds caller_idle_timeout{16000};
 
-constexpr std::size_t max_body_bytes = 64U << 20U;
-
 void respond_json(http::exchange& request, int status, std::string text)
 {
     http::response_head head;
@@ -45,7 +44,9 @@
     ready.address = m_settings.ready_address;
     m_entry =
         std::make_unique<http::server>(m_loop, [this](std::shared_ptr<http::exchange> request) {
-            forward_task::start(m_context, std::move(request));
+            if (!m_request_relay.take(request)) {
+                forward_task::start(m_context, std::move(request));
+            }
         });
     m_entry->allow_pipelining(
         [this](const http::request_head& head) { return allows_pipelining(head); });
@@ -94,20 +95,15 @@
 {
     const base::error cause{base::error_kind::request_incomplete,
                             "the deadline passed before the body was complete"};
-    const base::error_response& response = base::response_for(cause.kind);
+    const std::string_view name = base::response_for(cause.kind).name;
     const std::string id(http::find_header(head.headers, m_settings.names.request_id).value_or(""));
     const routing::route* route = find_route(head);
     const std::string route_name = route == nullptr ? "none" : route->name;
-    count_request(m_context, route_name, response.name);
-    telemetry::log_event(telemetry::severity::info, "refused",
-                         {{"request_id", id},
-                          {"kind", response.name},
-                          {"cause", cause.detail},
-                          {"route", route_name}});
-    http::response_head refusal;
-    refusal.status = response.http_status;
-    refusal.headers.push_back({"content-type", "application/json"});
-    return {std::move(refusal), base::error_body(cause, id, true)};
+    count_request(m_context, route_name, name);
+    telemetry::log_event(
+        telemetry::severity::info, "refused",
+        {{"request_id", id}, {"kind", name}, {"cause", cause.detail}, {"route", route_name}});
+    return make_refusal(cause, id, true, {});
 }
 
 void host_app::handle_ready(http::exchange& request) const
@@ -119,12 +115,6 @@
     respond_json(request, is_ready() ? 200 : 503, "{}");
 }
 
-base::region_id host_app::region_of(const base::failure_domain_id& domain) const
-{
-    const auto found = m_settings.regions.find(domain);
-    return found == m_settings.regions.end() ? base::region_id() : found->second;
-}
-
 void host_app::handle_lookup(http::exchange& request) const
 {
     const std::string_view path = request.head().path;
@@ -134,10 +124,14 @@
         return;
     }
     const std::string_view query = path.substr(std::min(query_start + 1, path.size()));
-    const std::vector<std::string> addresses = fleet::entry_addresses(
-        m_context.members, m_self, m_formats.caller_domain(query),
-        [this](const base::failure_domain_id& domain) { return region_of(domain); },
-        base::boot_clock::now());
+    std::vector<std::string> addresses;
+    for (const fleet::member& host : fleet::entry_hosts(
+             fleet::ready_hosts(m_context.members, m_self, base::boot_clock::now()),
+             m_formats.caller_domain(query), [this](const base::failure_domain_id& domain) {
+                 return region_of(m_context, domain);
+             })) {
+        addresses.push_back(host.entry_address);
+    }
     if (addresses.empty()) {
         respond_json(request, 503, "{}");
         return;
--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -3,6 +3,8 @@
 #include "apps/host/host_context.h"
 #include "apps/host/notices.h"
 #include "apps/host/peer_calls.h"
+#include "apps/host/relayed_exchange.h"
+#include "apps/host/request_parts.h"
 #include "fleet/exchange_encoding.h"
 #include "fleet/members.h"
 #include "http/exchange.h"
@@ -64,9 +66,10 @@
 } // namespace
 
 peer_exchange::peer_exchange(host_context& context, fleet::member& self,
-                             std::map<std::string, rows::table_follower*> tables)
+                             std::map<std::string, rows::table_follower*> tables,
+                             std::function<void(const std::shared_ptr<http::exchange>&)> on_relayed)
     : m_context(context), m_self(self), m_tables(std::move(tables)),
-      m_publisher(context.loop, m_tables),
+      m_on_relayed(std::move(on_relayed)), m_publisher(context.loop, m_tables),
       m_server(std::make_unique<http::server>(
           context.loop,
           [this](const std::shared_ptr<http::exchange>& request) { handle(request); }))
@@ -79,6 +82,7 @@
     http::server_settings server;
     server.address = m_context.settings.control_address;
     server.request_timeout = peer_idle_timeout;
+    server.max_request_bytes = max_body_bytes;
     const base::status listening = m_server->listen(server);
     if (base::is_ok(listening)) {
         tick();
@@ -249,7 +253,9 @@
 void peer_exchange::handle(const std::shared_ptr<http::exchange>& request)
 {
     const std::string& path = request->head().path;
-    if (path == exchange_path) {
+    if (path.starts_with(relay_prefix)) {
+        m_on_relayed(request);
+    } else if (path == exchange_path) {
         handle_exchange(*request);
     } else if (path.starts_with(rows_prefix)) {
         m_publisher.handle(request);
@@ -286,6 +292,11 @@
     respond_text(request, 200, fleet::encode(reply));
 }
 
+bool peer_exchange::is_delivering() const
+{
+    return m_server->is_delivering();
+}
+
 void peer_exchange::on_rows_changed(const std::string& table)
 {
     m_publisher.on_rows_changed(table);
--- a/src/apps/host/peer_exchange.h
+++ b/src/apps/host/peer_exchange.h
@@ -35,9 +35,11 @@
 /// messages of others on the control address.
 class peer_exchange {
 public:
-    /// `tables`: the tables that hosts exchange.
+    /// `tables`: the tables that hosts exchange. `on_relayed` is called for each request that
+    /// another host relays.
     peer_exchange(host_context& context, fleet::member& self,
-                  std::map<std::string, rows::table_follower*> tables);
+                  std::map<std::string, rows::table_follower*> tables,
+                  std::function<void(const std::shared_ptr<http::exchange>&)> on_relayed);
     ~peer_exchange();
     peer_exchange(const peer_exchange&) = delete;
     peer_exchange& operator=(const peer_exchange&) = delete;
@@ -52,6 +54,10 @@
     /// Sends messages with the notices of this host to other hosts soon, in bounded number.
     void spread();
 
+    /// Whether a response to another host, such as that to a relayed request, may not have reached
+    /// it yet.
+    bool is_delivering() const;
+
     /// Called when rows of a table have changed; responds to the hosts that wait for them.
     void on_rows_changed(const std::string& table);
 
@@ -89,6 +95,7 @@
     host_context& m_context;
     fleet::member& m_self;
     std::map<std::string, rows::table_follower*> m_tables;
+    std::function<void(const std::shared_ptr<http::exchange>&)> m_on_relayed;
     row_publisher m_publisher;
     std::unique_ptr<http::server> m_server;
     std::map<std::string, std::unique_ptr<http::client_call>> m_calls; ///< By control address.
--- a/src/apps/host/request_parts.cpp
+++ b/src/apps/host/request_parts.cpp
@@ -1,10 +1,13 @@
 #include "apps/host/request_parts.h"
 
+#include "base/error_response.h"
 #include "base/hash.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdio>
+#include <utility>
 
 namespace snipeshore::apps {
 
@@ -16,6 +19,9 @@
 /// Time limit of a request for which neither the caller nor the route sets one.
 constexpr std::chrono::seconds default_time_limit{60};
 
+/// Minimum delay before a refused caller retries; before that the targets are still full.
+constexpr std::chrono::milliseconds min_retry_after{100};
+
 /// Hop-by-hop headers other than those that describe the body.
 constexpr std::array<std::string_view, 6> connection_headers = {
     "te", "trailer", "proxy-connection", "proxy-authenticate", "proxy-authorization", "expect"};
@@ -34,6 +40,13 @@
            connection_headers.end();
 }
 
+std::string format_seconds(base::duration time)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(time).count());
+    return text;
+}
+
 } // namespace
 
 std::string_view find_cookie(const http::header_list& headers, std::string_view name)
@@ -104,4 +117,20 @@
     return headers;
 }
 
+std::pair<http::response_head, std::string> make_refusal(const base::error& cause,
+                                                         std::string_view request_id, bool not_run,
+                                                         base::duration retry_after)
+{
+    const base::error_response& response = base::response_for(cause.kind);
+    http::response_head head;
+    head.status = response.http_status;
+    head.headers.push_back({"content-type", "application/json"});
+    if (response.retry == base::retry_advice::after_delay ||
+        response.retry == base::retry_advice::other_host) {
+        head.headers.push_back({"retry-after", format_seconds(std::max<base::duration>(
+                                                   retry_after, min_retry_after))});
+    }
+    return {std::move(head), base::error_body(cause, request_id, not_run)};
+}
+
 } // namespace snipeshore::apps
--- a/src/apps/host/request_parts.h
+++ b/src/apps/host/request_parts.h
@@ -3,6 +3,7 @@
 
 #include "apps/host/types/wire_names.h"
 #include "base/time.h"
+#include "base/types/error.h"
 #include "http/types/message.h"
 #include "routing/types/route_table.h"
 
@@ -11,9 +12,13 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace snipeshore::apps {
 
+/// Largest body of a caller's request.
+inline constexpr std::size_t max_body_bytes = 64U << 20U;
+
 /// Value of the cookie with that name; empty if there is none.
 std::string_view find_cookie(const http::header_list& headers, std::string_view name);
 
@@ -35,4 +40,9 @@
 /// Headers forwarded to the target: without the key and without those that only the system may set.
 http::header_list make_forwarded_headers(const http::header_list& from, const wire_names& names);
 
+/// The response to a request that is refused. `not_run`: no target has run it or will.
+std::pair<http::response_head, std::string> make_refusal(const base::error& cause,
+                                                         std::string_view request_id, bool not_run,
+                                                         base::duration retry_after);
+
 } // namespace snipeshore::apps
--- a/src/apps/host/target_checks.cpp
+++ b/src/apps/host/target_checks.cpp
@@ -32,11 +32,16 @@
 
 target_checks::~target_checks() = default;
 
-void target_checks::start(const base::target_id& target, const std::string& address,
+bool target_checks::start(const base::target_id& target, const std::string& address,
                           std::function<void(retries::liveness)> done)
 {
-    if (m_calls.contains(target) || m_calls.size() >= max_checks) {
-        return;
+    const auto running = m_checks.find(target);
+    if (running != m_checks.end()) {
+        running->second.waiting.push_back(std::move(done));
+        return true;
+    }
+    if (m_checks.size() >= max_checks) {
+        return false;
     }
     http::client_request request;
     request.address = address;
@@ -47,12 +52,26 @@
         return false;
     };
     http::call_callbacks callbacks;
-    callbacks.on_end = [this, target, done = std::move(done)](const http::call_end& end) {
-        // The call must not be destroyed within its own callback.
-        m_loop.schedule(base::boot_clock::now(), [this, target] { m_calls.erase(target); });
-        done(judge(end.outcome));
+    callbacks.on_end = [this, target](const http::call_end& end) {
+        on_end(target, judge(end.outcome));
     };
-    m_calls[target] = m_client.send(std::move(request), std::move(callbacks));
+    check& started = m_checks[target];
+    started.waiting.push_back(std::move(done));
+    started.call = m_client.send(std::move(request), std::move(callbacks));
+    return true;
+}
+
+void target_checks::on_end(const base::target_id& target, retries::liveness found)
+{
+    check& ended = m_checks[target];
+    // The call must not be destroyed within its own callback.
+    const std::shared_ptr<http::client_call> call = std::move(ended.call);
+    m_loop.schedule(base::boot_clock::now(), [call] {});
+    const auto waiting = std::move(ended.waiting);
+    m_checks.erase(target);
+    for (const auto& done : waiting) {
+        done(found);
+    }
 }
 
 } // namespace snipeshore::apps
--- a/src/apps/host/target_checks.h
+++ b/src/apps/host/target_checks.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace snipeshore::http {
 class client;
@@ -28,14 +29,22 @@
     target_checks(target_checks&&) = delete;
     target_checks& operator=(target_checks&&) = delete;
 
-    /// Starts a check, unless one of the target is running or too many are. `done` is called later.
-    void start(const base::target_id& target, const std::string& address,
+    /// Starts a check or joins one that is running; returns false if too many are. `done` is called
+    /// later.
+    bool start(const base::target_id& target, const std::string& address,
                std::function<void(retries::liveness)> done);
 
 private:
+    struct check {
+        std::unique_ptr<http::client_call> call;
+        std::vector<std::function<void(retries::liveness)>> waiting;
+    };
+
+    void on_end(const base::target_id& target, retries::liveness found);
+
     http::loop& m_loop;
     http::client& m_client;
-    std::map<base::target_id, std::unique_ptr<http::client_call>> m_calls;
+    std::map<base::target_id, check> m_checks;
 };
 
 } // namespace snipeshore::apps
--- a/src/apps/host/target_choice.cpp
+++ b/src/apps/host/target_choice.cpp
@@ -47,10 +47,8 @@
 
 bool may_use_cold(const target_pool& pool, const pooled_target& target, const pool_view& view)
 {
-    if (view.now >= target.cold_until || pool.cold_rate <= 0) {
-        return true;
-    }
-    return cold_tokens(pool, target, view.now) >= 1 && view.owns(target.entry.id);
+    return !is_cold(pool, target, view.now) ||
+           (cold_tokens(pool, target, view.now) >= 1 && view.owns(target.entry.id));
 }
 
 bool is_usable(const target_pool& pool, const pooled_target& target, const pool_view& view)
--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -154,7 +154,7 @@
     prediction::record_run(target.history, request);
     ++target.running;
     limits::take_token(target.limit, now);
-    if (now < target.cold_until && pool.cold_rate > 0) {
+    if (is_cold(pool, target, now)) {
         target.cold_tokens = cold_tokens(pool, target, now) - 1;
         target.cold_refilled = now;
     }
@@ -218,7 +218,23 @@
 
 void on_unreachable(const target_pool& pool, pooled_target& target)
 {
-    target.cold_until = std::max(target.cold_until, target.ejected_until + pool.cold_time);
+    target.maybe_cold_until =
+        std::max(target.maybe_cold_until, target.ejected_until + pool.cold_time);
+}
+
+void forget_failures(target_pool& pool)
+{
+    for (pooled_target& target : pool.targets) {
+        target.failures_in_row = 0;
+        target.failure_fraction = 0;
+        target.ejected_until = {};
+        target.maybe_cold_until = {};
+    }
+}
+
+bool is_cold(const target_pool& pool, const pooled_target& target, base::time_point now)
+{
+    return pool.cold_rate > 0 && now < std::max(target.cold_until, target.maybe_cold_until);
 }
 
 void on_success(pooled_target& target)
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -33,6 +33,8 @@
     unsigned failures_in_row = 0;
     base::time_point ejected_until{};
     base::time_point cold_until{};
+    /// Counts as cold until then, because it may have stopped: it accepted no connection.
+    base::time_point maybe_cold_until{};
     double cold_tokens = 0; ///< Token bucket for requests sent while the target is cold.
     base::time_point cold_refilled{};
     bool is_drained = false;
@@ -105,6 +107,13 @@
 /// returns.
 void on_unreachable(const target_pool& pool, pooled_target& target);
 
+/// Forgets failures and ejections, and that targets accepted no connection: the paths to all of
+/// them were lost, which tells nothing about the targets.
+void forget_failures(target_pool& pool);
+
+/// Whether the target only takes the rate of a cold one.
+bool is_cold(const target_pool& pool, const pooled_target& target, base::time_point now);
+
 void on_success(pooled_target& target);
 
 /// Applies a load report "running,waiting,slots"; returns false if it is malformed.
--- a/src/apps/host/tests/fleet_fixture.cpp
+++ b/src/apps/host/tests/fleet_fixture.cpp
@@ -122,15 +122,11 @@
     m_is_silent = false;
     m_server =
         std::make_unique<http::server>(m_loop, [this](std::shared_ptr<http::exchange> request) {
-            if (m_is_silent) {
+            if (m_is_silent || m_is_holding) {
                 m_unanswered.push_back(std::move(request));
                 return;
             }
-            const auto id = http::find_header(request->head().headers, "x-attempt-id");
-            ++runs[std::string(id.value_or(""))];
-            last_head = request->head();
-            last_body = request->body();
-            respond_success(request);
+            answer(request);
         });
     http::server_settings settings;
     settings.address = m_address;
@@ -138,6 +134,35 @@
     REQUIRE(base::is_ok(m_server->listen(settings)));
 }
 
+void target_link::answer(const std::shared_ptr<http::exchange>& request)
+{
+    const auto id = http::find_header(request->head().headers, "x-attempt-id");
+    ++runs[std::string(id.value_or(""))];
+    last_head = request->head();
+    last_body = request->body();
+    respond_success(request);
+}
+
+void target_link::hold()
+{
+    m_is_holding = true;
+}
+
+void target_link::answer_held()
+{
+    m_is_holding = false;
+    for (const auto& request : std::exchange(m_unanswered, {})) {
+        answer(request);
+    }
+}
+
+std::size_t target_link::held_from_callers() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_unanswered.begin(), m_unanswered.end(),
+                      [](const auto& request) { return request->is_caller_connected(); }));
+}
+
 void target_link::refuse()
 {
     m_server.reset();
@@ -156,7 +181,7 @@
     m_blocker.push_back(listener);
     for (int i = 0; i < filling_connections; ++i) {
         const int filling = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        connect(filling, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        (void)connect(filling, reinterpret_cast<const sockaddr*>(&address), sizeof address);
         m_blocker.push_back(filling);
     }
 }
@@ -235,28 +260,44 @@
     return m_hosts[host]->links;
 }
 
+std::unique_ptr<http::client_call> fleet_fixture::start(http::client_request request,
+                                                        std::optional<reply>& into)
+{
+    request.head.headers.push_back({"x-key", "key"});
+    request.deadline = base::boot_clock::now() + std::chrono::seconds(10);
+    return m_client.fetch(
+        std::move(request), 8U << 20U,
+        [&into](const base::result<std::pair<http::response_head, std::string>>& result, bool) {
+            into = reply{};
+            if (base::is_ok(result)) {
+                const auto& [response, text] = base::value_of(result);
+                into = reply{response.status, response.headers, text};
+            }
+        });
+}
+
+std::unique_ptr<http::client_call> fleet_fixture::begin(std::size_t host, const std::string& path,
+                                                        const std::string& id,
+                                                        std::optional<reply>& into)
+{
+    http::client_request request;
+    request.address = settings(host).entry_address;
+    request.head = {"GET", path, "a.example", {{"x-attempt-id", id}}};
+    return start(std::move(request), into);
+}
+
 reply fleet_fixture::send(std::size_t host, const std::string& path, const std::string& method,
                           const std::string& body, const http::header_list& headers)
 {
     http::client_request request;
     request.address = settings(host).entry_address;
     request.head = {method, path, "a.example", headers};
-    request.head.headers.push_back({"x-key", "key"});
     if (!http::find_header(headers, "x-attempt-id").has_value()) {
         request.head.headers.push_back({"x-attempt-id", "id-" + std::to_string(++m_last_id)});
     }
     request.body = body;
-    request.deadline = base::boot_clock::now() + std::chrono::seconds(10);
     std::optional<reply> got;
-    const auto call = m_client.fetch(
-        std::move(request), 8U << 20U,
-        [&got](const base::result<std::pair<http::response_head, std::string>>& result, bool) {
-            got = reply{};
-            if (base::is_ok(result)) {
-                const auto& [response, text] = base::value_of(result);
-                got = reply{response.status, response.headers, text};
-            }
-        });
+    const auto call = start(std::move(request), got);
     REQUIRE(run_until([&] { return got.has_value(); }));
     return *got;
 }
--- a/src/apps/host/tests/fleet_fixture.h
+++ b/src/apps/host/tests/fleet_fixture.h
@@ -29,6 +29,12 @@
     /// Leaves open connections without answers, and new ones without an end of their handshake.
     void hang();
 
+    /// Keeps requests until `answer_held`.
+    void hold();
+    void answer_held();
+    /// Requests that are kept and whose sender is still connected.
+    std::size_t held_from_callers() const;
+
     const std::string& address() const;
 
     /// Requests that reached the target through this link, by their ids.
@@ -37,11 +43,13 @@
     std::string last_body;
 
 private:
+    void answer(const std::shared_ptr<http::exchange>& request);
     void close_blocker();
 
     http::loop& m_loop;
     std::string m_address;
     bool m_is_silent = false;
+    bool m_is_holding = false;
     std::unique_ptr<http::server> m_server;
     std::vector<std::shared_ptr<http::exchange>> m_unanswered;
     std::vector<int> m_blocker; ///< A listener whose queue is full, and the connections in it.
@@ -67,6 +75,10 @@
     reply send(std::size_t host, const std::string& path, const std::string& method = "GET",
                const std::string& body = "", const http::header_list& headers = {});
 
+    /// Starts a request without waiting for its response.
+    std::unique_ptr<http::client_call> begin(std::size_t host, const std::string& path,
+                                             const std::string& id, std::optional<reply>& into);
+
     /// Sends this number of requests one after the other; returns how many were served.
     int count_served(std::size_t host, int requests);
 
@@ -87,6 +99,9 @@
 private:
     struct host;
 
+    std::unique_ptr<http::client_call> start(http::client_request request,
+                                             std::optional<reply>& into);
+
     memory_store m_store;
     http::client m_client;
     std::vector<std::unique_ptr<host>> m_hosts;
--- a/src/fleet/exchange_encoding.cpp
+++ b/src/fleet/exchange_encoding.cpp
@@ -29,7 +29,7 @@
 {
     return json::array({host.id.value(), host.failure_domain.value(), host.entry_address,
                         host.control_address, host.incarnation.value(),
-                        static_cast<int>(host.state), host.reads_store});
+                        static_cast<int>(host.state), host.reads_store, host.reaches_targets});
 }
 
 std::uint64_t read_number(const json& from)
@@ -62,6 +62,7 @@
                  : state == 2 ? member_state::leaving
                               : member_state::starting;
     host.reads_store = from.size() <= 6 || from.at(6).get<bool>();
+    host.reaches_targets = from.size() <= 7 || from.at(7).get<bool>();
     return host;
 }
 
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -197,37 +197,18 @@
     return table.members.size() + 1;
 }
 
-std::vector<std::string>
-entry_addresses(const member_table& table, const member& self,
-                const base::failure_domain_id& caller_domain,
-                const std::function<base::region_id(const base::failure_domain_id&)>& region_of,
-                base::time_point now)
-{
-    std::vector<std::string> same_domain;
-    std::vector<std::string> same_region;
-    std::vector<std::string> all;
-    const auto add = [&](const member& host) {
-        if (host.state != member_state::ready) {
-            return;
-        }
-        all.push_back(host.entry_address);
-        if (region_of(host.failure_domain) == region_of(caller_domain)) {
-            same_region.push_back(host.entry_address);
-        }
-        if (host.failure_domain == caller_domain) {
-            same_domain.push_back(host.entry_address);
-        }
-    };
-    add(self);
+std::vector<member> ready_hosts(const member_table& table, const member& self, base::time_point now)
+{
+    std::vector<member> ready;
+    if (self.state == member_state::ready) {
+        ready.push_back(self);
+    }
     for (const auto& [id, known] : table.members) {
-        if (has_recent_contact(known, now)) {
-            add(known.info);
+        if (has_recent_contact(known, now) && known.info.state == member_state::ready) {
+            ready.push_back(known.info);
         }
     }
-    if (!same_domain.empty()) {
-        return same_domain;
-    }
-    return same_region.empty() ? all : same_region;
+    return ready;
 }
 
 bool is_owner(const member_table& table, std::string_view target, base::time_point now)
@@ -236,6 +217,7 @@
     return std::none_of(table.members.begin(), table.members.end(), [&](const auto& entry) {
         return is_live(table, entry.second, now) &&
                entry.second.info.state == member_state::ready &&
+               entry.second.info.reaches_targets &&
                base::rendezvous_weight(target, entry.first.value()) > own;
     });
 }
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -5,7 +5,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -71,16 +70,12 @@
 /// they may only be partitioned from this host.
 std::size_t possible_host_count(const member_table& table);
 
-/// Addresses for callers of a failure domain: the ready hosts of the domain, or else of its region,
-/// or else all ready hosts. `self` is considered like the others.
-std::vector<std::string>
-entry_addresses(const member_table& table, const member& self,
-                const base::failure_domain_id& caller_domain,
-                const std::function<base::region_id(const base::failure_domain_id&)>& region_of,
-                base::time_point now);
+/// The own host and all others with recent contact that are ready.
+std::vector<member> ready_hosts(const member_table& table, const member& self,
+                                base::time_point now);
 
 /// Whether the own host is the only live host that may send requests to a target that is restricted
-/// to one host, such as a cold target.
+/// to one host, such as a cold target. Hosts that reach no target are passed over.
 bool is_owner(const member_table& table, std::string_view target, base::time_point now);
 
 } // namespace snipeshore::fleet
--- a/src/fleet/tests/members_test.cpp
+++ b/src/fleet/tests/members_test.cpp
@@ -1,3 +1,4 @@
+#include "fleet/host_choice.h"
 #include "fleet/members.h"
 
 #include <doctest/doctest.h>
@@ -23,7 +24,12 @@
 std::vector<std::string> named(const fleet::member_table& table, const fleet::member& self,
                                const std::string& domain, base::time_point now)
 {
-    return fleet::entry_addresses(table, self, base::failure_domain_id(domain), region_of, now);
+    std::vector<std::string> addresses;
+    for (const fleet::member& host : fleet::entry_hosts(
+             fleet::ready_hosts(table, self, now), base::failure_domain_id(domain), region_of)) {
+        addresses.push_back(host.entry_address);
+    }
+    return addresses;
 }
 
 } // namespace
--- a/src/fleet/types/member.h
+++ b/src/fleet/types/member.h
@@ -21,6 +21,7 @@
     member_state state = member_state::starting;
     bool reads_store = true; ///< Its last call to the store, or to the host that reads the store
                              ///< for it, succeeded.
+    bool reaches_targets = true; ///< It can open connections to targets.
 };
 
 struct known_member {
