Leave targets alone that say that they leave or ask for a rest

signals decides from what one start of a target has said whether it may be sent a request. A target that leaves gets none; other hosts hear of it by a notice. A rest is kept as a deadline, the latest that was named; the return is spread by the number of hosts, begins with one request in progress and doubles with each that completes. Both hold on under another address and while the row of the target is missing, and for requests that waited for a connection meanwhile, which go to another target. A rest is no failure, so it ejects nobody. A service whose targets all rest is refused at once, with the time to the first return.

host_target_signals_test failed before and passes.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -4,6 +4,7 @@
 #include "apps/host/host_context.h"
 #include "apps/host/notices.h"
 #include "apps/host/target_limits.h"
+#include "apps/host/target_signals.h"
 #include "http/exchange.h"
 #include "limits/fleet_share.h"
 #include "reachability/target_reach.h"
@@ -11,6 +12,7 @@
 #include "retries/next_step.h"
 #include "retries/response_progress.h"
 #include "retries/retry_budget.h"
+#include "signals/target_rest.h"
 #include "telemetry/event_log.h"
 #include "telemetry/metrics.h"
 
@@ -104,6 +106,7 @@
     // A misdirected request was answered by another target than the one it was sent to.
     if (target != nullptr && head.status != status_misdirected) {
         apply_limit_header(m_context, *target, http::find_header(head.headers, names.limit), now);
+        apply_signals(m_context, *target, head, now);
     }
     const auto load = http::find_header(head.headers, names.load);
     const bool has_report =
@@ -266,6 +269,7 @@
         } else {
             on_success(*target);
         }
+        signals::on_completed(target->signals, target->entry.slots, base::boot_clock::now());
     }
     const bool is_success = m_status < first_failure_status;
     if (is_success) {
@@ -345,6 +349,11 @@
         return; // It is at work on this or other requests, so it is busy rather than broken.
     }
     const base::time_point now = base::boot_clock::now();
+    const bool has_responded =
+        result == attempt_result::rejected || result == attempt_result::error_response;
+    if (has_responded && signals::return_time(target->signals, now).has_value()) {
+        return; // It has asked for a rest, which it gets.
+    }
     const bool is_hard = result == attempt_result::not_sent ||
                          result == attempt_result::timed_out || result == attempt_result::broken;
     if (on_failure(pool_of(m_context, m_service), *target, is_hard, now)) {
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -15,6 +15,7 @@
 #include "retries/quarantine.h"
 #include "retries/retry_budget.h"
 #include "routing/route_table.h"
+#include "signals/target_rest.h"
 
 #include <algorithm>
 #include <chrono>
@@ -203,8 +204,9 @@
         if (hand_over()) {
             return;
         }
-        m_retry_after =
-            time_to_room(pool_of(m_context, m_service), now).value_or(base::duration{0});
+        m_retry_after = signals::spread_delay(
+            time_to_room(pool_of(m_context, m_service), now).value_or(base::duration{0}),
+            m_context.random());
         refuse({retries::final_error(attempt_result::rejected, m_may_have_run),
                 "no target is available for the request"});
         return;
@@ -380,7 +382,7 @@
 bool forward_task::refresh_before_write(http::request_head& head) const
 {
     const base::time_point now = base::boot_clock::now();
-    if (now >= target_deadline() || !m_exchange->is_caller_connected()) {
+    if (now >= target_deadline() || !m_exchange->is_caller_connected() || has_target_withdrawn()) {
         return false;
     }
     for (http::header& one : head.headers) {
@@ -391,12 +393,28 @@
     return true;
 }
 
+bool forward_task::has_target_withdrawn() const
+{
+    const pooled_target* target = current_target();
+    // The request itself is already counted in `running`.
+    return target != nullptr &&
+           !signals::may_send(target->signals, target->running - 1, base::boot_clock::now());
+}
+
 void forward_task::end_unwanted()
 {
     if (!m_exchange->is_caller_connected()) {
         on_caller_disconnected();
         return;
     }
+    if (has_target_withdrawn() && base::boot_clock::now() < target_deadline()) {
+        const auto call = std::move(m_call);
+        cancel_abandon();
+        on_not_run(*current_target(), m_sent);
+        end_attempt(std::nullopt);
+        send_to_target();
+        return;
+    }
     end_attempt(std::nullopt);
     refuse({m_may_have_run ? error_kind::deadline_exceeded : error_kind::deadline_not_run,
             "the deadline passed before a connection to the target was there"});
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -74,7 +74,10 @@
     /// Updates the time left in the head of an attempt that may have waited for a connection.
     /// Returns false if the request is not to be sent any more.
     bool refresh_before_write(http::request_head& head) const;
-    /// Ends the request after `refresh_before_write` has returned false.
+    /// Whether the current target has said that it leaves or rests while the request waited for a
+    /// connection.
+    bool has_target_withdrawn() const;
+    /// Ends the attempt after `refresh_before_write` has returned false.
     void end_unwanted();
     base::time_point attempt_deadline(const affinity::placement& placement,
                                       base::time_point now) const;
--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -4,6 +4,7 @@
 #include "http/server.h"
 
 #include "prediction/service_times.h"
+#include "signals/target_rest.h"
 #include <nlohmann/json.hpp>
 #include <prometheus/gauge.h>
 
@@ -41,6 +42,9 @@
                 {"address", target.entry.address},
                 {"running", target.running},
                 {"leaving", target.entry.is_leaving},
+                {"says_leaving", target.signals.is_leaving},
+                {"rests",
+                 signals::return_time(target.signals, base::boot_clock::now()).has_value()},
                 {"limit_per_s", target.limit.rate.has_value() ? nlohmann::json(*target.limit.rate)
                                                               : nlohmann::json()},
                 {"own_limit_per_s", target.limit.own_rate},
--- a/src/apps/host/notices.cpp
+++ b/src/apps/host/notices.cpp
@@ -2,9 +2,11 @@
 
 #include "apps/host/host_context.h"
 #include "apps/host/target_limits.h"
+#include "apps/host/target_signals.h"
 #include "fleet/bulletin.h"
 #include "telemetry/event_log.h"
 
+#include <string>
 #include <utility>
 
 namespace snipeshore::apps {
@@ -46,11 +48,31 @@
     case fleet::notice_kind::target_limit:
         apply_limit_notice(context, heard, now);
         return;
+    case fleet::notice_kind::target_leaving:
+        apply_leaving_notice(context, heard);
+        return;
     }
 }
 
 } // namespace
 
+std::string subject_of(const pooled_target& target)
+{
+    return target.entry.id.value() + "/" + std::to_string(target.entry.started_ms);
+}
+
+pooled_target* find_subject(host_context& context, std::string_view subject)
+{
+    const base::target_id id(std::string(subject.substr(0, subject.rfind('/'))));
+    for (auto& [service, pool] : context.pools) {
+        pooled_target* target = find_target(pool, id);
+        if (target != nullptr && subject_of(*target) == subject) {
+            return target;
+        }
+    }
+    return nullptr;
+}
+
 void publish(host_context& context, const std::vector<fleet::notice>& made)
 {
     bool is_news = false;
--- a/src/apps/host/reach_watch.cpp
+++ b/src/apps/host/reach_watch.cpp
@@ -23,7 +23,8 @@
     std::vector<const pooled_target*> candidates;
     for (const auto& [service, pool] : context.pools) {
         for (const pooled_target& target : pool.targets) {
-            if (!target.entry.is_leaving && !target.is_drained && !target.is_misdirected) {
+            if (!target.entry.is_leaving && !target.is_drained && !target.is_misdirected &&
+                !target.signals.is_leaving) {
                 candidates.push_back(&target);
             }
         }
--- a/src/apps/host/target_choice.cpp
+++ b/src/apps/host/target_choice.cpp
@@ -3,6 +3,7 @@
 #include "apps/host/target_pool.h"
 #include "limits/target_limit.h"
 #include "prediction/service_times.h"
+#include "signals/target_rest.h"
 
 #include <algorithm>
 #include <chrono>
@@ -55,7 +56,8 @@
 {
     return !target.entry.is_leaving && !target.is_drained && !target.is_misdirected &&
            view.now >= target.ejected_until && may_use_cold(pool, target, view) &&
-           limits::has_room(target.limit, view.now);
+           limits::has_room(target.limit, view.now) &&
+           signals::may_send(target.signals, target.running, view.now);
 }
 
 affinity::target_load load_for(const target_pool& pool, const pooled_target& target,
@@ -169,14 +171,19 @@
 {
     std::optional<base::duration> earliest;
     for (const pooled_target& target : pool.targets) {
+        const auto returns_at = signals::return_time(target.signals, now);
+        const bool is_waiting = target.limit.rate.has_value() || returns_at.has_value();
         if (target.entry.is_leaving || target.is_drained || target.is_misdirected ||
-            !target.limit.rate.has_value()) {
+            target.signals.is_leaving || !is_waiting) {
             continue;
         }
         const auto time = limits::time_to_room(target.limit, now);
-        if (time.has_value() && (!earliest.has_value() || *time < *earliest)) {
-            earliest = std::max<base::duration>(*time, target.ejected_until - now);
+        if (!time.has_value()) {
+            continue;
         }
+        const base::duration wait = std::max<base::duration>(
+            {*time, target.ejected_until - now, returns_at.value_or(now) - now});
+        earliest = std::min(earliest.value_or(wait), wait);
     }
     return earliest;
 }
--- a/src/apps/host/target_choice.h
+++ b/src/apps/host/target_choice.h
@@ -31,7 +31,8 @@
               const std::map<base::failure_domain_id, base::region_id>& regions,
               const pool_view& view);
 
-/// Time until a target that names a limit takes a request of this host; no value if none does.
+/// Time until a target that names a limit or rests takes a request of this host; no value if there
+/// is none.
 std::optional<base::duration> time_to_room(const target_pool& pool, base::time_point now);
 
 /// Updates the average of the load at home, and the placement that follows it. Called for each
--- a/src/apps/host/target_limits.cpp
+++ b/src/apps/host/target_limits.cpp
@@ -26,12 +26,6 @@
 
 constexpr double no_limit = -1;
 
-/// Includes the target's start: a new process under the same id has named nothing yet.
-std::string subject_of(const pooled_target& target)
-{
-    return target.entry.id.value() + "/" + std::to_string(target.entry.started_ms);
-}
-
 void log_change(const pooled_target& target, std::string_view source)
 {
     telemetry::log_event(severity::info, "target_limit_changed",
@@ -57,18 +51,6 @@
     update_share(context, target, now);
 }
 
-pooled_target* find_subject(host_context& context, std::string_view subject)
-{
-    const base::target_id id(std::string(subject.substr(0, subject.rfind('/'))));
-    for (auto& [service, pool] : context.pools) {
-        pooled_target* target = find_target(pool, id);
-        if (target != nullptr && subject_of(*target) == subject) {
-            return target;
-        }
-    }
-    return nullptr;
-}
-
 void end_limit(host_context& context, pooled_target& target, base::time_point now)
 {
     limits::end_limit(target.limit);
--- a/src/apps/host/target_pool.cpp
+++ b/src/apps/host/target_pool.cpp
@@ -36,6 +36,9 @@
 /// The ejection time doubles with each failure in a row up to this number.
 constexpr unsigned max_ejection_steps = 4;
 
+/// Longer than any copy from which the store is restored is old.
+constexpr std::chrono::minutes missing_retention{10};
+
 /// Burst of requests that a cold target may receive.
 constexpr double cold_burst = 2;
 
@@ -61,7 +64,12 @@
     const bool is_new =
         target.entry.started_ms != entry.started_ms || target.entry.address != entry.address;
     if (is_new) {
+        const bool is_same_start =
+            target.entry.id == entry.id && target.entry.started_ms == entry.started_ms;
+        const signals::target_signals said =
+            is_same_start ? target.signals : signals::target_signals{};
         target = pooled_target{};
+        target.signals = said;
     }
     target.entry = entry;
     if (entry.cold_for.count() > 0) {
@@ -69,6 +77,26 @@
     }
 }
 
+void keep_signals(target_pool& pool, const pooled_target& target, base::time_point now)
+{
+    if (target.signals.is_leaving || target.signals.rests_until.has_value()) {
+        pool.missing[target.entry.id] = {target.entry.started_ms, target.signals,
+                                         now + missing_retention};
+    }
+}
+
+void restore_signals(target_pool& pool, pooled_target& target)
+{
+    const auto known = pool.missing.find(target.entry.id);
+    if (known == pool.missing.end()) {
+        return;
+    }
+    if (known->second.started_ms == target.entry.started_ms) {
+        target.signals = known->second.signals;
+    }
+    pool.missing.erase(known);
+}
+
 void rebuild_layout(target_pool& pool,
                     const std::map<base::failure_domain_id, base::region_id>& regions,
                     const base::failure_domain_id& own_domain)
@@ -125,6 +153,7 @@
         old.emplace(target.entry.id, std::move(target));
     }
     pool.targets.clear();
+    std::erase_if(pool.missing, [now](const auto& one) { return now >= one.second.forget_at; });
     for (const target_entry& entry : entries) {
         if (!regions.contains(entry.failure_domain)) {
             continue;
@@ -132,8 +161,13 @@
         const auto known = old.find(entry.id);
         pool.targets.push_back(known == old.end() ? pooled_target{} : std::move(known->second));
         apply_entry(pool.targets.back(), entry, now);
+        restore_signals(pool, pool.targets.back());
+        old.erase(entry.id);
         pool.targets.back().is_drained = is_drained(entry.failure_domain);
     }
+    for (const auto& [id, target] : old) {
+        keep_signals(pool, target, now);
+    }
     rebuild_layout(pool, regions, own_domain);
 }
 
--- a/src/apps/host/target_pool.h
+++ b/src/apps/host/target_pool.h
@@ -9,6 +9,7 @@
 #include "prediction/types/service_times.h"
 #include "retries/types/retry.h"
 #include "routing/types/route_table.h"
+#include "signals/types/target_signals.h"
 
 #include <chrono>
 #include <cstdint>
@@ -40,7 +41,9 @@
     bool is_drained = false;
     limits::target_limit limit;
     bool has_unreadable_limit = false; ///< It named a limit that is no number.
-    bool is_misdirected = false;       ///< Another target responds at its address.
+    signals::target_signals signals;
+    bool has_unreadable_signal = false;
+    bool is_misdirected = false; ///< Another target responds at its address.
 };
 
 /// Load that another host reported for its failure domain.
@@ -49,6 +52,13 @@
     base::time_point reported_at{};
 };
 
+/// What a target has said whose row is missing. Its row may come back.
+struct missing_target {
+    std::int64_t started_ms = 0;
+    signals::target_signals signals;
+    base::time_point forget_at;
+};
+
 /// State of the targets of one service. Belongs to the loop's thread.
 struct target_pool {
     base::service_id service;
@@ -56,6 +66,7 @@
     std::chrono::milliseconds cold_time{0}; ///< Time for which a target is cold after a start.
     std::vector<pooled_target> targets;
     affinity::layout layout; ///< Layout of `targets`, with the same indexes.
+    std::map<base::target_id, missing_target> missing;
     std::map<base::failure_domain_id, domain_load> domain_loads;
     affinity::copy_ledger copies;
     affinity::home_load home_load; ///< Moving average.
@@ -64,7 +75,8 @@
     double settle_tokens = 0; ///< Number of objects that may move to their first target now.
 };
 
-/// Replaces the targets and keeps the state of those with an unchanged incarnation.
+/// Replaces the targets and keeps the state of those with an unchanged incarnation. What a target
+/// has said holds on for that incarnation, also under another address or while its row is missing.
 void set_targets(target_pool& pool, const std::vector<target_entry>& entries,
                  const std::function<bool(const base::failure_domain_id&)>& is_drained,
                  const std::map<base::failure_domain_id, base::region_id>& regions,
--- a/src/apps/host/tests/target_signals_test.cpp
+++ b/src/apps/host/tests/target_signals_test.cpp
@@ -93,6 +93,7 @@
     host.reach_first();
     host.signals = {};
     const int before = host.first.requests;
+    test_target moved(host.loop, respond_success);
     SUBCASE("while its row says that it is ready")
     {
         host.set_row("t1", host.first.address(), 2, 1);
@@ -108,12 +109,13 @@
     }
     SUBCASE("after it has registered another address")
     {
-        host.set_row("t1", "127.0.0.2" + host.first.address().substr(9), 2, 1);
+        host.set_row("t1", moved.address(), 2, 1);
         host.set_row("t3", free_address(), 1, 1);
         host.await_targets(3);
     }
     CHECK(host.count_served(40) == 40);
     CHECK(host.first.requests == before);
+    CHECK(moved.requests == 0);
     SUBCASE("until it has started again")
     {
         host.set_row("t1", host.first.address(), 1, 2);
--- a/src/apps/host/types/wire_names.h
+++ b/src/apps/host/types/wire_names.h
@@ -17,6 +17,8 @@
     std::string load = "snipeshore-load";            ///< Sent by targets: "running,waiting,slots".
     /// Sent by targets in need: requests per second that they take from all hosts together.
     std::string limit = "snipeshore-limit";
+    /// Sent by targets that leave, with the value 1.
+    std::string leaving = "snipeshore-draining";
     /// Sent by targets that reject a request without running it.
     std::string not_run = "snipeshore-not-run";
     /// Sent by targets with every successful response; if empty, no such header is required.
--- a/src/fleet/types/notice.h
+++ b/src/fleet/types/notice.h
@@ -14,9 +14,10 @@
     quarantine,   ///< A request is not to be sent. Subject: request; value: its level, or 0 if the
                   ///< request got its response.
     target_limit, ///< Subject: target and its start; value: requests per second, -1 for no limit.
+    target_leaving, ///< Subject: target and its start; value: 1.
 };
 
-inline constexpr std::size_t notice_kinds = 3;
+inline constexpr std::size_t notice_kinds = 4;
 
 struct notice {
     notice_kind kind = notice_kind::crash;
