balancing: targets that ask for a rest get no request until its end

The rest is now kept with the target, by the same decisions as in snipeshore-host. entry_test: each of 10 further requests reached the target before, none now, and callers get no_target. snipeshore-entry reads whole seconds only, as before.

--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -463,6 +463,12 @@
     if (signals.is_draining) {
         set_announced_leaving(*m_pool, current->target, true);
     }
+    if (signals.retry_after.value_or(std::chrono::seconds(0)).count() > 0) {
+        balancing::on_rest(m_pool->balancer, current->target,
+                           {*signals.retry_after, m_services.fleet.config->hosts.size(),
+                            base::stable_hash(current->id)},
+                           base::boot_clock::now());
+    }
     if (signals.is_shed && retry_after_shed(number, head)) {
         return;
     }
--- a/src/apps/entry/tests/request_task_test.cpp
+++ b/src/apps/entry/tests/request_task_test.cpp
@@ -283,6 +283,30 @@
     CHECK(target.accepted() == 3);
 }
 
+// Guards against requests to a target that has asked for a rest.
+TEST_CASE("a target that asks for a rest gets no further requests")
+{
+    std::atomic<int> requests{0};
+    parallel_raw_server target([&](int connection) {
+        for (std::string request = read_until(connection, "\r\n\r\n"); !request.empty();
+             request = read_until(connection, "\r\n\r\n")) {
+            ++requests;
+            write_all(connection, response("503 Full",
+                                           echoed_line(request, "snipeshore-attempt-id") +
+                                               "retry-after: 60\r\n",
+                                           "shed"));
+        }
+    });
+    entry_fixture entry(target.address());
+    CHECK(entry.send_safe().body == "shed");
+    for (int i = 0; i < 10; ++i) {
+        const reply later = entry.send_safe();
+        CHECK(later.status == 503);
+        CHECK(later.header("snipeshore-error") == "no_target");
+    }
+    CHECK(requests == 1);
+}
+
 // Guards against a target that stays unusable after a change to a version that does not echo ids.
 TEST_CASE("a target that no longer echoes ids fails one request")
 {
--- a/src/balancing/balancer.cpp
+++ b/src/balancing/balancer.cpp
@@ -263,7 +263,9 @@
             target.phase = ejection_phase::trial;
         }
         if (target.phase == ejection_phase::trial && !target.trial_running && request.allow_trial &&
-            is_member(target) && !is_at_limit(target) && !is_excluded(request, index)) {
+            is_member(target) && !is_at_limit(target) &&
+            signals::may_send(target.signals, target.in_flight, now) &&
+            !is_excluded(request, index)) {
             return index;
         }
     }
@@ -286,7 +288,7 @@
         ++record.ejected;
         return unavailable;
     }
-    if (is_at_limit(target)) {
+    if (is_at_limit(target) || !signals::may_send(target.signals, target.in_flight, now)) {
         ++record.at_limit;
         return unavailable;
     }
@@ -446,6 +448,7 @@
     switch (result) {
     case outcome::success:
         on_success(state, entry, milliseconds(latency), now);
+        signals::on_completed(entry.signals, entry.info.slots, now);
         break;
     case outcome::failure:
         on_failure(state, entry, now);
@@ -459,6 +462,14 @@
     }
 }
 
+void on_rest(balancer_state& state, std::uint32_t target, const signals::rest_request& rest,
+             base::time_point now)
+{
+    if (target < state.targets.size()) {
+        signals::ask_rest(state.targets[target].signals, rest, now);
+    }
+}
+
 void on_load_report(balancer_state& state, std::uint32_t target, double load_per_slot,
                     base::time_point /*now*/)
 {
--- a/src/balancing/balancer.h
+++ b/src/balancing/balancer.h
@@ -15,6 +15,7 @@
 #include "balancing/types/target_state.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "signals/target_rest.h"
 
 #include <array>
 #include <chrono>
@@ -60,6 +61,10 @@
 void on_end(balancer_state& state, std::uint32_t target, outcome result,
             std::chrono::nanoseconds latency, base::time_point now);
 
+/// Records that the target has asked for a rest. It gets no request until its end.
+void on_rest(balancer_state& state, std::uint32_t target, const signals::rest_request& rest,
+             base::time_point now);
+
 /// Records the load that the target reports, in requests per slot.
 void on_load_report(balancer_state& state, std::uint32_t target, double load_per_slot,
                     base::time_point now);
--- a/src/balancing/tests/balancer_test.cpp
+++ b/src/balancing/tests/balancer_test.cpp
@@ -293,3 +293,36 @@
     host.now += 120s;
     CHECK(host.send_requests(50)[0] > 0);
 }
+
+// Guards against requests to a target that has asked for a rest.
+TEST_CASE("a target that asks for a rest gets no request until its end")
+{
+    scenario host(2);
+    on_rest(host.state, 0, {5s, 1, 0}, host.now);
+    CHECK(host.send_requests(50)[0] == 0);
+    host.now += 4900ms;
+    CHECK(host.send_requests(50)[0] == 0);
+    host.now += 200ms;
+    CHECK(host.send_requests(50)[0] > 0.2);
+    SUBCASE("also if all targets rest")
+    {
+        on_rest(host.state, 0, {5s, 1, 0}, host.now);
+        on_rest(host.state, 1, {3s, 1, 0}, host.now);
+        CHECK(host.start() == -1);
+        host.now += 3100ms;
+        CHECK(host.start() == 1);
+    }
+    SUBCASE("also if its ejection ends meanwhile")
+    {
+        scenario many(6);
+        for (int index = 0; index < 20; ++index) {
+            many.observe(0, outcome::failure);
+        }
+        REQUIRE(many.state.targets[0].phase == ejection_phase::ejected);
+        on_rest(many.state, 0, {10min, 1, 0}, many.now);
+        many.now += 5min;
+        for (int index = 0; index < 20; ++index) {
+            CHECK(many.start() != 0);
+        }
+    }
+}
