fleet: choose hosts for look-ups without copying them

entry_hosts copied each ready host three times per look-up. It now returns pointers and looks at wider scopes only if needed. A relayed call whose response is paused is detached before it is cancelled.

--- a/src/apps/host/host_listeners.cpp
+++ b/src/apps/host/host_listeners.cpp
@@ -125,12 +125,12 @@
     }
     const std::string_view query = path.substr(std::min(query_start + 1, path.size()));
     std::vector<std::string> addresses;
-    for (const fleet::member& host : fleet::entry_hosts(
+    for (const fleet::member* host : fleet::entry_hosts(
              fleet::ready_hosts(m_context.members, m_self, base::boot_clock::now()),
              m_formats.caller_domain(query), [this](const base::failure_domain_id& domain) {
                  return region_of(m_context, domain);
              })) {
-        addresses.push_back(host.entry_address);
+        addresses.push_back(host->entry_address);
     }
     if (addresses.empty()) {
         respond_json(request, 503, "{}");
--- a/src/apps/host/relay_task.cpp
+++ b/src/apps/host/relay_task.cpp
@@ -199,6 +199,9 @@
     if (m_is_finished) {
         return;
     }
+    if (m_stream != nullptr) {
+        m_stream->detach_call();
+    }
     m_call.reset();
     record_end(0, "caller_gone");
     finish_task();
--- a/src/apps/host/request_relay.cpp
+++ b/src/apps/host/request_relay.cpp
@@ -87,12 +87,15 @@
     const auto region_of = [this](const base::failure_domain_id& domain) {
         return apps::region_of(m_context, domain);
     };
-    std::vector<fleet::member> ready =
-        fleet::ready_hosts(m_context.members, m_self, base::boot_clock::now());
-    std::erase_if(ready, [&](const fleet::member& host) {
-        return !routing::is_home(route, account, region_of(host.failure_domain));
+    fleet::host_list ready = fleet::ready_hosts(m_context.members, m_self, base::boot_clock::now());
+    std::erase_if(ready, [&](const fleet::member* host) {
+        return !routing::is_home(route, account, region_of(host->failure_domain));
     });
-    return fleet::relay_hosts(ready, m_self, region_of);
+    std::vector<fleet::member> found;
+    for (const fleet::member* host : fleet::relay_hosts(ready, m_self, region_of)) {
+        found.push_back(*host);
+    }
+    return found;
 }
 
 void request_relay::receive(const std::shared_ptr<http::exchange>& request)
--- a/src/fleet/host_choice.cpp
+++ b/src/fleet/host_choice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <iterator>
 
 namespace snipeshore::fleet {
@@ -11,39 +12,45 @@
 /// Relayed requests may take up to this fraction of a host's requests in progress.
 constexpr std::size_t relayed_divisor = 2;
 
-template <typename Filter>
-std::vector<member> filter_hosts(std::span<const member> hosts, Filter filter)
-{
-    std::vector<member> kept;
-    std::copy_if(hosts.begin(), hosts.end(), std::back_inserter(kept), filter);
-    return kept;
-}
+enum class scope : std::uint8_t { failure_domain, region, fleet };
+
+constexpr std::array<scope, 3> scopes_by_distance{scope::failure_domain, scope::region,
+                                                  scope::fleet};
 
-bool reaches(const member& host)
+host_list hosts_in(std::span<const member* const> hosts, scope within,
+                   const base::failure_domain_id& domain, const region_lookup& region_of)
 {
-    return host.reaches_targets;
+    const base::region_id region = region_of(domain);
+    host_list found;
+    std::copy_if(hosts.begin(), hosts.end(), std::back_inserter(found), [&](const member* host) {
+        switch (within) {
+        case scope::failure_domain:
+            return host->failure_domain == domain;
+        case scope::region:
+            return region_of(host->failure_domain) == region;
+        case scope::fleet:
+            return true;
+        }
+        return true;
+    });
+    return found;
 }
 
-/// The hosts of the failure domain, of its region and of the fleet.
-std::array<std::vector<member>, 3> scopes_of(std::span<const member> hosts,
-                                             const base::failure_domain_id& domain,
-                                             const region_lookup& region_of)
+host_list reaching(host_list hosts)
 {
-    const base::region_id region = region_of(domain);
-    return {
-        filter_hosts(hosts, [&](const member& host) { return host.failure_domain == domain; }),
-        filter_hosts(hosts,
-                     [&](const member& host) { return region_of(host.failure_domain) == region; }),
-        {hosts.begin(), hosts.end()}};
+    std::erase_if(hosts, [](const member* host) { return !host->reaches_targets; });
+    return hosts;
 }
 
 /// Hosts that reach targets, in the nearest scope where they are at least half; empty if in none.
-std::vector<member> nearest_reaching(std::span<const std::vector<member>> scopes)
+host_list nearest_reaching(std::span<const member* const> ready,
+                           const base::failure_domain_id& domain, const region_lookup& region_of)
 {
-    for (const std::vector<member>& scope : scopes) {
-        std::vector<member> reaching = filter_hosts(scope, reaches);
-        if (!reaching.empty() && reaching.size() * 2 >= scope.size()) {
-            return reaching;
+    for (const scope within : scopes_by_distance) {
+        const host_list hosts = hosts_in(ready, within, domain, region_of);
+        host_list found = reaching(hosts);
+        if (!found.empty() && found.size() * 2 >= hosts.size()) {
+            return found;
         }
     }
     return {};
@@ -51,32 +58,26 @@
 
 } // namespace
 
-std::vector<member> entry_hosts(std::span<const member> ready,
-                                const base::failure_domain_id& caller_domain,
-                                const region_lookup& region_of)
+host_list entry_hosts(std::span<const member* const> ready,
+                      const base::failure_domain_id& caller_domain, const region_lookup& region_of)
 {
-    const auto scopes = scopes_of(ready, caller_domain, region_of);
-    std::vector<member> reaching = nearest_reaching(scopes);
-    if (!reaching.empty()) {
-        return reaching;
-    }
-    for (const std::vector<member>& scope : scopes) {
-        if (!scope.empty()) {
-            return scope;
+    host_list hosts = nearest_reaching(ready, caller_domain, region_of);
+    for (const scope within : scopes_by_distance) {
+        if (hosts.empty()) {
+            hosts = hosts_in(ready, within, caller_domain, region_of);
         }
     }
-    return {};
+    return hosts;
 }
 
-std::vector<member> relay_hosts(std::span<const member> ready, const member& self,
-                                const region_lookup& region_of)
+host_list relay_hosts(std::span<const member* const> ready, const member& self,
+                      const region_lookup& region_of)
 {
-    const auto scopes = scopes_of(ready, self.failure_domain, region_of);
-    std::vector<member> hosts = nearest_reaching(scopes);
+    host_list hosts = nearest_reaching(ready, self.failure_domain, region_of);
     if (hosts.empty()) {
-        hosts = filter_hosts(ready, reaches);
+        hosts = reaching({ready.begin(), ready.end()});
     }
-    std::erase_if(hosts, [&](const member& host) { return host.id == self.id; });
+    std::erase_if(hosts, [&](const member* host) { return host->id == self.id; });
     return hosts;
 }
 
--- a/src/fleet/host_choice.h
+++ b/src/fleet/host_choice.h
@@ -8,25 +8,24 @@
 #include <cstdint>
 #include <functional>
 #include <span>
-#include <string>
 #include <vector>
 
 namespace snipeshore::fleet {
 
+using host_list = std::vector<const member*>;
 using region_lookup = std::function<base::region_id(const base::failure_domain_id&)>;
 
 /// Hosts that look-ups name to callers of a failure domain, out of all ready hosts. Those of the
 /// domain that reach targets, if they are at least half of its hosts, so that none has to bear more
 /// than twice its load; else those of the region, else of the fleet. If most of the fleet reaches
 /// no target, the nearest hosts, as they relay requests to the few others.
-std::vector<member> entry_hosts(std::span<const member> ready,
-                                const base::failure_domain_id& caller_domain,
-                                const region_lookup& region_of);
+host_list entry_hosts(std::span<const member* const> ready,
+                      const base::failure_domain_id& caller_domain, const region_lookup& region_of);
 
 /// Hosts through which the own host relays requests: the same, but only hosts that reach targets,
 /// and all of those if they are few. Never the own host.
-std::vector<member> relay_hosts(std::span<const member> ready, const member& self,
-                                const region_lookup& region_of);
+host_list relay_hosts(std::span<const member* const> ready, const member& self,
+                      const region_lookup& region_of);
 
 /// Picks the host with the fewest open relays, `open_relays(host)`; one of several by `random`.
 /// `hosts` must not be empty.
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -197,15 +197,16 @@
     return table.members.size() + 1;
 }
 
-std::vector<member> ready_hosts(const member_table& table, const member& self, base::time_point now)
+std::vector<const member*> ready_hosts(const member_table& table, const member& self,
+                                       base::time_point now)
 {
-    std::vector<member> ready;
+    std::vector<const member*> ready;
     if (self.state == member_state::ready) {
-        ready.push_back(self);
+        ready.push_back(&self);
     }
     for (const auto& [id, known] : table.members) {
         if (has_recent_contact(known, now) && known.info.state == member_state::ready) {
-            ready.push_back(known.info);
+            ready.push_back(&known.info);
         }
     }
     return ready;
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -70,9 +70,10 @@
 /// they may only be partitioned from this host.
 std::size_t possible_host_count(const member_table& table);
 
-/// The own host and all others with recent contact that are ready.
-std::vector<member> ready_hosts(const member_table& table, const member& self,
-                                base::time_point now);
+/// The own host and all others with recent contact that are ready. Valid as long as `table` and
+/// `self` do not change.
+std::vector<const member*> ready_hosts(const member_table& table, const member& self,
+                                       base::time_point now);
 
 /// Whether the own host is the only live host that may send requests to a target that is restricted
 /// to one host, such as a cold target. Hosts that reach no target are passed over.
--- a/src/fleet/tests/host_choice_test.cpp
+++ b/src/fleet/tests/host_choice_test.cpp
@@ -28,18 +28,28 @@
     return base::region_id(domain.value().substr(0, 1));
 }
 
-std::set<std::string> ids_of(const std::vector<fleet::member>& hosts)
+fleet::host_list pointers_to(const std::vector<fleet::member>& hosts)
 {
-    std::set<std::string> ids;
+    fleet::host_list pointers;
     for (const fleet::member& host : hosts) {
-        ids.insert(host.id.value());
+        pointers.push_back(&host);
+    }
+    return pointers;
+}
+
+std::set<std::string> ids_of(const fleet::host_list& hosts)
+{
+    std::set<std::string> ids;
+    for (const fleet::member* host : hosts) {
+        ids.insert(host->id.value());
     }
     return ids;
 }
 
 std::set<std::string> named(const std::vector<fleet::member>& ready, const std::string& domain)
 {
-    return ids_of(fleet::entry_hosts(ready, base::failure_domain_id(domain), region_of));
+    return ids_of(
+        fleet::entry_hosts(pointers_to(ready), base::failure_domain_id(domain), region_of));
 }
 
 } // namespace
@@ -82,20 +92,22 @@
     {
         const std::vector<fleet::member> ready{self, make_host("n1", 2, true),
                                                make_host("n2", 1, true)};
-        CHECK(ids_of(fleet::relay_hosts(ready, self, region_of)) == std::set<std::string>{"n1-2"});
+        CHECK(ids_of(fleet::relay_hosts(pointers_to(ready), self, region_of)) ==
+              std::set<std::string>{"n1-2"});
     }
     SUBCASE("all of them, if they are few")
     {
         const std::vector<fleet::member> ready{self, make_host("n1", 2, false),
                                                make_host("s1", 1, false), make_host("s2", 1, true)};
-        CHECK(ids_of(fleet::relay_hosts(ready, self, region_of)) == std::set<std::string>{"s2-1"});
+        CHECK(ids_of(fleet::relay_hosts(pointers_to(ready), self, region_of)) ==
+              std::set<std::string>{"s2-1"});
     }
     SUBCASE("none, if no host reaches targets, and never the own host")
     {
-        CHECK(fleet::relay_hosts(std::vector{self, make_host("s1", 1, false)}, self, region_of)
+        CHECK(fleet::relay_hosts(pointers_to({self, make_host("s1", 1, false)}), self, region_of)
                   .empty());
         const fleet::member well = make_host("n1", 1, true);
-        CHECK(fleet::relay_hosts(std::vector{well}, well, region_of).empty());
+        CHECK(fleet::relay_hosts(pointers_to({well}), well, region_of).empty());
     }
     SUBCASE("the one with the fewest open relays, at random among equals")
     {
@@ -139,10 +151,10 @@
             std::map<std::string, double> callers;
             for (int domain = 0; domain < domains; ++domain) {
                 const auto hosts = fleet::entry_hosts(
-                    ready, base::failure_domain_id(domain_name(domain)), region_of);
+                    pointers_to(ready), base::failure_domain_id(domain_name(domain)), region_of);
                 REQUIRE(!hosts.empty());
-                for (const fleet::member& host : hosts) {
-                    callers[host.id.value()] +=
+                for (const fleet::member* host : hosts) {
+                    callers[host->id.value()] +=
                         callers_per_domain / static_cast<double>(hosts.size());
                 }
             }
--- a/src/fleet/tests/members_test.cpp
+++ b/src/fleet/tests/members_test.cpp
@@ -25,9 +25,9 @@
                                const std::string& domain, base::time_point now)
 {
     std::vector<std::string> addresses;
-    for (const fleet::member& host : fleet::entry_hosts(
+    for (const fleet::member* host : fleet::entry_hosts(
              fleet::ready_hosts(table, self, now), base::failure_domain_id(domain), region_of)) {
-        addresses.push_back(host.entry_address);
+        addresses.push_back(host->entry_address);
     }
     return addresses;
 }
--- a/src/signals/tests/rest_model_test.cpp
+++ b/src/signals/tests/rest_model_test.cpp
@@ -48,7 +48,7 @@
             });
             if (signals::may_send(one.target, static_cast<std::uint32_t>(one.running.size()),
                                   now) &&
-                one.running.size() < 1) {
+                one.running.empty()) {
                 one.running.push_back(now + service_time);
                 seen.in_rest += now < start + rest ? 1 : 0;
                 const auto first = one.target.allowed == 1 ? 1 : 0;
