Hosts of earlier versions get no relayed requests; gauge of a host's reach

A host of an earlier version would have answered a relayed request with 404, and callers do not repeat those. Its messages lack the field reaches_targets, so it is not chosen. The dump and gauge snipeshore_reaches_targets tell who is cut. The look-up of a request's account is one function for both tasks.

--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -95,14 +95,11 @@
         return base::error_of(route);
     }
     m_route = base::value_of(route);
-    if (!m_route->allows_anonymous && !m_routes->accounts.empty()) {
-        const auto account = routing::find_account(
-            *m_routes, http::find_header(head.headers, names.key).value_or(""));
-        if (!base::is_ok(account)) {
-            return base::error_of(account);
-        }
-        m_account = base::value_of(account);
+    const auto account = account_of(*m_routes, *m_route, head.headers, names.key);
+    if (!base::is_ok(account)) {
+        return base::error_of(account);
     }
+    m_account = base::value_of(account);
     const std::uint64_t random = m_context.random();
     m_service = routing::pick_service(*m_route, random);
     m_object = object_hash(head.headers, names, *m_route, random);
@@ -396,9 +393,12 @@
 bool forward_task::has_target_withdrawn() const
 {
     const pooled_target* target = current_target();
+    if (target == nullptr) {
+        return false;
+    }
     // The request itself is already counted in `running`.
-    return target != nullptr &&
-           !signals::may_send(target->signals, target->running - 1, base::boot_clock::now());
+    const std::uint32_t others = std::max<std::uint32_t>(target->running, 1) - 1;
+    return !signals::may_send(target->signals, others, base::boot_clock::now());
 }
 
 void forward_task::end_unwanted()
--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -21,6 +21,7 @@
     all["incarnation"] = m_self.incarnation.value();
     all["state"] = static_cast<int>(m_self.state);
     all["closing"] = m_context.is_closing;
+    all["reaches_targets"] = m_self.reaches_targets;
     all["config_version"] = config_version();
     all["requests"] = m_context.tasks.size();
     for (const auto& [table, follower] : {std::pair(m_formats.operator_table, &m_operator_rows),
@@ -33,6 +34,7 @@
     for (const auto& [id, known] : m_context.members.members) {
         all["hosts"][id.value()] = {
             {"state", static_cast<int>(known.info.state)},
+            {"reaches_targets", known.info.reaches_targets},
             {"live", fleet::is_live(m_context.members, known, base::boot_clock::now())}};
     }
     for (const auto& [service, pool] : m_context.pools) {
@@ -136,6 +138,8 @@
         set_home("domain", pool.layout.home.domain, pool.home_load.domain);
         set_home("region", pool.layout.home.region, pool.home_load.region);
     }
+    set("snipeshore_reaches_targets", "Whether this host can open connections to targets.",
+        m_self.reaches_targets ? 1 : 0);
     set("snipeshore_store_in_touch", "Whether the last call to the operators' table succeeded.",
         m_operator_rows.is_store_reachable() ? 1 : 0);
 }
--- a/src/apps/host/request_parts.cpp
+++ b/src/apps/host/request_parts.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error_response.h"
 #include "base/hash.h"
+#include "routing/route_table.h"
 
 #include <algorithm>
 #include <array>
@@ -69,6 +70,17 @@
     return {};
 }
 
+base::result<const routing::account*> account_of(const routing::route_table& routes,
+                                                 const routing::route& route,
+                                                 const http::header_list& headers,
+                                                 std::string_view key_name)
+{
+    if (route.allows_anonymous || routes.accounts.empty()) {
+        return nullptr;
+    }
+    return routing::find_account(routes, http::find_header(headers, key_name).value_or(""));
+}
+
 std::optional<std::chrono::milliseconds> read_time_left(const http::header_list& headers,
                                                         std::string_view name)
 {
--- a/src/apps/host/request_parts.h
+++ b/src/apps/host/request_parts.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "apps/host/types/wire_names.h"
+#include "base/result.h"
 #include "base/time.h"
 #include "base/types/error.h"
 #include "http/types/message.h"
@@ -22,6 +23,13 @@
 /// Value of the cookie with that name; empty if there is none.
 std::string_view find_cookie(const http::header_list& headers, std::string_view name);
 
+/// The client account of the request's key; null if the route needs none. Errors: `key_missing`,
+/// `key_unknown`.
+base::result<const routing::account*> account_of(const routing::route_table& routes,
+                                                 const routing::route& route,
+                                                 const http::header_list& headers,
+                                                 std::string_view key_name);
+
 /// Time that the caller will wait; empty if the header is missing or invalid.
 std::optional<std::chrono::milliseconds> read_time_left(const http::header_list& headers,
                                                         std::string_view name);
--- a/src/apps/host/request_relay.cpp
+++ b/src/apps/host/request_relay.cpp
@@ -48,16 +48,12 @@
     if (!base::is_ok(route)) {
         return false;
     }
-    const routing::account* account = nullptr;
-    if (!base::value_of(route)->allows_anonymous && !routes->accounts.empty()) {
-        const auto found = routing::find_account(
-            *routes, http::find_header(head.headers, m_context.settings.names.key).value_or(""));
-        if (!base::is_ok(found)) {
-            return false;
-        }
-        account = base::value_of(found);
+    const auto account =
+        account_of(*routes, *base::value_of(route), head.headers, m_context.settings.names.key);
+    if (!base::is_ok(account)) {
+        return false;
     }
-    return take_over(exchange, *base::value_of(route), account);
+    return take_over(exchange, *base::value_of(route), base::value_of(account));
 }
 
 bool request_relay::take_over(const std::shared_ptr<http::exchange>& exchange,
--- a/src/apps/host/tests/unreachable_targets_test.cpp
+++ b/src/apps/host/tests/unreachable_targets_test.cpp
@@ -207,6 +207,13 @@
         }
         return count;
     };
+    const auto answer_held = [&] {
+        for (std::size_t host = 1; host < 3; ++host) {
+            for (const auto& link : fleet.links(host)) {
+                link->answer_held();
+            }
+        }
+    };
     std::optional<reply> got;
     auto call = fleet.begin(cut_host, "/once/held", "held", got);
     REQUIRE(fleet.run_until([&] { return held() == 1; }));
@@ -219,11 +226,7 @@
     {
         fleet.app(cut_host).stop();
         fleet.run_for(300ms);
-        for (std::size_t host = 1; host < 3; ++host) {
-            for (const auto& link : fleet.links(host)) {
-                link->answer_held();
-            }
-        }
+        answer_held();
         CHECK(fleet.run_until([&] { return got.has_value(); }));
         CHECK(got->status == 200);
     }
@@ -232,11 +235,7 @@
         fleet.app(1).stop();
         fleet.app(2).stop();
         fleet.run_for(300ms);
-        for (std::size_t host = 1; host < 3; ++host) {
-            for (const auto& link : fleet.links(host)) {
-                link->answer_held();
-            }
-        }
+        answer_held();
         CHECK(fleet.run_until([&] { return got.has_value(); }));
         CHECK(got->status == 200);
     }
--- a/src/balancing/types/target_state.h
+++ b/src/balancing/types/target_state.h
@@ -26,7 +26,7 @@
     base::time_point observed_at{};
     double shed_weight = 1; ///< Weight after the last load-shedding response.
     base::time_point shed_at{};
-    signals::target_signals signals; ///< A rest that the target has asked for.
+    signals::target_signals signals;   ///< A rest that the target has asked for.
     std::uint32_t failures_in_row = 0; ///< Consecutive failures.
     ejection_phase phase = ejection_phase::active;
     base::time_point ejected_until{};
--- a/src/fleet/exchange_encoding.cpp
+++ b/src/fleet/exchange_encoding.cpp
@@ -62,7 +62,8 @@
                  : state == 2 ? member_state::leaving
                               : member_state::starting;
     host.reads_store = from.size() <= 6 || from.at(6).get<bool>();
-    host.reaches_targets = from.size() <= 7 || from.at(7).get<bool>();
+    host.takes_relayed = from.size() > 7;
+    host.reaches_targets = !host.takes_relayed || from.at(7).get<bool>();
     return host;
 }
 
--- a/src/fleet/host_choice.cpp
+++ b/src/fleet/host_choice.cpp
@@ -77,7 +77,8 @@
     if (hosts.empty()) {
         hosts = reaching({ready.begin(), ready.end()});
     }
-    std::erase_if(hosts, [&](const member* host) { return host->id == self.id; });
+    std::erase_if(hosts,
+                  [&](const member* host) { return host->id == self.id || !host->takes_relayed; });
     return hosts;
 }
 
--- a/src/fleet/host_choice.h
+++ b/src/fleet/host_choice.h
@@ -23,7 +23,8 @@
                       const base::failure_domain_id& caller_domain, const region_lookup& region_of);
 
 /// Hosts through which the own host relays requests: the same, but only hosts that reach targets,
-/// and all of those if they are few. Never the own host.
+/// and all of those if they are few. Never the own host or one of a version
+/// that takes no relayed requests.
 host_list relay_hosts(std::span<const member* const> ready, const member& self,
                       const region_lookup& region_of);
 
--- a/src/fleet/tests/exchange_encoding_test.cpp
+++ b/src/fleet/tests/exchange_encoding_test.cpp
@@ -9,6 +9,7 @@
     fleet::exchange_message message;
     message.from = {base::host_id("h1"), base::failure_domain_id("d1"), "1.2.3.4:80",
                     "1.2.3.4:90",        base::incarnation(7),          fleet::member_state::ready};
+    message.from.reaches_targets = false;
     message.versions = {{"op", 12}};
     message.eras = {{"op", 3}};
     message.wanted[base::account_id("coop")] = 2.5;
@@ -22,6 +23,8 @@
     const fleet::exchange_message& copy = base::value_of(read);
     CHECK(copy.from.control_address == "1.2.3.4:90");
     CHECK(copy.from.state == fleet::member_state::ready);
+    CHECK_FALSE(copy.from.reaches_targets);
+    CHECK(copy.from.takes_relayed);
     CHECK(copy.versions.at("op") == 12);
     CHECK(copy.eras.at("op") == 3);
     CHECK(copy.wanted.at(base::account_id("coop")) == doctest::Approx(2.5));
@@ -45,6 +48,13 @@
         CHECK_FALSE(base::is_ok(fleet::parse_update("{\"v\":1,\"rows\":[[1]]}")));
         CHECK_FALSE(base::is_ok(fleet::parse_member("[]")));
     }
+    SUBCASE("a host of an earlier version reaches targets, and takes no relayed requests")
+    {
+        const auto earlier = fleet::parse_member(R"(["h1","d1","a","b",7,1,true])");
+        REQUIRE(base::is_ok(earlier));
+        CHECK(base::value_of(earlier).reaches_targets);
+        CHECK_FALSE(base::value_of(earlier).takes_relayed);
+    }
     SUBCASE("rows keep their version and removal")
     {
         const rows::replica_update update{10, true, {{"k", "v", 9, false}, {"gone", "", 10, true}}};
--- a/src/fleet/tests/host_choice_test.cpp
+++ b/src/fleet/tests/host_choice_test.cpp
@@ -95,6 +95,12 @@
         CHECK(ids_of(fleet::relay_hosts(pointers_to(ready), self, region_of)) ==
               std::set<std::string>{"n1-2"});
     }
+    SUBCASE("none of an earlier version")
+    {
+        fleet::member earlier = make_host("n1", 2, true);
+        earlier.takes_relayed = false;
+        CHECK(ids_of(fleet::relay_hosts(pointers_to({self, earlier}), self, region_of)).empty());
+    }
     SUBCASE("all of them, if they are few")
     {
         const std::vector<fleet::member> ready{self, make_host("n1", 2, false),
--- a/src/fleet/types/member.h
+++ b/src/fleet/types/member.h
@@ -22,6 +22,7 @@
     bool reads_store = true; ///< Its last call to the store, or to the host that reads the store
                              ///< for it, succeeded.
     bool reaches_targets = true; ///< It can open connections to targets.
+    bool takes_relayed = true;   ///< Its version handles requests that other hosts relay.
 };
 
 struct known_member {
