relayed_exchange: headers of the relay count only between hosts

A target's response with snipeshore-relay-refused made the host that relays send the request to a further host: a request that must not be repeated ran twice. A caller's snipeshore-relay-config kept all hosts from taking its request.

A stop no longer waits for the control listener, on which neighbours hold calls for rows; the responses to relayed requests have left with the end of their tasks and the deregistration delay.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -616,8 +616,8 @@
 void host_app::stop_loop_when_idle()
 {
     // A caller may have sent a request before it noticed that its connection is closing.
-    const bool is_busy = !m_context.tasks.empty() || !m_request_relay.is_idle() ||
-                         m_entry->is_delivering() || m_peers.is_delivering();
+    const bool is_busy =
+        !m_context.tasks.empty() || !m_request_relay.is_idle() || m_entry->is_delivering();
     if (is_busy && base::boot_clock::now() < m_stop_deadline) {
         m_loop.schedule(base::boot_clock::now() + idle_check_interval,
                         [this] { stop_loop_when_idle(); });
--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -292,11 +292,6 @@
     respond_text(request, 200, fleet::encode(reply));
 }
 
-bool peer_exchange::is_delivering() const
-{
-    return m_server->is_delivering();
-}
-
 void peer_exchange::on_rows_changed(const std::string& table)
 {
     m_publisher.on_rows_changed(table);
--- a/src/apps/host/peer_exchange.h
+++ b/src/apps/host/peer_exchange.h
@@ -54,10 +54,6 @@
     /// Sends messages with the notices of this host to other hosts soon, in bounded number.
     void spread();
 
-    /// Whether a response to another host, such as that to a relayed request, may not have reached
-    /// it yet.
-    bool is_delivering() const;
-
     /// Called when rows of a table have changed; responds to the hosts that wait for them.
     void on_rows_changed(const std::string& table);
 
--- a/src/apps/host/relay_task.cpp
+++ b/src/apps/host/relay_task.cpp
@@ -76,6 +76,8 @@
     request.address = host.control_address;
     request.head = {from.method, std::string(relay_prefix) + from.path, from.authority,
                     make_forwarded_headers(from.headers, names)};
+    std::erase_if(request.head.headers,
+                  [](const http::header& field) { return field.name == relay_config_header; });
     if (const auto key = http::find_header(from.headers, names.key)) {
         request.head.headers.push_back({names.key, std::string(*key)});
     }
--- a/src/apps/host/relayed_exchange.cpp
+++ b/src/apps/host/relayed_exchange.cpp
@@ -4,12 +4,20 @@
 
 namespace snipeshore::apps {
 
+namespace {
+
+void remove_header(http::header_list& headers, std::string_view name)
+{
+    std::erase_if(headers, [name](const http::header& field) { return field.name == name; });
+}
+
+} // namespace
+
 relayed_exchange::relayed_exchange(std::shared_ptr<http::exchange> inner)
     : m_inner(std::move(inner)), m_head(m_inner->head())
 {
     m_head.path.erase(0, relay_prefix.size());
-    std::erase_if(m_head.headers,
-                  [](const http::header& field) { return field.name == relay_config_header; });
+    remove_header(m_head.headers, relay_config_header);
 }
 
 const http::request_head& relayed_exchange::head() const
@@ -39,11 +47,13 @@
 
 void relayed_exchange::respond(http::response_head head, std::string body)
 {
+    remove_header(head.headers, relay_refused_header);
     m_inner->respond(std::move(head), std::move(body));
 }
 
 void relayed_exchange::start_response(http::response_head head)
 {
+    remove_header(head.headers, relay_refused_header);
     m_inner->start_response(std::move(head));
 }
 
--- a/src/apps/host/relayed_exchange.h
+++ b/src/apps/host/relayed_exchange.h
@@ -17,6 +17,8 @@
 /// Header of the response to a relayed request that this host did not take.
 inline constexpr std::string_view relay_refused_header = "snipeshore-relay-refused";
 
+/// Only this host itself refuses to relay: `relay_refused_header` in a target's response is
+/// dropped, as the other host would send the request once more.
 class relayed_exchange final : public http::exchange {
 public:
     explicit relayed_exchange(std::shared_ptr<http::exchange> inner);
--- a/src/apps/host/tests/fleet_fixture.cpp
+++ b/src/apps/host/tests/fleet_fixture.cpp
@@ -140,7 +140,7 @@
     ++runs[std::string(id.value_or(""))];
     last_head = request->head();
     last_body = request->body();
-    respond_success(request);
+    respond_success_with(request, extra_header);
 }
 
 void target_link::hold()
--- a/src/apps/host/tests/fleet_fixture.h
+++ b/src/apps/host/tests/fleet_fixture.h
@@ -39,6 +39,7 @@
 
     /// Requests that reached the target through this link, by their ids.
     std::map<std::string, int> runs;
+    http::header extra_header{"x-extra", ""}; ///< Added to all responses.
     http::request_head last_head;
     std::string last_body;
 
--- a/src/apps/host/tests/host_fixture.cpp
+++ b/src/apps/host/tests/host_fixture.cpp
@@ -55,8 +55,14 @@
 }
 
 void respond_success(const std::shared_ptr<http::exchange>& request)
+{
+    respond_success_with(request, {"x-extra", ""});
+}
+
+void respond_success_with(const std::shared_ptr<http::exchange>& request, const http::header& extra)
 {
     http::response_head head;
+    head.headers.push_back(extra);
     head.headers.push_back({"x-response-seal", "sealed"});
     const auto id = http::find_header(request->head().headers, "x-attempt-id");
     head.headers.push_back({"x-attempt-id", std::string(id.value_or(""))});
--- a/src/apps/host/tests/host_fixture.h
+++ b/src/apps/host/tests/host_fixture.h
@@ -46,6 +46,10 @@
 /// Responds as a healthy target does.
 void respond_success(const std::shared_ptr<http::exchange>& request);
 
+/// As `respond_success`, with one more header.
+void respond_success_with(const std::shared_ptr<http::exchange>& request,
+                          const http::header& extra);
+
 class host_fixture {
 public:
     /// Starts the host; `config` is the value of the operators' configuration row; empty: no row.
--- a/src/apps/host/tests/unreachable_targets_test.cpp
+++ b/src/apps/host/tests/unreachable_targets_test.cpp
@@ -171,6 +171,29 @@
     }
 }
 
+// Guards against requests that run twice, or that no host takes, because of headers of the relay
+// that a target or a caller has sent.
+TEST_CASE("headers of the relay count only between hosts")
+{
+    cut_fixture fleet;
+    SUBCASE("a target's response that looks like a refusal to relay is an answer")
+    {
+        for (std::size_t host = 1; host < 3; ++host) {
+            for (const auto& link : fleet.links(host)) {
+                link->extra_header = {"snipeshore-relay-refused", "1"};
+            }
+        }
+        CHECK(fleet.send(cut_host, "/once/one", "POST", "", {{"x-attempt-id", "one"}}).status ==
+              200);
+        CHECK(fleet.runs_of("one") == 1);
+    }
+    SUBCASE("a caller's configuration version is not that of its host")
+    {
+        CHECK(fleet.send(cut_host, "/safe/one", "GET", "", {{"snipeshore-relay-config", "9999"}})
+                  .status == 200);
+    }
+}
+
 TEST_CASE("a request from the control address is not relayed again")
 {
     cut_fixture fleet;
