--- a/src/fleet/bulletin.cpp
+++ b/src/fleet/bulletin.cpp
@@ -13,7 +13,7 @@
 struct kind_bounds {
     std::chrono::milliseconds lifetime; ///< A notice that is older has no effect any more.
     std::size_t max_held;
-    std::size_t max_told; ///< In one message, which stays below 6 KiB.
+    std::size_t max_told; ///< In one message, which stays below 9 KiB.
 };
 
 /// In the order of `notice_kind`. Quarantines last for up to a day; targets name their limit in
