target_pool_test: check the cold mark of a new start as before

 replaced the check of cold_until by one of is_cold without a reason: a target that accepted no connection has a second mark since then, which a new start must not keep either. Both are checked now, so the test is stricter than it was. No product code changes.

--- a/src/apps/host/tests/target_pool_test.cpp
+++ b/src/apps/host/tests/target_pool_test.cpp
@@ -268,6 +268,7 @@
         again.started_ms = 2;
         set(pool, {again}, start);
         CHECK(pool.targets[0].ejected_until < start);
+        CHECK(pool.targets[0].cold_until < start);
         CHECK_FALSE(apps::is_cold(pool, pool.targets[0], start));
     }
 }
