Log the age of calls to the store; gauges of each table's last response and call

The logs of the incident tell when a call for changes failed, not when it was sent, nor for how long a table had no response. store_lost and store_in_touch now have call_ms and silent_ms, the dump and the metrics the age of the last response and of the call in flight, by table. No logic is changed.

--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -14,6 +14,19 @@
 // State dump and metrics of host_app.
 namespace snipeshore::apps {
 
+namespace {
+
+/// Null if there is no such time.
+nlohmann::json age_ms(const std::optional<base::time_point>& since)
+{
+    if (!since.has_value()) {
+        return nullptr;
+    }
+    return std::chrono::duration<double, std::milli>(base::boot_clock::now() - *since).count();
+}
+
+} // namespace
+
 nlohmann::json host_app::dump() const
 {
     nlohmann::json all;
@@ -29,7 +42,9 @@
                                           std::pair(m_formats.host_table, &m_host_rows)}) {
         all["tables"][table] = {{"era", follower->replica().era},
                                 {"version", follower->replica().version},
-                                {"store_reachable", follower->is_store_reachable()}};
+                                {"store_reachable", follower->is_store_reachable()},
+                                {"response_age_ms", age_ms(follower->last_response())},
+                                {"call_age_ms", age_ms(follower->call_sent_at())}};
     }
     for (const auto& [id, known] : m_context.members.members) {
         all["hosts"][id.value()] = {
@@ -140,6 +155,23 @@
     }
     set("snipeshore_reaches_targets", "Whether this host can open connections to targets.",
         m_self.reaches_targets ? 1 : 0);
+    for (const auto& [table, follower] : {std::pair(m_formats.operator_table, &m_operator_rows),
+                                          std::pair(m_formats.target_table, &m_target_rows),
+                                          std::pair(m_formats.host_table, &m_host_rows)}) {
+        const auto set_age = [&, &table = table](const std::string& name, const std::string& help,
+                                                 std::optional<base::time_point> since) {
+            const base::duration age = since.has_value() ? now - *since : base::duration{};
+            m_metrics.gauge(name, help, {{"table", table}})
+                .Set(std::chrono::duration<double>(age).count());
+        };
+        set_age("snipeshore_table_response_age_seconds",
+                "Time since the last response of the store, or of the host that reads it, for this "
+                "table.",
+                follower->last_response());
+        set_age("snipeshore_table_call_age_seconds",
+                "Age of the call for changes of this table that is in flight.",
+                follower->call_sent_at());
+    }
     set("snipeshore_store_in_touch", "Whether the last call to the operators' table succeeded.",
         m_operator_rows.is_store_reachable() ? 1 : 0);
 }
--- a/src/rows/table_follower.cpp
+++ b/src/rows/table_follower.cpp
@@ -11,6 +11,15 @@
 
 using telemetry::severity;
 
+namespace {
+
+double to_ms(base::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+} // namespace
+
 table_follower::table_follower(http::loop& loop, row_store& store, follow_settings settings,
                                change_callback on_change)
     : m_loop(loop), m_store(store), m_settings(std::move(settings)),
@@ -60,6 +69,7 @@
 
 void table_follower::read_all(const std::string& from)
 {
+    m_call_sent = base::boot_clock::now();
     m_call = m_store.read(m_settings.table, from,
                           [this](base::result<page> response) { on_all(std::move(response)); });
 }
@@ -119,6 +129,7 @@
 
 void table_follower::read_changes()
 {
+    m_call_sent = base::boot_clock::now();
     m_call = m_store.read_changes(
         m_settings.table, m_replica.version, m_settings.wait,
         [this](base::result<page> response) { on_changes(std::move(response)); });
@@ -186,7 +197,9 @@
 {
     if (m_is_store_reachable || m_retry == m_settings.initial_backoff) {
         telemetry::log_event(severity::warning, "store_lost",
-                             {{"table", m_settings.table}, {"cause", failure.detail}});
+                             {{"table", m_settings.table},
+                              {"cause", failure.detail},
+                              {"call_ms", call_ms()}});
     }
     m_is_store_reachable = false;
     schedule_next(m_retry);
@@ -195,16 +208,36 @@
 
 void table_follower::on_success()
 {
+    const base::time_point now = base::boot_clock::now();
+    const base::time_point before = std::exchange(m_last_success, now);
     m_retry = m_settings.initial_backoff;
-    m_last_success = base::boot_clock::now();
     if (m_is_store_reachable) {
         return;
     }
     m_is_store_reachable = true;
-    m_store_reachable_since = base::boot_clock::now();
-    telemetry::log_event(
-        severity::info, "store_in_touch",
-        {{"table", m_settings.table}, {"version", m_replica.version}, {"era", m_replica.era}});
+    m_store_reachable_since = now;
+    const double silent_ms = before == base::time_point{} ? 0 : to_ms(now - before);
+    telemetry::log_event(severity::info, "store_in_touch",
+                         {{"table", m_settings.table},
+                          {"version", m_replica.version},
+                          {"era", m_replica.era},
+                          {"call_ms", call_ms()},
+                          {"silent_ms", silent_ms}});
+}
+
+double table_follower::call_ms() const
+{
+    return to_ms(base::boot_clock::now() - m_call_sent);
+}
+
+std::optional<base::time_point> table_follower::last_response() const
+{
+    return m_last_success == base::time_point{} ? std::nullopt : std::optional(m_last_success);
+}
+
+std::optional<base::time_point> table_follower::call_sent_at() const
+{
+    return m_call == nullptr ? std::nullopt : std::optional(m_call_sent);
 }
 
 void table_follower::apply_peer_update(const replica_update& update)
--- a/src/rows/table_follower.h
+++ b/src/rows/table_follower.h
@@ -75,6 +75,13 @@
     /// after it may be written again.
     base::time_point store_reachable_since() const;
 
+    /// Time of the last response of the store or of a peer that answered for it; unset before the
+    /// first one.
+    std::optional<base::time_point> last_response() const;
+
+    /// Time at which the call in flight was sent; unset if there is none.
+    std::optional<base::time_point> call_sent_at() const;
+
     /// Time at which the latest restoration of the store to an earlier state was noticed.
     std::optional<base::time_point> store_restored_at() const;
 
@@ -86,6 +93,7 @@
     void log_older(std::uint64_t era, std::uint64_t version) const;
     void on_failure(const base::error& failure);
     void on_success();
+    double call_ms() const;
     /// Applies `change` to the replica and records whether that began a new era.
     template <typename Change>
     std::vector<row> update_replica(const Change& change);
@@ -105,6 +113,7 @@
     base::time_point m_store_reachable_since{};
     std::optional<base::time_point> m_store_restored_at;
     base::time_point m_last_success{};
+    base::time_point m_call_sent{};
     std::chrono::milliseconds m_retry{0};
     std::unique_ptr<store_call> m_call;
     std::uint64_t m_timer = 0;
