--- a/src/apps/host/tests/memory_store.cpp
+++ b/src/apps/host/tests/memory_store.cpp
@@ -12,10 +12,14 @@
     std::string table;
     std::uint64_t after = 0;
     page_callback done;
+    std::chrono::milliseconds wait{0};
 };
 
 namespace {
 
+/// Time after the wait of a call at which the store client gives it up.
+constexpr std::chrono::milliseconds call_timeout{1500};
+
 class pending_call final : public rows::store_call {
 public:
     explicit pending_call(std::shared_ptr<void> state) : m_state(std::move(state)) {}
@@ -64,6 +68,42 @@
     }
 }
 
+void memory_store::fall_silent()
+{
+    m_is_silent = true;
+    for (const auto& weak : std::exchange(m_waiting, {})) {
+        if (const auto call = weak.lock()) {
+            give_up_later(call);
+        }
+    }
+}
+
+void memory_store::end_silence()
+{
+    m_is_silent = false;
+}
+
+void memory_store::give_up_later(const std::shared_ptr<waiting_call>& call)
+{
+    const base::time_point end = base::boot_clock::now() + call->wait + call_timeout;
+    m_loop.schedule(end, [this, weak = std::weak_ptr(call)] {
+        if (const auto held = weak.lock()) {
+            ++given_up[held->table];
+            held->done(base::error{base::error_kind::store_unavailable, "deadline has passed"});
+        }
+    });
+}
+
+std::unique_ptr<rows::store_call> memory_store::never_answer(const std::string& table,
+                                                             std::chrono::milliseconds wait,
+                                                             page_callback done)
+{
+    ++calls;
+    auto call = std::make_shared<waiting_call>(waiting_call{table, 0, std::move(done), wait});
+    give_up_later(call);
+    return std::make_unique<pending_call>(call);
+}
+
 std::vector<rows::row> memory_store::changes_after(const std::string& table,
                                                    std::uint64_t after) const
 {
@@ -102,6 +142,9 @@
 std::unique_ptr<rows::store_call>
 memory_store::read(const std::string& table, const std::string& /*from*/, page_callback done)
 {
+    if (m_is_silent) {
+        return never_answer(table, {}, std::move(done));
+    }
     return complete_later(rows::page{changes_after(table, 0), false, m_version, false, m_era},
                           std::move(done));
 }
@@ -111,6 +154,9 @@
                                                              std::chrono::milliseconds wait,
                                                              page_callback done)
 {
+    if (m_is_silent) {
+        return never_answer(table, wait, std::move(done));
+    }
     if (after > m_version) {
         return complete_later(base::error{base::error_kind::stale, "no such version"},
                               std::move(done));
@@ -120,7 +166,7 @@
         return complete_later(rows::page{changes, false, m_version, false, m_era}, std::move(done));
     }
     ++calls;
-    auto waiting = std::make_shared<waiting_call>(waiting_call{table, after, std::move(done)});
+    auto waiting = std::make_shared<waiting_call>(waiting_call{table, after, std::move(done), wait});
     m_waiting.push_back(waiting);
     return std::make_unique<pending_call>(waiting);
 }
@@ -130,6 +176,11 @@
                                                       const std::optional<std::string>& value,
                                                       status_callback done)
 {
+    if (m_is_silent) {
+        return never_answer(table, {}, [done = std::move(done)](const auto& result) {
+            done(base::error{base::error_kind::store_unknown, base::error_of(result).detail});
+        });
+    }
     ++calls;
     if (!is_down) {
         set(table, key, value);
--- a/src/apps/host/tests/memory_store.h
+++ b/src/apps/host/tests/memory_store.h
@@ -3,6 +3,7 @@
 
 #include "rows/row_store.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -42,8 +43,16 @@
     /// calls fail.
     void restore();
 
+    /// From now on no call is answered, not even one that waits already. A call ends when the store
+    /// client gives it up.
+    void fall_silent();
+
+    /// Answers new calls; those sent before are never answered.
+    void end_silence();
+
     bool is_down = false;
     int calls = 0;
+    std::map<std::string, int> given_up; ///< Calls for changes that got no answer, by table.
 
 private:
     struct waiting_call;
@@ -52,6 +61,11 @@
     std::unique_ptr<rows::store_call> complete_later(base::result<rows::page> result,
                                                      page_callback done);
     void complete_waiting();
+    /// A call that fails after the time-out of the store client, unless it is cancelled before.
+    std::unique_ptr<rows::store_call> never_answer(const std::string& table,
+                                                   std::chrono::milliseconds wait,
+                                                   page_callback done);
+    void give_up_later(const std::shared_ptr<waiting_call>& call);
 
     http::loop& m_loop;
     using tables = std::map<std::string, std::map<std::string, rows::row>>;
@@ -62,6 +76,7 @@
     tables m_saved_tables;
     std::uint64_t m_saved_version = 1;
     std::vector<std::weak_ptr<waiting_call>> m_waiting;
+    bool m_is_silent = false;
 };
 
 } // namespace snipeshore::apps::tests
