Give up calls lost in a silence of the store, and find its end with probes

What callers saw: for seconds after a confirmed change, 404 or 401 for routes and keys that are there, or requests at the former service (CONFIG).

Cause: each call to the store was awaited for its own time-out, whatever the calls beside it showed. A call for changes of the operators' table that was sent into a silence, or just before it, ended 5.5 s after it was sent, while the targets' table had been read again long before. Ruled out: a slow store after its return and rows that are not passed on or not applied (store_in_touch and all versions within 20 ms once the call had ended).

Change: contact (pure decisions) judges the store by all calls of a host. One that is not answered in time shows that the store is silent; all open calls are lost then. Probes of an empty range, which overlap, find the end of the silence within half a second; calls held meanwhile are sent at once. Hosts tell each other of the end, as it follows from their messages. At most three hosts of a failure domain call the store while none reaches it; the others ask those. The first call of a table after a failure does not wait, so the reader serves its neighbours again at once. A change that another host has and this host's call has not delivered shows that this call is lost. A reader that loses the store refuses the calls that wait at it.

--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -28,7 +28,7 @@
 constexpr std::chrono::milliseconds housekeeping_interval{500};
 
 /// A pending long poll reports changes of the operators' table at once, so it is renewed rarely.
-/// The time-out of the store client detects an unresponsive connection soon after.
+/// `watched_store` ends it sooner if other calls show that the store does not respond.
 constexpr std::chrono::milliseconds operator_poll_wait{4000};
 
 /// Targets report continuously, so each call collects the changes of this interval. Hosts must
@@ -99,11 +99,18 @@
 
 host_app::host_app(http::loop& loop, host_settings settings, row_formats formats,
                    rows::row_store& store)
-    : m_loop(loop), m_settings(std::move(settings)), m_formats(std::move(formats)), m_store(store),
+    : m_loop(loop), m_settings(std::move(settings)), m_formats(std::move(formats)),
       m_client(loop, target_client_settings()), m_context{m_settings, loop, m_client, m_metrics},
       m_checks(loop, m_client), m_reach_watch(m_context, m_checks, [this] { on_reach_changed(); }),
       m_self(make_member(m_settings)), m_request_relay(m_context, m_self),
-      m_relay(m_context, m_self, store,
+      m_store(
+          loop, store, m_metrics,
+          {m_formats.operator_table,
+           [this] { return fleet::store_rank(m_context.members, m_self, base::boot_clock::now()); },
+           [this](bool is_silent) {
+               on_store_contact_changed(is_silent);
+           }}),
+      m_relay(m_context, m_self, m_store,
               [this](std::uint64_t era) {
                   for (auto* table : {&m_operator_rows, &m_target_rows, &m_host_rows}) {
                       table->on_era(era);
@@ -153,6 +160,12 @@
                              const routing::route& route, const routing::account* account) {
         return m_request_relay.take_over(exchange, route, account);
     };
+    m_context.on_store_contact_at_peer = [this] {
+        m_store.on_peer_contact();
+    };
+    m_context.on_change_at_peer = [this](const std::string& table, std::uint64_t version) {
+        m_store.on_change_at_peer(table, version);
+    };
     m_context.borrow = [this](const base::account_id& account, std::function<void()> done) {
         return m_peers.borrow(account, std::move(done));
     };
@@ -188,21 +201,22 @@
 {
     m_registered_row = fleet::encode(m_self);
     m_registration_check_due.reset();
-    m_registration =
-        m_store.write(m_formats.host_table, m_settings.host.value(), m_registered_row,
-                      [this](const base::status& written) {
-                          if (base::is_ok(written)) {
-                              m_registration_check_due =
-                                  base::boot_clock::now() + registration_check_interval;
-                          }
-                          if (base::is_ok(written) || m_context.is_leaving) {
-                              return;
-                          }
-                          telemetry::log_event(severity::warning, "host_not_registered",
-                                               {{"cause", base::error_of(written).detail}});
-                          m_loop.schedule(base::boot_clock::now() + registration_retry_delay,
-                                          [this] { register_host(); });
-                      });
+    m_loop.cancel(m_registration_retry);
+    m_registration_retry = 0;
+    m_registration = m_store.write(
+        m_formats.host_table, m_settings.host.value(), m_registered_row,
+        [this](const base::status& written) {
+            if (base::is_ok(written)) {
+                m_registration_check_due = base::boot_clock::now() + registration_check_interval;
+            }
+            if (base::is_ok(written) || m_context.is_leaving) {
+                return;
+            }
+            telemetry::log_event(severity::warning, "host_not_registered",
+                                 {{"cause", base::error_of(written).detail}});
+            m_registration_retry = m_loop.schedule(
+                base::boot_clock::now() + registration_retry_delay, [this] { register_host(); });
+        });
 }
 
 void host_app::check_registration()
@@ -496,6 +510,20 @@
     }
 }
 
+void host_app::on_store_contact_changed(bool is_silent)
+{
+    if (is_silent) {
+        m_peers.on_store_lost();
+        return;
+    }
+    if (m_registration_retry != 0) {
+        register_host();
+    }
+    if (fleet::store_rank(m_context.members, m_self, base::boot_clock::now()) == 0) {
+        m_peers.spread(); // Other hosts then find out at once that the store is back.
+    }
+}
+
 void host_app::housekeep()
 {
     const base::time_point now = base::boot_clock::now();
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -12,6 +12,7 @@
 #include "apps/host/target_registry.h"
 #include "apps/host/types/host_settings.h"
 #include "apps/host/types/row_formats.h"
+#include "apps/host/watched_store.h"
 #include "base/result.h"
 #include "http/client.h"
 #include "rows/row_store.h"
@@ -99,6 +100,7 @@
     void update_targets();
     void update_shares();
     void on_reach_changed();
+    void on_store_contact_changed(bool is_silent);
     void housekeep();
     void remove_unlisted(const base::host_id& host);
     void remove_expired_hosts();
@@ -112,7 +114,6 @@
     http::loop& m_loop;
     host_settings m_settings;
     row_formats m_formats;
-    rows::row_store& m_store;
     telemetry::metrics m_metrics;
     http::client m_client;
     host_context m_context;
@@ -120,6 +121,7 @@
     reach_watch m_reach_watch;
     fleet::member m_self;
     request_relay m_request_relay;
+    watched_store m_store;
     relay_store m_relay;
     target_registry m_registry;
     std::set<base::failure_domain_id> m_drained;
@@ -135,6 +137,7 @@
     std::unique_ptr<http::server> m_lookup;
     std::unique_ptr<http::server> m_ready;
     std::unique_ptr<rows::store_call> m_registration;
+    http::timer_id m_registration_retry = 0;
     std::string m_registered_row;
     std::uint64_t m_registration_era = 0; ///< Era of the store in which the row was last checked.
     /// Time of the next check of the row in the same era; not set while a registration is pending.
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -61,6 +61,10 @@
     std::size_t max_tasks = 2048;
     /// Sends messages with the notices to other hosts soon, see `peer_exchange::spread`.
     std::function<void()> spread;
+    /// Called when another host has contact with the store again.
+    std::function<void()> on_store_contact_at_peer;
+    /// Called when a change of a table that has this version has come from another host.
+    std::function<void(const std::string& table, std::uint64_t version)> on_change_at_peer;
     /// Finds out whether a target has ended, see `target_checks::start`.
     std::function<void(const pooled_target&, std::function<void(retries::liveness)>)> check_target;
     /// Called after each event that was recorded in `reach`, see `reach_watch::update`.
--- a/src/apps/host/peer_exchange.cpp
+++ b/src/apps/host/peer_exchange.cpp
@@ -292,6 +292,11 @@
     respond_text(request, 200, fleet::encode(reply));
 }
 
+void peer_exchange::on_store_lost()
+{
+    m_publisher.on_store_lost();
+}
+
 void peer_exchange::on_rows_changed(const std::string& table)
 {
     m_publisher.on_rows_changed(table);
@@ -300,7 +305,9 @@
 fleet::exchange_message peer_exchange::make_message(bool includes_demand)
 {
     fleet::exchange_message message;
-    m_self.reads_store = m_tables.begin()->second->is_store_reachable();
+    m_self.reads_store = std::any_of(m_tables.begin(), m_tables.end(), [](const auto& entry) {
+        return entry.second->is_store_reachable();
+    });
     message.from = m_self;
     for (const auto& [table, follower] : m_tables) {
         message.versions[table] = follower->replica().version;
@@ -338,9 +345,14 @@
                                   !fleet::is_live(m_context.members, known->second, now) ||
                                   known->second.info.state != message.from.state ||
                                   known->second.info.incarnation != message.from.incarnation;
+    const bool is_store_back = known != m_context.members.members.end() &&
+                               !known->second.info.reads_store && message.from.reads_store;
     if (!fleet::record_contact(m_context.members, message.from, now)) {
         return;
     }
+    if (is_store_back) {
+        m_context.on_store_contact_at_peer();
+    }
     if (is_status_change) {
         telemetry::log_event(
             severity::info, "host_heard",
@@ -404,6 +416,9 @@
                                       {"version", base::value_of(update).version},
                                       {"era", base::value_of(update).era}});
                 follower->apply_peer_update(base::value_of(update));
+                for (const rows::row& row : base::value_of(update).rows) {
+                    m_context.on_change_at_peer(table, row.version);
+                }
             }
             m_context.loop.schedule(base::boot_clock::now(),
                                     [this, table] { m_fetches.erase(table); });
--- a/src/apps/host/peer_exchange.h
+++ b/src/apps/host/peer_exchange.h
@@ -57,6 +57,10 @@
     /// Called when rows of a table have changed; responds to the hosts that wait for them.
     void on_rows_changed(const std::string& table);
 
+    /// Called when this host has lost its contact with the store; refuses the calls of the hosts
+    /// that wait for changes, which then call the store themselves.
+    void on_store_lost();
+
     /// Requests token grants for the account from other hosts and calls `done` when enough tokens
     /// have arrived or all hosts have responded or timed out. Returns false if no host was asked,
     /// because none is known or none had tokens left recently.
--- a/src/apps/host/relay_store.cpp
+++ b/src/apps/host/relay_store.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace snipeshore::apps {
 
@@ -24,27 +25,13 @@
 /// Time for which a failed reader is bypassed; it may be busy or unable to reach the store itself.
 constexpr std::chrono::milliseconds avoid_reader_time{3000};
 
+/// Pause before the next of the hosts that call the store is asked, when one has failed.
+constexpr std::chrono::milliseconds next_caller_pause{300};
+
 /// A relayed call waits for the wait of a store call divided by this, but at least
 /// `min_relay_wait`.
 constexpr int store_wait_divisor = 2;
 
-/// A call to the reader that falls back to the store if the reader fails.
-class relayed_call final : public rows::store_call {
-public:
-    void set_peer_call(std::unique_ptr<http::client_call> call)
-    {
-        m_peer_call = std::move(call);
-    }
-    void set_store_call(std::unique_ptr<rows::store_call> call)
-    {
-        m_store_call = std::move(call);
-    }
-
-private:
-    std::unique_ptr<http::client_call> m_peer_call;
-    std::unique_ptr<rows::store_call> m_store_call;
-};
-
 /// Parses the reader's response into a page. Errors: `stale` and `store_unavailable`, also if the
 /// reader does not know the era yet.
 base::result<rows::page> parse_page(const peer_reply& reply, std::uint64_t era)
@@ -68,6 +55,47 @@
 
 } // namespace
 
+/// A call to the reader that falls back to the store, or to other hosts, if the reader fails.
+class relay_store::relayed_call final : public rows::store_call {
+public:
+    explicit relayed_call(http::loop& loop) : m_loop(loop) {}
+    ~relayed_call() override
+    {
+        m_loop.cancel(m_timer);
+    }
+    relayed_call(const relayed_call&) = delete;
+    relayed_call& operator=(const relayed_call&) = delete;
+    relayed_call(relayed_call&&) = delete;
+    relayed_call& operator=(relayed_call&&) = delete;
+
+    void set_peer_call(std::unique_ptr<http::client_call> call)
+    {
+        m_peer_call = std::move(call);
+    }
+    void set_store_call(std::unique_ptr<rows::store_call> call)
+    {
+        m_store_call = std::move(call);
+    }
+    void continue_later(base::time_point due, std::function<void()> work)
+    {
+        m_timer = m_loop.schedule(due, std::move(work));
+    }
+
+private:
+    http::loop& m_loop;
+    http::timer_id m_timer = 0;
+    std::unique_ptr<http::client_call> m_peer_call;
+    std::unique_ptr<rows::store_call> m_store_call;
+};
+
+struct relay_store::changes_query {
+    std::string table;
+    std::uint64_t after = 0;
+    std::chrono::milliseconds wait{0};
+    page_callback done;
+    std::size_t failures = 0; ///< Hosts that have failed.
+};
+
 relay_store::relay_store(host_context& context, const fleet::member& self, rows::row_store& store,
                          std::function<void(std::uint64_t)> on_era)
     : m_context(context), m_self(self), m_store(store), m_on_era(std::move(on_era))
@@ -89,31 +117,59 @@
     const base::time_point now = base::boot_clock::now();
     const auto reader = fleet::store_reader(m_context.members, m_self, now);
     done = note_era(std::move(done));
-    if (!reader.has_value() || now < m_avoid_reader_until) {
+    const bool calls_store =
+        fleet::store_rank(m_context.members, m_self, now) < fleet::max_store_callers;
+    if (!reader.has_value() || (calls_store && now < m_avoid_reader_until)) {
         return m_store.read_changes(table, after, wait, std::move(done));
     }
+    auto call = std::make_unique<relayed_call>(m_context.loop);
+    ask_host(*call, *reader,
+             std::make_shared<changes_query>(changes_query{table, after, wait, std::move(done)}));
+    return call;
+}
+
+void relay_store::ask_host(relayed_call& call, const fleet::member& reader,
+                           const std::shared_ptr<changes_query>& query)
+{
     // Rarely changing tables may wait longer, because their versions are also compared in every
     // message between hosts.
     const std::chrono::milliseconds reader_wait =
-        std::max(min_relay_wait, wait / store_wait_divisor);
-    const std::string path = rows_path(table, after, reader_wait);
-    auto call = std::make_unique<relayed_call>();
-    call->set_peer_call(m_context.client.fetch(
-        make_rows_request(reader->control_address, path, reader_wait + relay_timeout),
+        std::max(min_relay_wait, query->wait / store_wait_divisor);
+    const std::string path = rows_path(query->table, query->after, reader_wait);
+    call.set_peer_call(m_context.client.fetch(
+        make_rows_request(reader.control_address, path, reader_wait + relay_timeout),
         max_update_bytes,
-        [this, call = call.get(), reader = reader->id.value(), table, after, wait,
-         done = std::move(done)](const peer_reply& reply, bool /*sent*/) {
+        [this, &call, id = reader.id.value(), query](const peer_reply& reply, bool /*sent*/) {
             const base::result<rows::page> page = parse_page(reply, m_era);
             if (base::is_ok(page) || base::error_of(page).kind == base::error_kind::stale) {
+                const auto done = query->done;
                 done(page);
                 return;
             }
-            avoid_reader(reader, base::error_of(page));
-            // The failure is not reported to the follower, which would treat it as an outage of the
-            // store.
-            call->set_store_call(m_store.read_changes(table, after, wait, done));
+            avoid_reader(id, base::error_of(page));
+            on_reader_failed(call, query);
         }));
-    return call;
+}
+
+void relay_store::on_reader_failed(relayed_call& call, const std::shared_ptr<changes_query>& query)
+{
+    // The failure is not reported to the follower, which would treat it as an outage of the store.
+    const base::time_point now = base::boot_clock::now();
+    if (fleet::store_rank(m_context.members, m_self, now) < fleet::max_store_callers) {
+        call.set_store_call(
+            m_store.read_changes(query->table, query->after, query->wait, query->done));
+        return;
+    }
+    const std::size_t next = ++query->failures;
+    call.continue_later(now + next_caller_pause, [this, &call, query, next] {
+        const std::vector<fleet::member> callers =
+            fleet::store_callers(m_context.members, m_self, base::boot_clock::now());
+        if (callers.empty()) {
+            on_reader_failed(call, query);
+            return;
+        }
+        ask_host(call, callers[next % callers.size()], query);
+    });
 }
 
 relay_store::page_callback relay_store::note_era(page_callback done)
--- a/src/apps/host/relay_store.h
+++ b/src/apps/host/relay_store.h
@@ -19,7 +19,8 @@
 
 /// Belongs to the loop's thread. The first read of a table and all writes go to the store; changes
 /// are read from the host that reads the store for the failure domain (the reader). If this host is
-/// the reader, or the reader fails, the call goes to the store.
+/// the reader, or the reader fails, the call goes to the store; in a failure domain of many hosts,
+/// to one of the few that call the store.
 class relay_store final : public rows::row_store {
 public:
     /// `on_era` is called later when a page is the first one of a later era of the store.
@@ -41,6 +42,15 @@
                                             status_callback done) override;
 
 private:
+    class relayed_call;
+    struct changes_query;
+
+    /// Asks a host for the changes. If it fails, asks the store, or one of the other hosts that
+    /// call the store.
+    void ask_host(relayed_call& call, const fleet::member& reader,
+                  const std::shared_ptr<changes_query>& query);
+    void on_reader_failed(relayed_call& call, const std::shared_ptr<changes_query>& query);
+
     /// Records the era of a page before it is delivered.
     page_callback note_era(page_callback done);
     void avoid_reader(const std::string& reader, const base::error& cause);
--- a/src/apps/host/row_publisher.cpp
+++ b/src/apps/host/row_publisher.cpp
@@ -73,6 +73,15 @@
     m_loop.schedule(base::boot_clock::now(), [this, table] { respond_to_waiting(table, nullptr); });
 }
 
+void row_publisher::on_store_lost()
+{
+    for (const auto& [table, calls] : std::exchange(m_waiting, {})) {
+        for (const waiting_call& call : calls) {
+            respond_without_body(*call.request, status_unavailable);
+        }
+    }
+}
+
 void row_publisher::respond_to_waiting(const std::string& table, const http::exchange* expired)
 {
     std::erase_if(m_waiting[table], [&](const waiting_call& call) {
--- a/src/apps/host/row_publisher.h
+++ b/src/apps/host/row_publisher.h
@@ -30,6 +30,9 @@
     /// Responds to the hosts that wait for changes of the table.
     void on_rows_changed(const std::string& table);
 
+    /// Refuses the calls of the hosts that wait for changes.
+    void on_store_lost();
+
 private:
     struct waiting_call {
         std::shared_ptr<http::exchange> request;
--- a/src/apps/host/tests/memory_store.cpp
+++ b/src/apps/host/tests/memory_store.cpp
@@ -166,7 +166,8 @@
         return complete_later(rows::page{changes, false, m_version, false, m_era}, std::move(done));
     }
     ++calls;
-    auto waiting = std::make_shared<waiting_call>(waiting_call{table, after, std::move(done), wait});
+    auto waiting =
+        std::make_shared<waiting_call>(waiting_call{table, after, std::move(done), wait});
     m_waiting.push_back(waiting);
     return std::make_unique<pending_call>(waiting);
 }
--- a/src/apps/host/tests/memory_store.h
+++ b/src/apps/host/tests/memory_store.h
@@ -62,9 +62,8 @@
                                                      page_callback done);
     void complete_waiting();
     /// A call that fails after the time-out of the store client, unless it is cancelled before.
-    std::unique_ptr<rows::store_call> never_answer(const std::string& table,
-                                                   std::chrono::milliseconds wait,
-                                                   page_callback done);
+    std::unique_ptr<rows::store_call>
+    never_answer(const std::string& table, std::chrono::milliseconds wait, page_callback done);
     void give_up_later(const std::shared_ptr<waiting_call>& call);
 
     http::loop& m_loop;
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -49,6 +49,20 @@
     return near;
 }
 
+/// A leaving host comes after all others.
+std::uint64_t reader_weight(const member& host)
+{
+    return host.state == member_state::leaving
+               ? 0
+               : base::rendezvous_weight(reader_item, host.id.value());
+}
+
+bool may_call_store(const member_table& table, const known_member& known, base::time_point now)
+{
+    return known.info.failure_domain == table.own_domain &&
+           known.info.state != member_state::leaving && has_recent_contact(known, now);
+}
+
 } // namespace
 
 bool record_contact(member_table& table, const member& from, base::time_point now)
@@ -126,24 +140,50 @@
            now - of_host.last_contact < contact_timeout * remote_interval_s(table);
 }
 
+std::size_t store_rank(const member_table& table, const member& self, base::time_point now)
+{
+    const std::uint64_t own = reader_weight(self);
+    return static_cast<std::size_t>(
+        std::count_if(table.members.begin(), table.members.end(), [&](const auto& entry) {
+            return may_call_store(table, entry.second, now) &&
+                   reader_weight(entry.second.info) > own;
+        }));
+}
+
+std::vector<member> store_callers(const member_table& table, const member& self,
+                                  base::time_point now)
+{
+    std::vector<member> callers;
+    for (const auto& [id, known] : table.members) {
+        if (may_call_store(table, known, now)) {
+            callers.push_back(known.info);
+        }
+    }
+    std::sort(callers.begin(), callers.end(), [](const member& left, const member& right) {
+        return reader_weight(left) > reader_weight(right);
+    });
+    const std::size_t own = store_rank(table, self, now);
+    const std::size_t most = own < max_store_callers ? max_store_callers - 1 : max_store_callers;
+    callers.resize(std::min(most, callers.size()));
+    return callers;
+}
+
 std::optional<member> store_reader(const member_table& table, const member& self,
                                    base::time_point now)
 {
     std::optional<member> best;
-    std::uint64_t best_weight = self.state == member_state::leaving
-                                    ? 0
-                                    : base::rendezvous_weight(reader_item, self.id.value());
+    std::uint64_t best_weight = reader_weight(self);
     for (const auto& [id, known] : table.members) {
-        const bool may_read = known.info.failure_domain == table.own_domain &&
-                              known.info.state != member_state::leaving && known.info.reads_store &&
-                              has_recent_contact(known, now);
-        const std::uint64_t weight = base::rendezvous_weight(reader_item, id.value());
-        if (may_read && weight > best_weight) {
+        const std::uint64_t weight = reader_weight(known.info);
+        if (may_call_store(table, known, now) && known.info.reads_store && weight > best_weight) {
             best = known.info;
             best_weight = weight;
         }
     }
-    return best;
+    if (best.has_value() || store_rank(table, self, now) < max_store_callers) {
+        return best;
+    }
+    return store_callers(table, self, now).front();
 }
 
 bool is_among_first(const member_table& table, std::string_view item, std::size_t count)
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -42,8 +42,20 @@
 /// since they are sent less often.
 bool is_live(const member_table& table, const known_member& of_host, base::time_point now);
 
-/// Host of the own failure domain that reads the store for the others; no value if it is the own
-/// host.
+/// Hosts of a failure domain that call the store while none of them is known to reach it. Bounds
+/// the calls of a large fleet during an outage of the store.
+inline constexpr std::size_t max_store_callers = 3;
+
+/// Position of the own host among those of its failure domain that may call the store.
+std::size_t store_rank(const member_table& table, const member& self, base::time_point now);
+
+/// The first `max_store_callers` hosts of the own failure domain that may call the store, without
+/// the own host.
+std::vector<member> store_callers(const member_table& table, const member& self,
+                                  base::time_point now);
+
+/// Host of the own failure domain that reads the store for the others; no value if the own host
+/// should call the store.
 std::optional<member> store_reader(const member_table& table, const member& self,
                                    base::time_point now);
 
--- a/src/rows/row_store.h
+++ b/src/rows/row_store.h
@@ -52,6 +52,10 @@
     virtual std::unique_ptr<store_call> write(const std::string& table, const std::string& key,
                                               const std::optional<std::string>& value,
                                               status_callback done) = 0;
+
+    /// Drops all connections and the calls on them. To be used when the store does not respond,
+    /// since open connections may stay unresponsive for good.
+    virtual void renew_connections() {}
 };
 
 } // namespace snipeshore::rows
--- a/src/rows/table_follower.cpp
+++ b/src/rows/table_follower.cpp
@@ -130,8 +130,12 @@
 void table_follower::read_changes()
 {
     m_call_sent = base::boot_clock::now();
+    // The first call after a failure does not wait, so that its response shows that the store is
+    // back, also if nothing has changed.
+    const std::chrono::milliseconds wait =
+        m_is_store_reachable ? m_settings.wait : std::chrono::milliseconds{0};
     m_call = m_store.read_changes(
-        m_settings.table, m_replica.version, m_settings.wait,
+        m_settings.table, m_replica.version, wait,
         [this](base::result<page> response) { on_changes(std::move(response)); });
 }
 
@@ -196,10 +200,9 @@
 void table_follower::on_failure(const base::error& failure)
 {
     if (m_is_store_reachable || m_retry == m_settings.initial_backoff) {
-        telemetry::log_event(severity::warning, "store_lost",
-                             {{"table", m_settings.table},
-                              {"cause", failure.detail},
-                              {"call_ms", call_ms()}});
+        telemetry::log_event(
+            severity::warning, "store_lost",
+            {{"table", m_settings.table}, {"cause", failure.detail}, {"call_ms", call_ms()}});
     }
     m_is_store_reachable = false;
     schedule_next(m_retry);
