--- a/src/contact/tests/fleet_model_test.cpp
+++ b/src/contact/tests/fleet_model_test.cpp
@@ -245,16 +245,19 @@
 // hosts at once.
 TEST_CASE("a change confirmed after a silence is in force on all hosts within a second")
 {
-    for (const auto& [hosts, domains] :
-         {std::pair<std::size_t, std::size_t>{12, 6}, {76, 6}, {1000, 22}}) {
+    struct fleet_size {
+        std::size_t hosts = 0;
+        std::size_t domains = 0;
+    };
+    for (const fleet_size fleet : {fleet_size{12, 6}, fleet_size{76, 6}, fleet_size{1000, 22}}) {
         for (const auto length : {1500ms, 3000ms, 4000ms, 5300ms, 8100ms, 20000ms}) {
             for (const auto change : {0ms, 60ms, 300ms}) {
-                CAPTURE(hosts);
+                CAPTURE(fleet.hosts);
                 CAPTURE(length.count());
                 CAPTURE(change.count());
                 const base::time_point begin = start + 5s;
                 const base::time_point end = begin + length;
-                fleet_model model(hosts, domains, {begin, end, end + change}, 7);
+                fleet_model model(fleet.hosts, fleet.domains, {begin, end, end + change}, 7);
                 CHECK(model.run() <= in_force_bound);
                 CHECK(model.most_calls() <= max_reads_per_s);
             }
