host_silent_store_test: several hosts of one failure domain around a silence

Five hosts of one failure domain: all have a change that is confirmed after a silence although only three call the store meanwhile; also if only their reader has lost the store, and if its call was lost before anything showed it. given_up counts calls that waited for a change, as probes read the same table now; the check is the same. The fixture takes the number of failure domains, so that hosts can share one, and can cut one host from the store.

--- a/src/apps/host/tests/fleet_fixture.cpp
+++ b/src/apps/host/tests/fleet_fixture.cpp
@@ -26,9 +26,9 @@
     return "h" + std::to_string(host + 1);
 }
 
-std::string domain_name(std::size_t host)
+std::string domain_name(std::size_t domain)
 {
-    return "z" + std::to_string(host + 1);
+    return "z" + std::to_string(domain + 1);
 }
 
 sockaddr_in parse_address(const std::string& text)
@@ -41,7 +41,7 @@
     return address;
 }
 
-/// Names the links of one host as the addresses of the targets.
+/// The store as one host sees it. Names the host's links as the addresses of the targets.
 class linked_store final : public rows::row_store {
 public:
     linked_store(rows::row_store& store, const std::vector<std::unique_ptr<target_link>>& links)
@@ -51,27 +51,52 @@
     std::unique_ptr<rows::store_call> read(const std::string& table, const std::string& from,
                                            page_callback done) override
     {
-        return m_store.read(table, from, with_links(std::move(done)));
+        return start(
+            [&](page_callback on_page) { return m_store.read(table, from, std::move(on_page)); },
+            std::move(done));
     }
 
     std::unique_ptr<rows::store_call> read_changes(const std::string& table, std::uint64_t after,
                                                    std::chrono::milliseconds wait,
                                                    page_callback done) override
     {
-        return m_store.read_changes(table, after, wait, with_links(std::move(done)));
+        return start(
+            [&](page_callback on_page) {
+                return m_store.read_changes(table, after, wait, std::move(on_page));
+            },
+            std::move(done));
     }
 
     std::unique_ptr<rows::store_call> write(const std::string& table, const std::string& key,
                                             const std::optional<std::string>& value,
                                             status_callback done) override
     {
-        return m_store.write(table, key, value, std::move(done));
+        ++calls;
+        return m_is_cut ? nullptr : m_store.write(table, key, value, std::move(done));
     }
 
+    void cut(bool is_cut)
+    {
+        m_is_cut = is_cut;
+        ++m_cuts;
+    }
+
+    int calls = 0;
+
 private:
+    template <typename Start>
+    std::unique_ptr<rows::store_call> start(Start start_call, page_callback done)
+    {
+        ++calls;
+        return m_is_cut ? nullptr : start_call(with_links(std::move(done)));
+    }
+
     page_callback with_links(page_callback done)
     {
-        return [this, done = std::move(done)](base::result<rows::page> page) {
+        return [this, cuts = m_cuts, done = std::move(done)](base::result<rows::page> page) {
+            if (cuts != m_cuts) {
+                return;
+            }
             if (base::is_ok(page)) {
                 for (rows::row& row : base::value_of(page).rows) {
                     insert_address(row.value);
@@ -94,6 +119,8 @@
 
     rows::row_store& m_store;
     const std::vector<std::unique_ptr<target_link>>& m_links;
+    bool m_is_cut = false;
+    int m_cuts = 0; ///< Calls that were sent before the last change are lost.
 };
 
 } // namespace
@@ -198,15 +225,16 @@
     std::unique_ptr<host_app> app;
 };
 
-fleet_fixture::fleet_fixture(std::size_t hosts, std::size_t targets)
-    : m_store(loop), m_client(loop, {})
+fleet_fixture::fleet_fixture(std::size_t hosts, std::size_t targets, std::size_t domains)
+    : m_client(loop, {})
 {
-    m_store.set("op", "config", plain_config);
+    domains = domains == 0 ? hosts : domains;
+    store.set("op", "config", plain_config);
     for (std::size_t i = 0; i < targets; ++i) {
         const std::string row =
             R"({"service":"svc","state":"ready","sequence":1,"slots":4,"zone":")" +
-            domain_name(i % hosts) + R"(","address":"link-)" + std::to_string(i) + "\"}";
-        m_store.set("servers", "t" + std::to_string(i + 1), row);
+            domain_name(i % domains) + R"(","address":"link-)" + std::to_string(i) + "\"}";
+        store.set("servers", "t" + std::to_string(i + 1), row);
     }
     for (std::size_t i = 0; i < hosts; ++i) {
         auto made = std::make_unique<host>();
@@ -215,8 +243,8 @@
         }
         host_settings& settings = made->settings;
         settings.host = base::host_id(host_name(i));
-        settings.failure_domain = base::failure_domain_id(domain_name(i));
-        for (std::size_t j = 0; j < hosts; ++j) {
+        settings.failure_domain = base::failure_domain_id(domain_name(i % domains));
+        for (std::size_t j = 0; j < domains; ++j) {
             settings.regions.emplace(domain_name(j), base::region_id("north"));
         }
         settings.entry_address = free_address();
@@ -224,7 +252,7 @@
         settings.lookup_address = free_address();
         settings.control_address = free_address();
         settings.names = platform_adapter::make_names();
-        made->store = std::make_unique<linked_store>(m_store, made->links);
+        made->store = std::make_unique<linked_store>(store, made->links);
         made->app = std::make_unique<host_app>(loop, settings, platform_adapter::make_formats(),
                                                *made->store);
         REQUIRE(base::is_ok(made->app->start()));
@@ -255,6 +283,16 @@
     return *m_hosts[host]->links[target];
 }
 
+void fleet_fixture::cut_from_store(std::size_t host, bool is_cut)
+{
+    m_hosts[host]->store->cut(is_cut);
+}
+
+int fleet_fixture::store_calls(std::size_t host) const
+{
+    return m_hosts[host]->store->calls;
+}
+
 const std::vector<std::unique_ptr<target_link>>& fleet_fixture::links(std::size_t host) const
 {
     return m_hosts[host]->links;
@@ -317,7 +355,8 @@
     http::client_request request;
     request.address = settings(asked).lookup_address;
     request.head = {"GET",
-                    "/v1/resolve?name=a.example&region=north&zone=" + domain_name(host),
+                    "/v1/resolve?name=a.example&region=north&zone=" +
+                        settings(host).failure_domain.value(),
                     request.address,
                     {}};
     request.deadline = base::boot_clock::now() + std::chrono::seconds(10);
--- a/src/apps/host/tests/fleet_fixture.h
+++ b/src/apps/host/tests/fleet_fixture.h
@@ -60,7 +60,8 @@
 /// the same targets, each through its own links.
 class fleet_fixture {
 public:
-    fleet_fixture(std::size_t hosts, std::size_t targets);
+    /// With `domains` set, the hosts are in turn in that many failure domains.
+    fleet_fixture(std::size_t hosts, std::size_t targets, std::size_t domains = 0);
     ~fleet_fixture();
     fleet_fixture(const fleet_fixture&) = delete;
     fleet_fixture& operator=(const fleet_fixture&) = delete;
@@ -95,7 +96,14 @@
     bool run_until(const std::function<bool()>& condition);
     void run_for(std::chrono::milliseconds time);
 
+    /// While cut, the store answers none of the host's calls, not even those that wait already.
+    void cut_from_store(std::size_t host, bool is_cut);
+
+    /// Calls of the host to the store.
+    int store_calls(std::size_t host) const;
+
     http::loop loop;
+    memory_store store{loop};
 
 private:
     struct host;
@@ -103,7 +111,6 @@
     std::unique_ptr<http::client_call> start(http::client_request request,
                                              std::optional<reply>& into);
 
-    memory_store m_store;
     http::client m_client;
     std::vector<std::unique_ptr<host>> m_hosts;
     int m_last_id = 0;
--- a/src/apps/host/tests/memory_store.cpp
+++ b/src/apps/host/tests/memory_store.cpp
@@ -88,7 +88,7 @@
     const base::time_point end = base::boot_clock::now() + call->wait + call_timeout;
     m_loop.schedule(end, [this, weak = std::weak_ptr(call)] {
         if (const auto held = weak.lock()) {
-            ++given_up[held->table];
+            given_up[held->table] += held->wait.count() > 0 ? 1 : 0;
             held->done(base::error{base::error_kind::store_unavailable, "deadline has passed"});
         }
     });
--- a/src/apps/host/tests/memory_store.h
+++ b/src/apps/host/tests/memory_store.h
@@ -52,7 +52,7 @@
 
     bool is_down = false;
     int calls = 0;
-    std::map<std::string, int> given_up; ///< Calls for changes that got no answer, by table.
+    std::map<std::string, int> given_up; ///< Calls that waited for a change, by table.
 
 private:
     struct waiting_call;
--- a/src/apps/host/tests/silent_store_test.cpp
+++ b/src/apps/host/tests/silent_store_test.cpp
@@ -1,8 +1,14 @@
+#include "apps/host/tests/fleet_fixture.h"
 #include "apps/host/tests/host_fixture.h"
+#include "fleet/members.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
 using namespace snipeshore;
 using namespace apps::tests;
 
@@ -14,6 +20,36 @@
     return config.replace(config.find("00000005"), 8, version);
 }
 
+bool has_lost_store(const apps::host_app& app)
+{
+    const nlohmann::json tables = app.dump()["tables"];
+    return std::none_of(tables.begin(), tables.end(),
+                        [](const nlohmann::json& table) { return table["store_reachable"]; });
+}
+
+bool is_in_force(fleet_fixture& fleet, std::size_t hosts, std::uint64_t version)
+{
+    for (std::size_t i = 0; i < hosts; ++i) {
+        if (fleet.app(i).config_version() != version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// The host that reads the store for the others of the only failure domain.
+std::size_t find_reader(fleet_fixture& fleet, std::size_t hosts)
+{
+    std::size_t reader = 0;
+    for (std::size_t i = 1; i < hosts; ++i) {
+        const auto weight = [&](std::size_t host) {
+            return fleet::reader_weight(fleet.settings(host).host);
+        };
+        reader = weight(i) > weight(reader) ? i : reader;
+    }
+    return reader;
+}
+
 } // namespace
 
 // Guards against a configuration that is not in force for seconds after the store was silent: the
@@ -36,3 +72,53 @@
     CHECK(host.store.given_up["op"] == 0);
     CHECK(host.app->config_version() == 10);
 }
+
+// Guards against neighbours that wait at a reader which waits for a lost call itself, and against a
+// large failure domain that calls the store with all its hosts while it is silent.
+TEST_CASE("the hosts of a failure domain have a change after a silence of the store")
+{
+    constexpr std::size_t hosts = 5;
+    fleet_fixture fleet(hosts, 1, 1);
+    const std::size_t reader = find_reader(fleet, hosts);
+    SUBCASE("all of them, although only some call the store meanwhile")
+    {
+        fleet.store.fall_silent();
+        REQUIRE(fleet.run_until([&] { return has_lost_store(fleet.app(reader)); }));
+        const auto count_calls = [&] {
+            std::vector<int> calls;
+            for (std::size_t i = 0; i < hosts; ++i) {
+                calls.push_back(fleet.store_calls(i));
+            }
+            return calls;
+        };
+        const std::vector<int> before = count_calls();
+        REQUIRE(fleet.run_until([&] { return count_calls()[reader] > before[reader] + 4; }));
+        const std::vector<int> after = count_calls();
+        std::size_t callers = 0;
+        for (std::size_t i = 0; i < hosts; ++i) {
+            callers += after[i] > before[i] ? 1 : 0;
+        }
+        CHECK(callers == fleet::max_store_callers);
+        fleet.store.end_silence();
+        fleet.store.set("op", "config", config_of_version("0000000a"));
+        REQUIRE(fleet.run_until(
+            [&] { return is_in_force(fleet, hosts, 10) || fleet.store.given_up["op"] > 0; }));
+        CHECK(fleet.store.given_up["op"] == 0);
+    }
+    SUBCASE("also if only the reader has lost the store")
+    {
+        fleet.cut_from_store(reader, true);
+        REQUIRE(fleet.run_until([&] { return has_lost_store(fleet.app(reader)); }));
+        fleet.store.set("op", "config", config_of_version("0000000a"));
+        CHECK(fleet.run_until([&] { return is_in_force(fleet, hosts, 10); }));
+        fleet.cut_from_store(reader, false);
+        CHECK(fleet.run_until([&] { return !has_lost_store(fleet.app(reader)); }));
+    }
+    SUBCASE("also if the reader's call was lost before anything showed it")
+    {
+        fleet.cut_from_store(reader, true);
+        fleet.cut_from_store(reader, false);
+        fleet.store.set("op", "config", config_of_version("0000000a"));
+        CHECK(fleet.run_until([&] { return is_in_force(fleet, hosts, 10); }));
+    }
+}
--- a/src/fleet/members.cpp
+++ b/src/fleet/members.cpp
@@ -50,11 +50,9 @@
 }
 
 /// A leaving host comes after all others.
-std::uint64_t reader_weight(const member& host)
+std::uint64_t weight_of(const member& host)
 {
-    return host.state == member_state::leaving
-               ? 0
-               : base::rendezvous_weight(reader_item, host.id.value());
+    return host.state == member_state::leaving ? 0 : reader_weight(host.id);
 }
 
 bool may_call_store(const member_table& table, const known_member& known, base::time_point now)
@@ -140,13 +138,17 @@
            now - of_host.last_contact < contact_timeout * remote_interval_s(table);
 }
 
+std::uint64_t reader_weight(const base::host_id& host)
+{
+    return base::rendezvous_weight(reader_item, host.value());
+}
+
 std::size_t store_rank(const member_table& table, const member& self, base::time_point now)
 {
-    const std::uint64_t own = reader_weight(self);
+    const std::uint64_t own = weight_of(self);
     return static_cast<std::size_t>(
         std::count_if(table.members.begin(), table.members.end(), [&](const auto& entry) {
-            return may_call_store(table, entry.second, now) &&
-                   reader_weight(entry.second.info) > own;
+            return may_call_store(table, entry.second, now) && weight_of(entry.second.info) > own;
         }));
 }
 
@@ -160,7 +162,7 @@
         }
     }
     std::sort(callers.begin(), callers.end(), [](const member& left, const member& right) {
-        return reader_weight(left) > reader_weight(right);
+        return weight_of(left) > weight_of(right);
     });
     const std::size_t own = store_rank(table, self, now);
     const std::size_t most = own < max_store_callers ? max_store_callers - 1 : max_store_callers;
@@ -172,9 +174,9 @@
                                    base::time_point now)
 {
     std::optional<member> best;
-    std::uint64_t best_weight = reader_weight(self);
+    std::uint64_t best_weight = weight_of(self);
     for (const auto& [id, known] : table.members) {
-        const std::uint64_t weight = reader_weight(known.info);
+        const std::uint64_t weight = weight_of(known.info);
         if (may_call_store(table, known, now) && known.info.reads_store && weight > best_weight) {
             best = known.info;
             best_weight = weight;
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -46,6 +46,9 @@
 /// the calls of a large fleet during an outage of the store.
 inline constexpr std::size_t max_store_callers = 3;
 
+/// Rank of a host among those that may read the store; the highest is the reader.
+std::uint64_t reader_weight(const base::host_id& host);
+
 /// Position of the own host among those of its failure domain that may call the store.
 std::size_t store_rank(const member_table& table, const member& self, base::time_point now);
 
