soak: silences of the store that outlast every call, and the bound from their end on

An outage of the store lasted 1.5 s, less than any call for changes waits; calls that waited when the store stopped responding were still answered; and for 5 s after it no time bound was checked. A silence now lasts up to 10 s, loses the calls that wait, and what is confirmed from its end on must be in force in 2 s. New set of faults: silent.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,7 +18,7 @@
 DEFINE_string(faults, "all",
               "Faults to inject: planned (planned work only), restored (a store that comes back "
               "with an earlier "
-              "content) or all.");
+              "content), silent (a store that falls silent for seconds) or all.");
 DEFINE_string(program, SNIPESHORE_BINARY_DIR "/snipeshore-host", "Path of the host program.");
 DEFINE_string(directory, "/tmp/snipeshore-soak", "Directory for settings files and logs.");
 
@@ -33,6 +33,9 @@
     if (name == "restored") {
         return fault_set::restored;
     }
+    if (name == "silent") {
+        return fault_set::silent;
+    }
     return name == "all" ? std::optional(fault_set::all) : std::nullopt;
 }
 
@@ -44,7 +47,7 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto faults = parse_faults(FLAGS_faults);
     if (!faults || sodium_init() < 0) {
-        std::cerr << "error: --faults must be planned, restored or all\n";
+        std::cerr << "error: --faults must be planned, restored, silent or all\n";
         return 1;
     }
     int failed = 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -11,6 +11,7 @@
 enum class fault_set {
     planned,  ///< Only planned work: stops, reloads, changes of the configuration and of targets.
     restored, ///< A store that comes back with an earlier content, and changes, but no stops.
+    silent,   ///< A store that falls silent for seconds, again and again.
     all
 };
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -22,6 +22,8 @@
 /// The time bounds hold again this long after the end of a host pause or store fault.
 constexpr auto settle_time = 5000ms;
 constexpr auto store_fault_time = 1500ms;
+/// Longest silence of the store; longer than any call of a host waits.
+constexpr auto max_silence = 10000ms;
 /// Age of the copy with which a lost store comes back, and duration of the outage before.
 constexpr auto min_copy_age = 3000ms;
 constexpr auto max_copy_age = 7000ms;
@@ -56,6 +58,11 @@
             restore_store();
         }
         return;
+    case fault_set::silent:
+        if (m_store.fault == store_fault::none && !m_is_disturbed && m_random() % 4 == 0) {
+            disturb_store(store_fault::unresponsive, m_random());
+        }
+        return;
     case fault_set::all:
         if (m_random() % 3 == 0) {
             inject_planned_work();
@@ -80,7 +87,7 @@
         pause(host, 300ms + std::chrono::milliseconds(choice % 2500));
         return;
     case 2:
-        disturb_store(static_cast<store_fault>(1 + choice % 3));
+        disturb_store(static_cast<store_fault>(1 + choice % 3), choice / 3);
         return;
     case 3:
         restore_store();
@@ -252,20 +259,34 @@
     settle_after(duration);
 }
 
-void soak_run::disturb_store(store_fault fault)
+void soak_run::disturb_store(store_fault fault, std::uint64_t choice)
 {
     if (m_store.fault == store_fault::down) {
         return;
     }
-    record_fault("store fault " + std::to_string(static_cast<int>(fault)));
+    const bool is_silence = fault == store_fault::unresponsive;
+    const std::chrono::milliseconds longer(
+        is_silence ? choice % (max_silence - store_fault_time).count() : 0);
+    const std::chrono::milliseconds time = store_fault_time + longer;
+    record_fault("store fault " + std::to_string(static_cast<int>(fault)) + " for " +
+                 std::to_string(time.count()) + " ms");
     m_store.fault = fault;
     m_is_disturbed = true;
-    m_loop.schedule(base::boot_clock::now() + store_fault_time, [this] {
-        if (m_store.fault != store_fault::down) {
+    settle_after(time);
+    m_loop.schedule(
+        base::boot_clock::now() + time, [this, fault, is_silence, disturbance = m_disturbances] {
+            if (m_store.fault != fault) {
+                return;
+            }
             m_store.fault = store_fault::none;
-        }
-    });
-    settle_after(store_fault_time);
+            if (is_silence && disturbance == m_disturbances) {
+                // What is confirmed from now on is in force in time.
+                m_is_disturbed = false;
+                m_old_key_until = std::max(m_old_key_until, base::boot_clock::now() + key_bound);
+                record_fault("new configuration after the silence");
+                write_config();
+            }
+        });
 }
 
 /// Keeps a copy of the store, which is lost some seconds later and comes back with the copy.
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -68,7 +68,8 @@
     void stop_twice(std::size_t host);
     void reload_several();
     void pause(std::size_t host, std::chrono::milliseconds duration);
-    void disturb_store(store_fault fault);
+    /// `choice` decides how long a silence lasts.
+    void disturb_store(store_fault fault, std::uint64_t choice);
     void restore_store();
     void lose_store();
     void return_store();
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -74,6 +74,16 @@
     check_hosts(settings);
 }
 
+// Guards against hosts that wait for calls lost in a silence of the store while a configuration has
+// been confirmed after it.
+TEST_CASE("real hosts apply what is confirmed after a silence of the store")
+{
+    soak::soak_settings settings = settings_for(403);
+    settings.faults = soak::fault_set::silent;
+    settings.duration = std::chrono::seconds(20);
+    check_hosts(settings);
+}
+
 TEST_CASE("the soak detects the violations of a naive host")
 {
     // Which faults a run meets depends on its timing, so one run may lack a kind.
--- a/tests/soak/store_service.cpp
+++ b/tests/soak/store_service.cpp
@@ -154,7 +154,10 @@
     const std::string& path = request->head().path;
     auto fields = parse_query(path);
     const auto done = [this, weak = std::weak_ptr(request)](const base::result<rows::page>& page) {
-        if (const auto waiting = weak.lock()) {
+        const auto waiting = weak.lock();
+        if (waiting != nullptr && fault == store_fault::unresponsive) {
+            m_unanswered.push_back(waiting); // Calls that wait already get no response either.
+        } else if (waiting != nullptr) {
             respond_page(waiting, page);
         }
     };
