table_follower: rows of a peer after an outage show that the store is back

What callers saw: after an outage in which the targets' rows expire, a host dropped all its targets at once and refused requests for up to a second, until they were written again. Rows that go missing are kept for two seconds from the return of the store, but a host that learns of its return from another host's rows took the time of its own last contact, long before.

Change: rows of a peer that arrive without own contact, 2.5 s after all earlier news, mark the return of the store. Test: rows_test, "rows from a peer after an outage show that the store is back"; it failed before.

--- a/src/rows/table_follower.cpp
+++ b/src/rows/table_follower.cpp
@@ -24,7 +24,7 @@
                                change_callback on_change)
     : m_loop(loop), m_store(store), m_settings(std::move(settings)),
       m_on_change(std::move(on_change)), m_store_reachable_since(base::boot_clock::now()),
-      m_retry(m_settings.initial_backoff)
+      m_last_news(m_store_reachable_since), m_retry(m_settings.initial_backoff)
 {
     m_replica.is_repeat = m_settings.is_repeat;
 }
@@ -214,6 +214,7 @@
     const base::time_point now = base::boot_clock::now();
     const base::time_point before = std::exchange(m_last_success, now);
     m_retry = m_settings.initial_backoff;
+    m_last_news = now;
     if (m_is_store_reachable) {
         return;
     }
@@ -245,6 +246,11 @@
 
 void table_follower::apply_peer_update(const replica_update& update)
 {
+    const base::time_point now = base::boot_clock::now();
+    const base::time_point news_before = std::exchange(m_last_news, now);
+    if (!m_is_store_reachable && now - news_before > m_settings.outage_gap) {
+        m_store_reachable_since = now;
+    }
     const std::uint64_t era = m_replica.era;
     const std::vector<row> changes = update_replica([&] { return apply(m_replica, update); });
     m_is_loaded = m_is_loaded || update.version > 0;
--- a/src/rows/table_follower.h
+++ b/src/rows/table_follower.h
@@ -29,6 +29,9 @@
     std::chrono::milliseconds initial_backoff{200};
     std::chrono::milliseconds max_backoff{1000};
     std::function<bool(const row& before, const row& after)> is_repeat; ///< See `table_replica`.
+    /// A peer's rows that arrive without contact to the store, and this long after all earlier
+    /// news, come from a store that has just returned.
+    std::chrono::milliseconds outage_gap{2500};
 };
 
 /// To be used on the loop's thread only. Reads the whole table once and then its changes; reads the
@@ -70,9 +73,9 @@
     /// need not be asked.
     bool is_expected_current(base::time_point now) const;
 
-    /// Time of the first successful call after the last failure or restoration of the store, or of
-    /// the first successful call; before that, the time of construction. Rows that are missing soon
-    /// after it may be written again.
+    /// Time of the first successful call, or of the first rows of a peer, after the last failure or
+    /// restoration of the store; before the first call, the time of construction. Rows that are
+    /// missing soon after it may be written again.
     base::time_point store_reachable_since() const;
 
     /// Time of the last response of the store or of a peer that answered for it; unset before the
@@ -111,6 +114,7 @@
     bool m_is_store_reachable = false;
     bool m_needs_all = true;
     base::time_point m_store_reachable_since{};
+    base::time_point m_last_news; ///< Last success, or rows of a peer.
     std::optional<base::time_point> m_store_restored_at;
     base::time_point m_last_success{};
     base::time_point m_call_sent{};
--- a/src/rows/tests/table_follower_test.cpp
+++ b/src/rows/tests/table_follower_test.cpp
@@ -69,11 +69,15 @@
     std::vector<std::string> seen;
     rows::follow_settings settings;
     settings.initial_backoff = 1ms;
+    settings.outage_gap = 0ms;
+    std::function<void()> on_change = [] {
+    };
     rows::table_follower follower(loop, store, settings,
                                   [&](const std::vector<rows::row>& changes) {
                                       for (const rows::row& change : changes) {
                                           seen.push_back((change.removed ? "-" : "+") + change.key);
                                       }
+                                      on_change();
                                   });
     SUBCASE("it reads all pages and then the changes after the first page")
     {
@@ -106,6 +110,32 @@
         CHECK(follower.replica().rows.at("a").value == "2");
         CHECK(follower.replica().version == 7);
     }
+    // Guards against targets that are dropped at once because their rows expired during an outage,
+    // although they are about to be written again: another host had the store back first.
+    SUBCASE("rows from a peer after an outage show that the store is back")
+    {
+        store.answers = {rows::page{{{"a", "1", 3, false}}, false, 5},
+                         base::error{base::error_kind::store_unavailable, "down"}};
+        follower.start();
+        loop.run();
+        REQUIRE_FALSE(follower.is_store_reachable());
+        const base::time_point before = base::boot_clock::now();
+        base::time_point since;
+        on_change = [&] {
+            since = follower.store_reachable_since();
+        };
+        follower.apply_peer_update({7, false, {{"a", "", 6, true}}});
+        CHECK(since >= before);
+        SUBCASE("but those that follow soon are changes as usual")
+        {
+            settings.outage_gap = 1h;
+            rows::table_follower other(loop, store, settings, [](const std::vector<rows::row>&) {});
+            const base::time_point created = other.store_reachable_since();
+            other.apply_peer_update({7, false, {{"a", "1", 6, false}}});
+            other.apply_peer_update({8, false, {{"a", "", 8, true}}});
+            CHECK(other.store_reachable_since() == created);
+        }
+    }
     SUBCASE("a response older than the replica is ignored")
     {
         store.answers = {rows::page{{{"a", "1", 3, false}}, false, 5},
