--- a/tests/soak/host_fleet.cpp
+++ b/tests/soak/host_fleet.cpp
@@ -35,9 +35,11 @@
 
 } // namespace
 
-host_fleet::host_fleet(std::string program, const std::string& directory, std::size_t hosts,
+host_fleet::host_fleet(std::string program, std::string earlier_program,
+                       const std::string& directory, std::size_t hosts,
                        const std::string& store_address)
-    : m_program(std::move(program)), m_directory(directory), m_store_address(store_address)
+    : m_program(std::move(program)), m_earlier_program(std::move(earlier_program)),
+      m_directory(directory), m_store_address(store_address)
 {
     for (std::size_t index = 0; index < hosts; ++index) {
         host_slot slot;
@@ -76,7 +78,9 @@
 {
     host_slot& slot = slots[index];
     setenv("SNIPESHORE_CONFIG", slot.settings_file.c_str(), 1);
-    slot.running = std::make_unique<test::process>(m_program, std::vector<std::string>{},
+    const bool is_earlier = !m_earlier_program.empty() && (index + slot.starts++) % 2 == 1;
+    slot.running = std::make_unique<test::process>(is_earlier ? m_earlier_program : m_program,
+                                                   std::vector<std::string>{},
                                                    m_directory + "/" + slot.name + ".log");
     slot.started = base::boot_clock::now();
     slot.is_suspended = false;
--- a/tests/soak/host_fleet.h
+++ b/tests/soak/host_fleet.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 #include "tests/support/process.h"
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,12 +19,15 @@
     base::time_point started{};
     bool is_suspended = false; ///< By SIGSTOP.
     bool is_ending = false;    ///< After SIGTERM or SIGKILL.
+    std::size_t starts = 0;
 };
 
 class host_fleet {
 public:
-    host_fleet(std::string program, const std::string& directory, std::size_t hosts,
-               const std::string& store_address);
+    /// With `earlier_program` set, half of the hosts start with it, and a host that starts again
+    /// changes to the other program.
+    host_fleet(std::string program, std::string earlier_program, const std::string& directory,
+               std::size_t hosts, const std::string& store_address);
 
     void start(std::size_t index);
 
@@ -37,6 +41,7 @@
 
 private:
     std::string m_program;
+    std::string m_earlier_program;
     std::string m_directory;
     std::string m_store_address;
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -20,6 +20,10 @@
               "with an earlier "
               "content), silent (a store that falls silent for seconds) or all.");
 DEFINE_string(program, SNIPESHORE_BINARY_DIR "/snipeshore-host", "Path of the host program.");
+DEFINE_string(
+    earlier, "",
+    "Path of an earlier version of the host program: half of the hosts start with it, and "
+    "a host that starts again changes to the other one.");
 DEFINE_string(directory, "/tmp/snipeshore-soak", "Directory for settings files and logs.");
 
 namespace {
@@ -58,6 +62,7 @@
         settings.hosts = FLAGS_hosts;
         settings.faults = *faults;
         settings.program = FLAGS_program;
+        settings.earlier_program = FLAGS_earlier;
         settings.directory = FLAGS_directory + "/" + std::to_string(settings.seed);
         std::filesystem::create_directories(settings.directory);
         const soak::soak_result result = soak::run_soak(settings);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -21,7 +21,9 @@
     std::size_t hosts = 4;
     std::size_t targets = 6;
     fault_set faults = fault_set::all;
-    std::string program;   ///< Path of the host program.
+    std::string program; ///< Path of the host program.
+    std::string
+        earlier_program;   ///< Path of an earlier version, which runs beside it; may be empty.
     std::string directory; ///< Directory for settings files and logs.
 };
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -37,7 +37,8 @@
 
 soak_run::soak_run(const soak_settings& settings)
     : m_settings(settings), m_random(settings.seed), m_checker(small_account), m_store(m_loop),
-      m_fleet(settings.program, settings.directory, settings.hosts, m_store.address()),
+      m_fleet(settings.program, settings.earlier_program, settings.directory, settings.hosts,
+              m_store.address()),
       m_client(m_loop, client_settings())
 {}
 
