relay_store: a host whose domain has lost the store knows of the outage

A host beyond the three that call the store kept asking them and told its follower nothing, so rows that expired in the outage counted as removed when it ended. It now reports the failure once all three have refused.

--- a/src/apps/host/relay_store.cpp
+++ b/src/apps/host/relay_store.cpp
@@ -153,23 +153,24 @@
 
 void relay_store::on_reader_failed(relayed_call& call, const std::shared_ptr<changes_query>& query)
 {
-    // The failure is not reported to the follower, which would treat it as an outage of the store.
+    // The failure of one host is not reported to the follower, which would treat it as an outage of
+    // the store.
     const base::time_point now = base::boot_clock::now();
     if (fleet::store_rank(m_context.members, m_self, now) < fleet::max_store_callers) {
         call.set_store_call(
             m_store.read_changes(query->table, query->after, query->wait, query->done));
         return;
     }
-    const std::size_t next = ++query->failures;
-    call.continue_later(now + next_caller_pause, [this, &call, query, next] {
-        const std::vector<fleet::member> callers =
-            fleet::store_callers(m_context.members, m_self, base::boot_clock::now());
-        if (callers.empty()) {
-            on_reader_failed(call, query);
-            return;
-        }
-        ask_host(call, callers[next % callers.size()], query);
-    });
+    const std::vector<fleet::member> callers = fleet::store_callers(m_context.members, m_self, now);
+    if (++query->failures >= callers.size()) {
+        const auto done = query->done;
+        done(base::error{base::error_kind::store_unavailable,
+                         "no host of the failure domain reaches the store"});
+        return;
+    }
+    call.continue_later(
+        now + next_caller_pause,
+        [this, &call, query, next = callers[query->failures]] { ask_host(call, next, query); });
 }
 
 relay_store::page_callback relay_store::note_era(page_callback done)
