watched_store: only calls for changes can miss one; calls dropped in a callback get none

Read once more: a change known to another host shortened the time of whole-table reads and of writes as well, which could count as a silence without reason; a call that a callback of another lost call had dropped was called back still; a host that called the store although far down its domain's list would have probed it every 22 s. base::to_ms replaces two new copies of it. fleet_test: few hosts of a failure domain call the store while it is known to be lost.

--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -22,7 +22,7 @@
     if (!since.has_value()) {
         return nullptr;
     }
-    return std::chrono::duration<double, std::milli>(base::boot_clock::now() - *since).count();
+    return base::to_ms(base::boot_clock::now() - *since);
 }
 
 } // namespace
--- a/src/apps/host/watched_store.cpp
+++ b/src/apps/host/watched_store.cpp
@@ -22,13 +22,6 @@
 /// After a stall, responses that have arrived meanwhile are read first.
 constexpr std::chrono::milliseconds stall_grace{50};
 
-double to_ms(base::duration time)
-{
-    return std::chrono::duration<double, std::milli>(time).count();
-}
-
-constexpr std::string_view no_response = "the store does not respond";
-
 /// Sorts after the keys of all rows, so that a probe returns none.
 constexpr std::string_view after_all_keys = "~";
 
@@ -152,8 +145,9 @@
     } else if (call->on_written != nullptr) {
         // Not held, since the value may be outdated when the store responds again.
         m_loop.schedule(base::boot_clock::now(), [this, id = call->id] {
-            on_written(id,
-                       base::error{base::error_kind::store_unavailable, std::string(no_response)});
+            if (const call_ptr refused = take(id)) {
+                fail(*refused, base::error_kind::store_unavailable);
+            }
         });
     }
     return std::make_unique<handle>(*this, call->id);
@@ -198,6 +192,16 @@
     finish(has_hung);
 }
 
+void watched_store::fail(const watched_call& call, base::error_kind of_write)
+{
+    const std::string detail = "the store does not respond";
+    if (call.on_page != nullptr) {
+        call.on_page(base::error{base::error_kind::store_unavailable, detail});
+    } else {
+        call.on_written(base::error{of_write, detail});
+    }
+}
+
 void watched_store::finish(bool has_hung)
 {
     if (has_hung && !is_silent()) {
@@ -222,7 +226,8 @@
 void watched_store::on_change_at_peer(const std::string& table, std::uint64_t version)
 {
     for (const auto& [id, call] : m_calls) {
-        if (call->table == table && call->after < version) {
+        const bool is_for_changes = call->after > 0;
+        if (is_for_changes && call->table == table && call->after < version) {
             contact::on_missed_change(m_contact, id, base::boot_clock::now());
         }
     }
@@ -272,10 +277,10 @@
 {
     contact::begin_silence(m_contact, base::boot_clock::now());
     m_probe_count = 0;
-    const auto lost = std::exchange(m_calls, {});
+    const std::map<contact::call_id, call_ptr> lost = m_calls;
     telemetry::log_event(telemetry::severity::warning, "store_silent",
                          {{"lost_calls", static_cast<std::uint64_t>(lost.size())},
-                          {"patience_ms", to_ms(contact::patience(m_contact))}});
+                          {"patience_ms", base::to_ms(contact::patience(m_contact))}});
     m_metrics
         .counter("snipeshore_store_silences_total",
                  "Times that calls to the store were given up since it did not respond.")
@@ -285,12 +290,8 @@
     }
     m_store.renew_connections();
     for (const auto& [id, call] : lost) {
-        if (call->on_page != nullptr) {
-            call->on_page(
-                base::error{base::error_kind::store_unavailable, std::string(no_response)});
-        } else {
-            call->on_written(
-                base::error{base::error_kind::store_unknown, std::string(no_response)});
+        if (take(id) != nullptr) { // A callback may have dropped it.
+            fail(*call, base::error_kind::store_unknown);
         }
     }
     m_settings.on_change(true);
@@ -325,13 +326,13 @@
 {
     const base::time_point now = base::boot_clock::now();
     telemetry::log_event(telemetry::severity::info, "store_responds",
-                         {{"silent_ms", to_ms(now - *m_contact.silent_since)},
+                         {{"silent_ms", base::to_ms(now - *m_contact.silent_since)},
                           {"probes", static_cast<std::uint64_t>(m_probe_count)},
                           {"held_calls", static_cast<std::uint64_t>(m_calls.size())},
-                          {"call_ms", to_ms(now - probe_sent)}});
+                          {"call_ms", base::to_ms(now - probe_sent)}});
     contact::end_silence(m_contact, probe_sent, now);
     m_probes.clear();
-    const auto held = m_calls;
+    const std::map<contact::call_id, call_ptr> held = m_calls;
     for (const auto& [id, call] : held) {
         if (call->on_page != nullptr) {
             send(call);
--- a/src/apps/host/watched_store.h
+++ b/src/apps/host/watched_store.h
@@ -2,6 +2,7 @@
 /// store.
 #pragma once
 
+#include "base/types/error_kind.h"
 #include "contact/types/store_contact.h"
 #include "http/loop.h"
 #include "rows/row_store.h"
@@ -70,8 +71,10 @@
     void on_page(contact::call_id id, const base::result<rows::page>& page);
     void on_written(contact::call_id id, const base::status& written);
     void drop(contact::call_id id);
+    /// Calls back with an error; for a write, of the given kind.
+    static void fail(const watched_call& call, base::error_kind of_write);
     void finish(bool has_hung);
-    void update();
+    void update(); ///< Sets the timer to the next check.
     void check();
     void begin_silence();
     void send_probe();
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -20,4 +20,7 @@
 using time_point = boot_clock::time_point;
 using duration = boot_clock::duration;
 
+/// In milliseconds, for logs and dumps.
+double to_ms(duration time);
+
 } // namespace snipeshore::base
--- a/src/contact/store_contact.cpp
+++ b/src/contact/store_contact.cpp
@@ -12,6 +12,9 @@
 /// Share of the slowest response that is kept with each later one.
 constexpr double slowest_decay = 0.9;
 
+/// Hosts further down the list call the store only if they know no other host.
+constexpr std::size_t max_rank = 2;
+
 /// Time between two probes that other hosts cause.
 constexpr std::chrono::milliseconds min_probe_interval{100};
 
@@ -93,7 +96,7 @@
 void on_probe_sent(store_contact& contact, std::size_t rank, base::time_point now)
 {
     contact.last_probe = now;
-    contact.next_probe = now + probe_interval * static_cast<int>(rank + 1);
+    contact.next_probe = now + probe_interval * static_cast<int>(std::min(rank, max_rank) + 1);
 }
 
 void on_peer_contact(store_contact& contact, base::time_point now)
--- a/src/fleet/tests/members_test.cpp
+++ b/src/fleet/tests/members_test.cpp
@@ -149,6 +149,28 @@
         }
         CHECK_FALSE(fleet::store_reader(table, make_member("a", "n1"), now).has_value());
     }
+    SUBCASE("few hosts of a failure domain call the store while it is known to be lost")
+    {
+        std::size_t callers = 0;
+        for (const std::string& self : names) {
+            fleet::member_table table = table_of(self);
+            for (auto& [id, known] : table.members) {
+                known.info.reads_store = false;
+            }
+            const fleet::member own = make_member(self, "n1");
+            const auto reader = fleet::store_reader(table, own, now);
+            const auto others = fleet::store_callers(table, own, now);
+            if (!reader.has_value()) {
+                ++callers;
+                CHECK(fleet::store_rank(table, own, now) < fleet::max_store_callers);
+                CHECK(others.size() == fleet::max_store_callers - 1);
+                continue;
+            }
+            REQUIRE(others.size() == fleet::max_store_callers);
+            CHECK(reader->id == others.front().id);
+        }
+        CHECK(callers == fleet::max_store_callers);
+    }
     SUBCASE("exactly the requested number of hosts own a share")
     {
         int owners = 0;
--- a/src/rows/table_follower.cpp
+++ b/src/rows/table_follower.cpp
@@ -11,15 +11,6 @@
 
 using telemetry::severity;
 
-namespace {
-
-double to_ms(base::duration time)
-{
-    return std::chrono::duration<double, std::milli>(time).count();
-}
-
-} // namespace
-
 table_follower::table_follower(http::loop& loop, row_store& store, follow_settings settings,
                                change_callback on_change)
     : m_loop(loop), m_store(store), m_settings(std::move(settings)),
@@ -220,7 +211,7 @@
     }
     m_is_store_reachable = true;
     m_store_reachable_since = now;
-    const double silent_ms = before == base::time_point{} ? 0 : to_ms(now - before);
+    const double silent_ms = before == base::time_point{} ? 0 : base::to_ms(now - before);
     telemetry::log_event(severity::info, "store_in_touch",
                          {{"table", m_settings.table},
                           {"version", m_replica.version},
@@ -231,7 +222,7 @@
 
 double table_follower::call_ms() const
 {
-    return to_ms(base::boot_clock::now() - m_call_sent);
+    return base::to_ms(base::boot_clock::now() - m_call_sent);
 }
 
 std::optional<base::time_point> table_follower::last_response() const
