--- a/src/apps/host/tests/host_fixture.cpp
+++ b/src/apps/host/tests/host_fixture.cpp
@@ -21,6 +21,12 @@
 {"name":"open","prefix":"/open/","kind":"safe","timeout":"2s","service":"svc","maxAttempts":2,
 "allowAnonymous":true}]}]})";
 
+std::string config_of_version(const std::string& version)
+{
+    std::string config = plain_config;
+    return config.replace(config.find("00000005"), 8, version);
+}
+
 std::string free_address()
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
--- a/src/apps/host/tests/host_fixture.h
+++ b/src/apps/host/tests/host_fixture.h
@@ -92,4 +92,7 @@
 /// Configuration with routes /safe/, /once/ and /open/ for service "svc" and the API key "key".
 extern const std::string plain_config;
 
+/// As `plain_config`, with another version of eight hexadecimal digits.
+std::string config_of_version(const std::string& version);
+
 } // namespace snipeshore::apps::tests
--- a/src/apps/host/tests/restored_store_test.cpp
+++ b/src/apps/host/tests/restored_store_test.cpp
@@ -13,12 +13,6 @@
 
 const http::header_list with_key{{"x-key", "key"}, {"x-attempt-id", "id-1"}};
 
-std::string config_of_version(const std::string& version)
-{
-    std::string config = plain_config;
-    return config.replace(config.find("00000005"), 8, version);
-}
-
 /// Writes rows that only use up versions.
 void use_versions(memory_store& store, int count)
 {
--- a/src/apps/host/tests/silent_store_test.cpp
+++ b/src/apps/host/tests/silent_store_test.cpp
@@ -14,12 +14,6 @@
 
 namespace {
 
-std::string config_of_version(const std::string& version)
-{
-    std::string config = plain_config;
-    return config.replace(config.find("00000005"), 8, version);
-}
-
 bool has_lost_store(const apps::host_app& app)
 {
     const nlohmann::json tables = app.dump()["tables"];
