review: case 8, requests behind a cut answer end without one

Endpoints of one service turn slow, and the host cuts a streamed answer at its route's timeout. Requests that the caller has sent behind it, and that the host has passed on to sound endpoints of another service, end with the connection.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import inspect
 import json
 import os
 import pathlib
@@ -163,7 +164,7 @@
 
 class Target:
     """An endpoint of a service. `handle(target, request)` returns the response's bytes; None
-    closes the connection without one."""
+    closes the connection without one. With a third parameter, it writes the response itself."""
 
     def __init__(self, store, ip, name, service, zone, handle, slots=8):
         self.store, self.ip, self.name, self.service = store, ip, name, service
@@ -209,6 +210,9 @@
                            "body": await read_body(reader, headers)}
                 self.running += 1
                 try:
+                    if len(inspect.signature(self.handle).parameters) == 3:
+                        await self.handle(self, request, writer)
+                        continue
                     response = await self.handle(self, request)
                 finally:
                     self.running -= 1
