Take the close of a connection for the end of a response only if the peer has received the request

What callers saw: a target answered a long upload with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a response without a length ends when its connection is closed, and the client checked only how the last read ended. A target that stops sending and then resets the connection closes its end first, so the reset arrives behind the close, and reads report the close alone, even if both have arrived.

Change: at the close the client asks the kernel whether the connection has been reset meanwhile (an error), and whether the peer has received the whole request. If not, the target may have failed within its response: the end is held back until the request has been received (complete), the connection is reset (an error) or the deadline passes. Targets that answer early, close in order and read the rest of the request are passed on as before, up to 5 ms later.

Not found out: a reset after the close of a target whose kernel has received the whole request, of which the target may have read nothing.

--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/call_state.h"
 
 #include "http/internal/client_impl.h"
+#include "http/internal/connection_state.h"
 #include "http/internal/loop_impl.h"
 #include "http/internal/message_check.h"
 
@@ -28,6 +29,9 @@
 
 constexpr int parse_incomplete = -2;
 
+/// Interval between checks whether a peer that has closed its end has received the whole request.
+constexpr std::chrono::milliseconds request_check_interval{5};
+
 /// Statuses with which a peer states that it did not run the request.
 constexpr std::array<int, 4> refusal_statuses = {408, 421, 429, 503};
 
@@ -269,7 +273,7 @@
         }
     }
     self->m_head_reader(socket, failure);
-    self->install_reset_check();
+    self->install_close_check();
 }
 
 std::string_view call_state::head_error(std::string_view bytes) const
@@ -336,7 +340,7 @@
     return on_body;
 }
 
-void call_state::install_reset_check()
+void call_state::install_close_check()
 {
     if (m_phase != phase::reading_body || m_framing != framing::until_close || m_h2o == nullptr) {
         return;
@@ -350,14 +354,40 @@
 {
     const auto* h2o = static_cast<h2o_http1client_t*>(socket->data);
     const auto self = static_cast<call_state*>(h2o->data)->shared_from_this();
-    if (failure != nullptr && failure != h2o_socket_error_closed) {
-        // h2o would treat a reset as the end of the response.
+    if (failure == h2o_socket_error_closed) {
+        h2o_socket_read_stop(socket);
+        self->complete_when_request_received();
+        return;
+    }
+    if (failure != nullptr) {
         self->end_and_close(make_error(base::error_kind::answer_invalid, self->address(), failure));
         return;
     }
     self->m_close_delimited_reader(socket, failure);
 }
 
+void call_state::complete_when_request_received()
+{
+    h2o_socket_t* socket = m_h2o->sock;
+    const int descriptor = h2o_socket_get_fd(socket);
+    if (is_reset(descriptor)) {
+        end_and_close(make_error(base::error_kind::answer_invalid, address(),
+                                 "connection reset after the response"));
+        return;
+    }
+    if (!has_undelivered_bytes(descriptor)) {
+        m_close_delimited_reader(socket, h2o_socket_error_closed);
+        return;
+    }
+    m_request_check_timer = m_owner->owner.schedule(
+        base::boot_clock::now() + request_check_interval, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->m_request_check_timer = 0;
+                self->complete_when_request_received();
+            }
+        });
+}
+
 bool call_state::read_head(int status, const h2o_header_t* headers, std::size_t count,
                            std::size_t head_length)
 {
@@ -593,7 +623,7 @@
     if (m_owner == nullptr) {
         return;
     }
-    for (timer_id* timer : {&m_deadline_timer, &m_connect_timer}) {
+    for (timer_id* timer : {&m_deadline_timer, &m_connect_timer, &m_request_check_timer}) {
         if (*timer != 0) {
             m_owner->owner.cancel(std::exchange(*timer, 0));
         }
--- a/src/http/internal/call_state.h
+++ b/src/http/internal/call_state.h
@@ -62,9 +62,12 @@
     static void on_request_written(h2o_socket_t* socket, const char* failure);
     static void on_head_bytes(h2o_socket_t* socket, const char* failure);
     static void on_close_delimited_bytes(h2o_socket_t* socket, const char* failure);
-    /// Installs a callback that detects a connection reset within a close-delimited response, which
-    /// h2o would treat as the end of the response.
-    void install_reset_check();
+    /// Installs a callback that decides whether the end of the connection completes a
+    /// close-delimited response. h2o treats every end as the end of the response.
+    void install_close_check();
+    /// Completes a close-delimited response once the peer has received the whole request. A peer
+    /// that closes earlier may have failed within its response.
+    void complete_when_request_received();
     /// Description of an error in the response head; empty if there is none.
     std::string_view head_error(std::string_view bytes) const;
 
@@ -107,6 +110,7 @@
     bool m_is_sent = false;
     timer_id m_deadline_timer = 0;
     timer_id m_connect_timer = 0;
+    timer_id m_request_check_timer = 0;
 };
 
 } // namespace snipeshore::http
--- a/src/http/internal/connection_state.cpp
+++ b/src/http/internal/connection_state.cpp
@@ -17,6 +17,13 @@
     return poll(&connection, 1, 0) <= 0;
 }
 
+bool is_reset(int descriptor)
+{
+    // Errors and hang-ups are reported without being asked for.
+    pollfd connection{descriptor, 0, 0};
+    return poll(&connection, 1, 0) > 0;
+}
+
 base::time_point last_bytes_received_at(int descriptor)
 {
     const base::time_point now = base::boot_clock::now();
--- a/src/http/internal/connection_state.h
+++ b/src/http/internal/connection_state.h
@@ -8,6 +8,9 @@
 /// Whether the peer has neither closed nor reset its end, also if unread bytes precede the close.
 bool is_peer_connected(int descriptor);
 
+/// Whether the peer has reset the connection. Reads do not tell if it had closed its end before.
+bool is_reset(int descriptor);
+
 /// When the last bytes arrived, whether they were read or not; now if the kernel does not tell.
 base::time_point last_bytes_received_at(int descriptor);
 
--- a/src/http/tests/connection_close_test.cpp
+++ b/src/http/tests/connection_close_test.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <thread>
 #include <utility>
@@ -22,6 +23,38 @@
     return settings;
 }
 
+/// More than the kernel accepts for a peer that does not read, less than it keeps for the sender.
+constexpr std::size_t upload_bytes = 1U << 20U;
+
+client_request upload_to(const raw_server& peer)
+{
+    client_request request = get(peer.address(), "/");
+    request.head.method = "POST";
+    request.body.assign(upload_bytes, 'u');
+    return request;
+}
+
+void write_without_length(int descriptor)
+{
+    read_until(descriptor, "\r\n\r\n");
+    write_all(descriptor, "HTTP/1.1 200 OK\r\n\r\n12345");
+}
+
+/// Waits until the event loop has had time to handle what has arrived.
+void run_rounds(loop& event_loop)
+{
+    bool has_passed = false;
+    event_loop.schedule(from_now(std::chrono::milliseconds(20)), [&] { has_passed = true; });
+    REQUIRE(run_until(event_loop, [&] { return has_passed; }));
+}
+
+void await(const std::atomic<bool>& condition)
+{
+    while (!condition) {
+        std::this_thread::yield();
+    }
+}
+
 } // namespace
 
 // Guards against passing on an incomplete response as complete: a response without a length ends
@@ -101,6 +134,122 @@
     CHECK_FALSE(base::is_ok(end->outcome));
 }
 
+// Guards against passing on a part of a response as complete: a target sent it without a length and
+// closed the connection while the request was still being written. The close arrives before the
+// reset that answers the rest of the request, and reads report the close only.
+TEST_CASE("a response without a length is complete only if the whole request was received")
+{
+    loop event_loop;
+    client http_client(event_loop, accepting_close_delimited());
+    std::atomic<bool> may_close_for_sending{false};
+    std::atomic<bool> may_end{false};
+    call_record seen;
+    const auto end_sending = [&](int descriptor) {
+        write_without_length(descriptor);
+        await(may_close_for_sending);
+        shutdown(descriptor, SHUT_WR);
+        await(may_end);
+    };
+    const auto run_to_closed_for_sending = [&] {
+        REQUIRE(run_until(event_loop, [&] { return seen.body == "12345"; }));
+        may_close_for_sending = true;
+        run_rounds(event_loop);
+    };
+    const auto run_to_end = [&] {
+        may_end = true;
+        REQUIRE(run_until(event_loop, [&] { return seen.end.has_value(); }));
+    };
+    SUBCASE("a reset after the close is an error")
+    {
+        raw_server peer([&](int descriptor) {
+            end_sending(descriptor);
+            write_and_end(descriptor, "", connection_end::reset);
+        });
+        const auto call = record(http_client, upload_to(peer), seen);
+        run_to_closed_for_sending();
+        CHECK_FALSE(seen.end.has_value());
+        run_to_end();
+        CHECK_FALSE(base::is_ok(seen.end->outcome));
+    }
+    SUBCASE("a close that leaves a part of the request unread is an error")
+    {
+        raw_server peer(write_without_length);
+        const auto call = record(http_client, upload_to(peer), seen);
+        REQUIRE(run_until(event_loop, [&] { return seen.end.has_value(); }));
+        CHECK_FALSE(base::is_ok(seen.end->outcome));
+    }
+    SUBCASE("a peer that never reads the rest of the request ends at the deadline")
+    {
+        raw_server peer([&](int descriptor) { end_sending(descriptor); });
+        client_request request = upload_to(peer);
+        request.deadline = from_now(std::chrono::milliseconds(300));
+        const auto call = record(http_client, std::move(request), seen);
+        run_to_closed_for_sending();
+        REQUIRE(run_until(event_loop, [&] { return seen.end.has_value(); }));
+        CHECK_FALSE(base::is_ok(seen.end->outcome));
+        may_end = true;
+    }
+    SUBCASE("a peer that answers early and then reads the rest completes it")
+    {
+        raw_server peer([&](int descriptor) {
+            end_sending(descriptor);
+            read_all(descriptor);
+        });
+        const auto call = record(http_client, upload_to(peer), seen);
+        run_to_closed_for_sending();
+        run_to_end();
+        CHECK(base::is_ok(seen.end->outcome));
+        CHECK(seen.body == "12345");
+    }
+    SUBCASE("a caller that pauses meanwhile changes nothing")
+    {
+        raw_server peer([&](int descriptor) {
+            end_sending(descriptor);
+            read_all(descriptor);
+        });
+        const auto call = record(http_client, upload_to(peer), seen);
+        run_to_closed_for_sending();
+        call->pause();
+        run_rounds(event_loop);
+        call->resume();
+        run_to_end();
+        CHECK(base::is_ok(seen.end->outcome));
+    }
+    SUBCASE("a call may be cancelled meanwhile")
+    {
+        raw_server peer([&](int descriptor) { end_sending(descriptor); });
+        auto call = record(http_client, upload_to(peer), seen);
+        run_to_closed_for_sending();
+        call.reset();
+        run_rounds(event_loop);
+        CHECK_FALSE(seen.end.has_value());
+        may_end = true;
+    }
+}
+
+// Guards against the same if the close and the reset have both arrived when reading goes on.
+TEST_CASE("a reset right behind the close is not the end of a response without a length")
+{
+    loop event_loop;
+    std::atomic<bool> may_reset{false};
+    raw_server peer([&](int descriptor) {
+        write_without_length(descriptor);
+        await(may_reset);
+        shutdown(descriptor, SHUT_WR);
+        write_and_end(descriptor, "", connection_end::reset);
+    });
+    client http_client(event_loop, accepting_close_delimited());
+    call_record seen;
+    const auto call = record(http_client, get(peer.address(), "/"), seen);
+    REQUIRE(run_until(event_loop, [&] { return seen.body == "12345"; }));
+    call->pause();
+    may_reset = true;
+    REQUIRE(run_until(event_loop, [&] { return peer.closed() == 1; }));
+    call->resume();
+    REQUIRE(run_until(event_loop, [&] { return seen.end.has_value(); }));
+    CHECK_FALSE(base::is_ok(seen.end->outcome));
+}
+
 // Guards against sending a request on a connection that the target is closing: its outcome is
 // unknown.
 TEST_CASE("an idle connection is closed before the idle timeout announced by the peer")
