Reject responses with a header line that begins with a blank

What callers saw: a 200 from which one line of the target's head was missing, complete, with its seal.

Cause: the client trusted the parser's verdict on header lines. The parser accepts a line that begins with a blank or a tab (the obsolete folding, RFC 9112, 5.2, which a gateway must not pass on) as one without a name, and h2o drops it. The check before h2o skipped such lines.

A folded line is none, so the head is malformed: the connection is closed, the request may have run, the caller gets 502 or, if the request is idempotent, the response of another target.

--- a/src/apps/host/tests/broken_response_test.cpp
+++ b/src/apps/host/tests/broken_response_test.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+const http::header_list with_key{{"x-key", "key"}, {"x-attempt-id", "id-1"}};
 const std::string head_without_length =
     "HTTP/1.1 200 OK\r\nx-attempt-id: id-1\r\nx-response-seal: s\r\n\r\n";
 
@@ -25,7 +26,7 @@
     http::client_request request = get(address, path);
     request.head.method = "POST";
     request.head.authority = "a.example";
-    request.head.headers = {{"x-key", "key"}, {"x-attempt-id", "id-1"}};
+    request.head.headers = with_key;
     request.body.assign(upload_bytes, 'u');
     return request;
 }
@@ -76,3 +77,36 @@
         CHECK(base::is_ok(seen.end->outcome) == !is_reset);
     }
 }
+
+// Guards against a response that callers get without one of its header lines, or with a status or a
+// line that is none.
+TEST_CASE("a response with an invalid head is a failure for the caller")
+{
+    std::string next;
+    raw_server target([&](int connection) {
+        read_until(connection, "\r\n\r\n");
+        write_all(connection, next);
+    });
+    for (const std::string invalid_start : {
+             "HTTP/1.1 000 OK\r\n",
+             "HTTP/1.1 200 OK\r\nx note: a\r\n",
+             "HTTP/1.1 200 OK\r\nx-\x01note: a\r\n",
+             "HTTP/1.1 200 OK\r\nx-note: a\r\n x-folded: b\r\n",
+         }) {
+        CAPTURE(invalid_start);
+        next = invalid_start + "connection: close\r\nx-attempt-id: id-1\r\nx-response-seal: s\r\n" +
+               "content-length: 12\r\n\r\nwhole answer";
+        for (const std::string path : {"/once/a", "/safe/a"}) {
+            for (const std::string method : {"GET", "HEAD", "POST"}) {
+                host_fixture host(plain_config);
+                host.add_target("t1", target.address());
+                host.await_targets(1);
+                const reply got = host.send(path, with_key, method);
+                CHECK(got.status == 502);
+                CHECK_FALSE(http::find_header(got.headers, "x-response-seal").has_value());
+                CHECK(got.body.find("whole answer") == std::string::npos);
+                CHECK(got.body.find("\"not_run\":true") == std::string::npos);
+            }
+        }
+    }
+}
--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -105,14 +105,22 @@
     return seconds ? std::optional(std::chrono::seconds(*seconds)) : std::nullopt;
 }
 
+/// Whether all header lines are valid. The parser reports a line that begins with a blank as one
+/// without a name: it continues the line before (RFC 9112, 5.2), and h2o drops it.
+bool has_valid_lines(const parsed_headers& headers, std::size_t count)
+{
+    return std::all_of(headers.begin(), headers.begin() + static_cast<std::ptrdiff_t>(count),
+                       [](const phr_header& one) {
+                           return is_token({one.name, one.name_len}) &&
+                                  is_header_value({one.value, one.value_len});
+                       });
+}
+
 /// Whether h2o supports the headers that define the length of the body.
 bool has_supported_framing(const parsed_headers& headers, std::size_t count)
 {
     return std::all_of(headers.begin(), headers.begin() + static_cast<std::ptrdiff_t>(count),
                        [](const phr_header& one) {
-                           if (one.name == nullptr) {
-                               return true;
-                           }
                            const std::string name = lower_case({one.name, one.name_len});
                            const std::string_view value(one.value, one.value_len);
                            if (name == "transfer-encoding") {
@@ -293,7 +301,7 @@
             head_bytes = bytes.size();
             break;
         }
-        if (length < 0) {
+        if (length < 0 || !has_valid_lines(headers, count)) {
             return "response head is malformed";
         }
         head_bytes += static_cast<std::size_t>(length);
