Reject responses whose status is above 599

What callers saw: the status 600 or 999 of a target, with its seal, where the request must not be repeated.

Cause: a status was checked from below only (200 and more). HTTP's statuses end at 599 (RFC 9110, 15).

Change: such a head is invalid, as one with status 000 is.

--- a/src/apps/host/tests/broken_response_test.cpp
+++ b/src/apps/host/tests/broken_response_test.cpp
@@ -89,6 +89,7 @@
     });
     for (const std::string invalid_start : {
              "HTTP/1.1 000 OK\r\n",
+             "HTTP/1.1 600 OK\r\n",
              "HTTP/1.1 200 OK\r\nx note: a\r\n",
              "HTTP/1.1 200 OK\r\nx-\x01note: a\r\n",
              "HTTP/1.1 200 OK\r\nx-note: a\r\n x-folded: b\r\n",
--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -27,6 +27,9 @@
 constexpr int status_switching_protocols = 101;
 constexpr int first_final_status = 200;
 
+/// Statuses beyond it are invalid (RFC 9110, 15).
+constexpr int last_status = 599;
+
 constexpr int parse_incomplete = -2;
 
 /// Interval between checks whether a peer that has closed its end has received the whole request.
@@ -305,6 +308,9 @@
             return "response head is malformed";
         }
         head_bytes += static_cast<std::size_t>(length);
+        if (status > last_status) {
+            return "response status is invalid";
+        }
         if (!has_supported_framing(headers, count)) {
             return "response body length is missing, invalid or ambiguous";
         }
--- a/src/http/tests/invalid_head_test.cpp
+++ b/src/http/tests/invalid_head_test.cpp
@@ -14,8 +14,9 @@
 const std::string valid_status_line = "HTTP/1.1 200 OK\r\n";
 
 /// Responses whose status is not one of HTTP's, which are 100 to 599 (RFC 9110, 15).
-const std::vector<std::string> invalid_statuses = {
-    "000", "0", "099", "20", "0200", "1000", "-20", "2OO", "101", "", "200a", "+20", " 200"};
+const std::vector<std::string> invalid_statuses = {"000",  "0",   "099",  "20",  "0200",
+                                                   "1000", "-20", "2OO",  "101", "600",
+                                                   "999",  "",    "200a", "+20", " 200"};
 
 /// Header lines that are none: the name is not a token, or the value has control bytes.
 const std::vector<std::string> invalid_lines = {
