--- a/src/fleet/tests/exchange_encoding_test.cpp
+++ b/src/fleet/tests/exchange_encoding_test.cpp
@@ -74,6 +74,24 @@
     }
 }
 
+// Guards against a message that was cut off on its way and is read as a shorter one.
+TEST_CASE("a message that is cut off at any byte is an error")
+{
+    const std::string update = fleet::encode(
+        rows::replica_update{10, true, {{"a", "1", 9, false}, {"b", "2", 10, false}}});
+    for (std::size_t size = 0; size < update.size(); ++size) {
+        CHECK_FALSE(base::is_ok(fleet::parse_update(update.substr(0, size))));
+    }
+    fleet::exchange_message sent;
+    sent.from = {base::host_id("h1"), base::failure_domain_id("d1"), "1.2.3.4:80",
+                 "1.2.3.4:90",        base::incarnation(7),          fleet::member_state::ready};
+    sent.versions = {{"op", 12}};
+    const std::string message = fleet::encode(sent);
+    for (std::size_t size = 0; size < message.size(); ++size) {
+        CHECK_FALSE(base::is_ok(fleet::parse_exchange(message.substr(0, size))));
+    }
+}
+
 // Guards against a stack overflow when a part of a message is copied.
 TEST_CASE("a deeply nested message is an error")
 {
