--- a/src/http/client.h
+++ b/src/http/client.h
@@ -78,8 +78,9 @@
     /// Limit of what the kernel buffers of responses, shared by the requests in progress. Each
     /// connection gets 8 KiB to 128 KiB of it.
     std::size_t receive_buffer_bytes = 8U << 20U;
-    /// Accepts responses without a length, which end when the connection closes. Such a response
-    /// looks complete if the peer fails without a reset.
+    /// Accepts responses without a length, which end when the connection closes. They are complete
+    /// only once the peer has received the whole request, unless it resets the connection before.
+    /// Such a response looks complete if the peer fails later, or closes the connection in order.
     bool accepts_close_delimited = false;
 };
 
