http: checks of response heads in a file of their own

Moved to response_head_check: the checks before h2o reads a head, which need no state of a call; first_final_status has one definition. No change of behaviour.

--- a/src/http/internal/call_state.cpp
+++ b/src/http/internal/call_state.cpp
@@ -4,10 +4,10 @@
 #include "http/internal/connection_state.h"
 #include "http/internal/loop_impl.h"
 #include "http/internal/message_check.h"
+#include "http/internal/response_head_check.h"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
 namespace snipeshore::http {
@@ -18,35 +18,12 @@
 /// otherwise fill the buffers of all its connections.
 constexpr int idle_receive_buffer_bytes = 2 << 10;
 
-/// The limit of h2o.
-constexpr std::size_t max_headers = 100;
-
-/// Maximum number of digits in a content-length; h2o's own conversion rejects longer values.
-constexpr std::size_t max_length_digits = 15;
-
-constexpr int status_switching_protocols = 101;
-constexpr int first_final_status = 200;
-
-/// Statuses beyond it are invalid (RFC 9110, 15).
-constexpr int last_status = 599;
-
-constexpr int parse_incomplete = -2;
-
 /// Interval between checks whether a peer that has closed its end has received the whole request.
 constexpr std::chrono::milliseconds request_check_interval{5};
 
 /// Statuses with which a peer states that it did not run the request.
 constexpr std::array<int, 4> refusal_statuses = {408, 421, 429, 503};
 
-using parsed_headers = std::array<phr_header, max_headers>;
-
-std::string lower_case(std::string_view text)
-{
-    std::string out(text);
-    h2o_strtolower(out.data(), out.size());
-    return out;
-}
-
 std::string to_string(const h2o_iovec_t& text)
 {
     return text.base == nullptr ? std::string() : std::string(text.base, text.len);
@@ -83,17 +60,6 @@
     return out;
 }
 
-std::optional<std::uint64_t> parse_length(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (failure != std::errc() || text.empty() || text.size() > max_length_digits ||
-        end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 /// The timeout in a keep-alive header such as "timeout=5, max=100".
 std::optional<std::chrono::seconds> announced_idle_time(const header_list& headers)
 {
@@ -108,31 +74,6 @@
     return seconds ? std::optional(std::chrono::seconds(*seconds)) : std::nullopt;
 }
 
-/// Whether all header lines are valid. The parser reports a line that begins with a blank as one
-/// without a name: it continues the line before (RFC 9112, 5.2), and h2o drops it.
-bool has_valid_lines(const parsed_headers& headers, std::size_t count)
-{
-    return std::all_of(headers.begin(), headers.begin() + static_cast<std::ptrdiff_t>(count),
-                       [](const phr_header& one) {
-                           return is_token({one.name, one.name_len}) &&
-                                  is_header_value({one.value, one.value_len});
-                       });
-}
-
-/// Whether h2o supports the headers that define the length of the body.
-bool has_supported_framing(const parsed_headers& headers, std::size_t count)
-{
-    return std::all_of(headers.begin(), headers.begin() + static_cast<std::ptrdiff_t>(count),
-                       [](const phr_header& one) {
-                           const std::string name = lower_case({one.name, one.name_len});
-                           const std::string_view value(one.value, one.value_len);
-                           if (name == "transfer-encoding") {
-                               return value == "chunked";
-                           }
-                           return name != "content-length" || parse_length(value).has_value();
-                       });
-}
-
 } // namespace
 
 call_state::call_state(std::shared_ptr<client::impl> owner, client_request request,
@@ -276,7 +217,8 @@
     const auto* h2o = static_cast<h2o_http1client_t*>(socket->data);
     const auto self = static_cast<call_state*>(h2o->data)->shared_from_this();
     if (failure == nullptr) {
-        const auto fault = self->head_error({socket->input->bytes, socket->input->size});
+        const auto fault = find_head_error({socket->input->bytes, socket->input->size},
+                                           self->m_owner->settings.max_header_bytes);
         if (!fault.empty()) {
             self->end_and_close(
                 make_error(base::error_kind::answer_invalid, self->address(), fault));
@@ -287,41 +229,6 @@
     self->install_close_check();
 }
 
-std::string_view call_state::head_error(std::string_view bytes) const
-{
-    std::size_t head_bytes = 0;
-    while (head_bytes < bytes.size()) {
-        parsed_headers headers{};
-        std::size_t count = headers.size();
-        int minor_version = 0;
-        int status = 0;
-        const char* message = nullptr;
-        std::size_t message_length = 0;
-        const int length =
-            phr_parse_response(bytes.data() + head_bytes, bytes.size() - head_bytes, &minor_version,
-                               &status, &message, &message_length, headers.data(), &count, 0);
-        if (length == parse_incomplete) {
-            head_bytes = bytes.size();
-            break;
-        }
-        if (length < 0 || !has_valid_lines(headers, count)) {
-            return "response head is malformed";
-        }
-        head_bytes += static_cast<std::size_t>(length);
-        if (status > last_status) {
-            return "response status is invalid";
-        }
-        if (!has_supported_framing(headers, count)) {
-            return "response body length is missing, invalid or ambiguous";
-        }
-        if (status >= first_final_status || status == status_switching_protocols) {
-            break;
-        }
-    }
-    return head_bytes > m_owner->settings.max_header_bytes ? "response head is too large"
-                                                           : std::string_view();
-}
-
 h2o_http1client_body_cb call_state::on_head(h2o_http1client_t* h2o, const char* failure,
                                             int /*minor_version*/, int status,
                                             h2o_iovec_t /*message*/, h2o_header_t* headers,
--- a/src/http/internal/call_state.h
+++ b/src/http/internal/call_state.h
@@ -55,9 +55,7 @@
                                            int head_length);
     static int on_body(h2o_http1client_t* h2o, const char* failure);
 
-    /// Installs callbacks that check the response head before h2o reads it: h2o 2.2.5 aborts the
-    /// process on a transfer-encoding or content-length that it does not support, and it does not
-    /// limit the size of a head.
+    /// Installs callbacks that check the response head before h2o reads it.
     void install_head_check();
     static void on_request_written(h2o_socket_t* socket, const char* failure);
     static void on_head_bytes(h2o_socket_t* socket, const char* failure);
@@ -68,8 +66,6 @@
     /// Completes a close-delimited response once the peer has received the whole request. A peer
     /// that closes earlier may have failed within its response.
     void complete_when_request_received();
-    /// Description of an error in the response head; empty if there is none.
-    std::string_view head_error(std::string_view bytes) const;
 
     void write_request();
     bool read_head(int status, const h2o_header_t* headers, std::size_t count,
--- a/src/http/internal/message_check.cpp
+++ b/src/http/internal/message_check.cpp
@@ -12,7 +12,6 @@
 constexpr std::array<std::string_view, 6> framing_headers = {
     "connection", "content-length", "host", "keep-alive", "transfer-encoding", "upgrade"};
 
-constexpr int first_final_status = 200;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 
--- a/src/http/internal/message_check.h
+++ b/src/http/internal/message_check.h
@@ -7,6 +7,9 @@
 
 namespace snipeshore::http {
 
+/// Responses with lower statuses are interim ones (RFC 9110, 15.2).
+inline constexpr int first_final_status = 200;
+
 /// Whether the text is a token (RFC 9110, 5.6.2), as header names and methods must be.
 bool is_token(std::string_view text);
 
