--- a/cmake/snipeshore.cmake
+++ b/cmake/snipeshore.cmake
@@ -41,10 +41,10 @@
   ${CMAKE_SOURCE_DIR}/tests/support/doctest_main.cpp ${CMAKE_BINARY_DIR}/doctest_implementation.cpp)
 target_link_libraries(snipeshore_test_main PRIVATE snipeshore_options)
 
-# snipeshore_add_test(NAME SOURCES ... DEPENDS ...): a doctest program registered with CTest.
+# snipeshore_add_test(NAME SOURCES ... DEPENDS ... [ARGUMENTS ...]): a doctest program registered with CTest.
 # Property tests use a fixed seed; RC_PARAMS in the environment selects another one.
 function(snipeshore_add_test name)
-  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS;ARGUMENTS" ${ARGN})
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
@@ -54,7 +54,7 @@
   endif()
   target_link_libraries(${name} PRIVATE snipeshore_options snipeshore_test_main rapidcheck ${ARG_DEPENDS})
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
-  add_test(NAME ${name} COMMAND ${name})
+  add_test(NAME ${name} COMMAND ${name} ${ARG_ARGUMENTS})
   set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
 endfunction()
 
