Move the evidence about crashing requests into a module of its own

crash_watch is decisions without sockets, but stood among the tasks of snipeshore-host.

Names and places only: src/apps/host/crash_watch -> src/crash_evidence, namespace apps -> crash_evidence, its two tests go along into crash_evidence_test. The lines with checks that git shows as changed differ in the namespace and in line breaks only.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -58,7 +58,7 @@
                        const base::service_id& service)
 {
     const std::vector<fleet::notice> notices =
-        on_target_ended(context.crashes, target, base::boot_clock::now());
+        crash_evidence::on_target_ended(context.crashes, target, base::boot_clock::now());
     if (!notices.empty()) {
         telemetry::log_event(severity::warning, "target_crashed",
                              {{"target", target.value()},
@@ -276,8 +276,8 @@
         record_transfer();
     }
     end_attempt(is_success ? service_time() : std::nullopt);
-    if (const auto cleared =
-            on_response_completed(m_context.crashes, m_fingerprint, base::boot_clock::now())) {
+    if (const auto cleared = crash_evidence::on_response_completed(m_context.crashes, m_fingerprint,
+                                                                   base::boot_clock::now())) {
         publish(m_context, {*cleared});
     }
     if (m_buffered_head.has_value()) {
@@ -297,15 +297,15 @@
 
 void forward_task::record_break()
 {
-    on_connection_broken(m_context.crashes,
-                         {m_target, m_fingerprint, m_sent_at, base::boot_clock::now()});
+    crash_evidence::on_connection_broken(
+        m_context.crashes, {m_target, m_fingerprint, m_sent_at, base::boot_clock::now()});
     check_target();
 }
 
 void forward_task::check_target()
 {
     const pooled_target* target = current_target();
-    if (target == nullptr || !has_unclear(m_context.crashes, m_target)) {
+    if (target == nullptr || !crash_evidence::has_unclear(m_context.crashes, m_target)) {
         return;
     }
     m_context.check_target(*target, [&context = m_context, id = m_target,
@@ -313,7 +313,7 @@
         if (found == retries::liveness::ended) {
             record_target_end(context, id, service);
         } else if (found == retries::liveness::running) {
-            on_target_running(context.crashes, id);
+            crash_evidence::on_target_running(context.crashes, id);
         }
     });
 }
@@ -381,9 +381,9 @@
     m_buffered_head.reset();
     m_buffered_body.clear();
     // A request that may have ended two targets in a row is not sent to a third one at once.
-    const bool is_suspect =
-        result == attempt_result::broken &&
-        (m_is_trial || has_crashed_before(m_context.crashes, m_fingerprint, m_sent_at));
+    const bool is_suspect = result == attempt_result::broken &&
+                            (m_is_trial || crash_evidence::has_crashed_before(
+                                               m_context.crashes, m_fingerprint, m_sent_at));
     record_target_failure(result, detail);
     const base::target_id target = m_target;
     end_attempt(failed_service_time(result));
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -160,9 +160,12 @@
         retries::fingerprint(m_account == nullptr ? "" : m_account->id.value(), m_service.value(),
                              head.method, head.path, m_exchange->body());
     const base::time_point now = base::boot_clock::now();
-    const quarantine_decision decision = check_quarantine(
+    const crash_evidence::quarantine_decision decision = crash_evidence::check_quarantine(
         m_context.crashes, m_fingerprint,
-        [this, now] { return fleet::is_owner(m_context.members, subject_of(m_fingerprint), now); },
+        [this, now] {
+            return fleet::is_owner(m_context.members, crash_evidence::subject_of(m_fingerprint),
+                                   now);
+        },
         now);
     if (!decision.may_run) {
         m_retry_after = decision.retry_after;
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -545,7 +545,7 @@
         update_targets();
     }
     remove_expired_hosts();
-    drop_expired(m_context.crashes, now);
+    crash_evidence::drop_expired(m_context.crashes, now);
     fleet::drop_expired(m_context.notices, now);
     update_limit_shares(m_context, now);
     check_registration();
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "apps/common/response_buffers.h"
-#include "apps/host/crash_watch.h"
 #include "apps/host/target_choice.h"
 #include "apps/host/target_pool.h"
 #include "apps/host/types/host_settings.h"
 #include "base/types/ids.h"
+#include "crash_evidence/crash_watch.h"
 #include "fleet/bulletin.h"
 #include "fleet/types/member.h"
 #include "limits/types/fleet_share.h"
@@ -47,7 +47,7 @@
     std::unordered_map<base::account_id, limits::fleet_limit> limits; ///< Of the whole fleet.
     fleet::member_table members;
     fleet::bulletin notices;
-    crash_watch crashes;
+    crash_evidence::crash_watch crashes;
     reachability::target_reach reach;
     bool is_leaving = false; ///< A planned stop has begun.
     /// New requests are refused because the process ends before they could finish.
--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -102,11 +102,11 @@
     set("snipeshore_suspects", "Fingerprints suspected of crashing targets.",
         static_cast<double>(m_context.crashes.suspects.size()));
     set("snipeshore_quarantined_requests", "Fingerprints that are not sent to targets now.",
-        static_cast<double>(
-            std::count_if(m_context.crashes.suspects.begin(), m_context.crashes.suspects.end(),
-                          [this, now](const auto& entry) {
-                              return is_quarantined(m_context.crashes, entry.first, now);
-                          })));
+        static_cast<double>(std::count_if(
+            m_context.crashes.suspects.begin(), m_context.crashes.suspects.end(),
+            [this, now](const auto& entry) {
+                return crash_evidence::is_quarantined(m_context.crashes, entry.first, now);
+            })));
     for (const auto& [account, share] : m_context.shares) {
         m_metrics
             .gauge("snipeshore_account_demand",
--- a/src/apps/host/notices.cpp
+++ b/src/apps/host/notices.cpp
@@ -41,7 +41,8 @@
     case fleet::notice_kind::crash:
     case fleet::notice_kind::quarantine:
         // What follows is told with the next messages: the others have heard the same.
-        for (const fleet::notice& made : apply_notice(context.crashes, heard, now)) {
+        for (const fleet::notice& made :
+             crash_evidence::apply_notice(context.crashes, heard, now)) {
             keep(context, made, "heard");
         }
         return;
@@ -93,7 +94,8 @@
             apply(context, heard, now);
         }
     }
-    for (const fleet::notice& made : apply_reports(context.crashes, message.crashes, now)) {
+    for (const fleet::notice& made :
+         crash_evidence::apply_reports(context.crashes, message.crashes, now)) {
         keep(context, made, message.from.id.value());
     }
 }
--- a/src/apps/host/tests/target_limits_test.cpp
+++ b/src/apps/host/tests/target_limits_test.cpp
@@ -213,7 +213,7 @@
                            {fleet::notice_kind::crash, "12", 5, 0ms},
                            {fleet::notice_kind::quarantine, "12", 1e300, 0ms}};
         apps::apply_notices(other.context, message, start + 5s);
-        CHECK(apps::is_quarantined(other.context.crashes, 0x12, start + 6s));
+        CHECK(crash_evidence::is_quarantined(other.context.crashes, 0x12, start + 6s));
     }
 }
 
--- a/src/apps/host/crash_watch.cpp
+++ b/src/crash_evidence/crash_watch.cpp
@@ -1,4 +1,4 @@
-#include "apps/host/crash_watch.h"
+#include "crash_evidence/crash_watch.h"
 
 #include <algorithm>
 #include <array>
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <utility>
 
-namespace snipeshore::apps {
+namespace snipeshore::crash_evidence {
 
 namespace {
 
@@ -352,4 +352,4 @@
                   [now](const auto& entry) { return expires_at(entry.second) <= now; });
 }
 
-} // namespace snipeshore::apps
+} // namespace snipeshore::crash_evidence
--- a/src/apps/host/crash_watch.h
+++ b/src/crash_evidence/crash_watch.h
@@ -14,7 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace snipeshore::apps {
+namespace snipeshore::crash_evidence {
 
 /// A target that terminates within this time after one of its connections broke is assumed to have
 /// crashed because of the request on that connection.
@@ -96,4 +96,4 @@
 /// Name of the request in notices and for the choice of its trial host.
 std::string subject_of(std::uint64_t fingerprint);
 
-} // namespace snipeshore::apps
+} // namespace snipeshore::crash_evidence
--- a/src/apps/host/tests/crash_fleet_test.cpp
+++ b/src/crash_evidence/tests/crash_fleet_test.cpp
@@ -1,4 +1,4 @@
-#include "apps/host/crash_watch.h"
+#include "crash_evidence/crash_watch.h"
 #include "fleet/bulletin.h"
 
 #include <doctest/doctest.h>
@@ -19,7 +19,7 @@
 constexpr std::chrono::milliseconds message_time{50};
 
 struct model_host {
-    apps::crash_watch crashes;
+    crash_evidence::crash_watch crashes;
     fleet::bulletin notices;
 };
 
@@ -91,10 +91,10 @@
 
     void attempt(std::size_t host, bool is_first)
     {
-        apps::crash_watch& watch = m_hosts[host].crashes;
+        crash_evidence::crash_watch& watch = m_hosts[host].crashes;
         bool is_trial = false;
         if (is_first) {
-            const auto decision = apps::check_quarantine(
+            const auto decision = crash_evidence::check_quarantine(
                 watch, culprit, [host] { return host == 0; }, m_now);
             is_trial = decision.is_trial;
             if (!decision.may_run) {
@@ -103,12 +103,13 @@
         }
         const base::target_id target("t" + std::to_string(++m_targets));
         schedule(40ms, [this, host, target, sent_at = m_now, may_retry = is_first && !is_trial] {
-            apps::crash_watch& at_host = m_hosts[host].crashes;
+            crash_evidence::crash_watch& at_host = m_hosts[host].crashes;
             m_crashed_at.emplace(m_now, sent_at);
-            const bool is_suspect = apps::has_crashed_before(at_host, culprit, sent_at);
-            apps::on_connection_broken(at_host, {target, culprit, sent_at, m_now});
+            const bool is_suspect = crash_evidence::has_crashed_before(at_host, culprit, sent_at);
+            crash_evidence::on_connection_broken(at_host, {target, culprit, sent_at, m_now});
             schedule(20ms, [this, host, target] {
-                publish(host, apps::on_target_ended(m_hosts[host].crashes, target, m_now));
+                publish(host,
+                        crash_evidence::on_target_ended(m_hosts[host].crashes, target, m_now));
             });
             if (may_retry && !is_suspect) {
                 attempt(host, false);
@@ -148,7 +149,7 @@
                     continue;
                 }
                 for (const fleet::notice& made :
-                     apps::apply_notice(m_hosts[other].crashes, heard, m_now)) {
+                     crash_evidence::apply_notice(m_hosts[other].crashes, heard, m_now)) {
                     fleet::post(m_hosts[other].notices, made);
                 }
             }
--- a/src/apps/host/tests/crash_watch_test.cpp
+++ b/src/crash_evidence/tests/crash_watch_test.cpp
@@ -1,4 +1,4 @@
-#include "apps/host/crash_watch.h"
+#include "crash_evidence/crash_watch.h"
 
 #include <doctest/doctest.h>
 
@@ -14,29 +14,31 @@
 constexpr std::uint64_t harmless = 2;
 const base::time_point start = base::time_point{} + 1h;
 /// Tells the other host all notices, and what follows from them back.
-void tell(const std::vector<fleet::notice>& notices, apps::crash_watch& other, base::time_point now)
+void tell(const std::vector<fleet::notice>& notices, crash_evidence::crash_watch& other,
+          base::time_point now)
 {
     for (const fleet::notice& one : notices) {
-        apps::apply_notice(other, one, now);
+        crash_evidence::apply_notice(other, one, now);
     }
 }
 
-std::vector<fleet::notice> crash(apps::crash_watch& watch, const std::string& target,
+std::vector<fleet::notice> crash(crash_evidence::crash_watch& watch, const std::string& target,
                                  std::uint64_t fingerprint, base::time_point at)
 {
-    apps::on_connection_broken(watch, {base::target_id(target), fingerprint, at, at + 50ms});
-    return apps::on_target_ended(watch, base::target_id(target), at + 200ms);
+    crash_evidence::on_connection_broken(watch,
+                                         {base::target_id(target), fingerprint, at, at + 50ms});
+    return crash_evidence::on_target_ended(watch, base::target_id(target), at + 200ms);
 }
 
-apps::quarantine_decision rule(apps::crash_watch& watch, base::time_point now,
-                               bool is_trial_host = true)
+crash_evidence::quarantine_decision rule(crash_evidence::crash_watch& watch, base::time_point now,
+                                         bool is_trial_host = true)
 {
-    return apps::check_quarantine(
+    return crash_evidence::check_quarantine(
         watch, culprit, [is_trial_host] { return is_trial_host; }, now);
 }
 
 /// Three crashes in a row, the last at `start + 4s`.
-std::vector<fleet::notice> quarantine(apps::crash_watch& watch)
+std::vector<fleet::notice> quarantine(crash_evidence::crash_watch& watch)
 {
     crash(watch, "t1", culprit, start);
     crash(watch, "t2", culprit, start + 2s);
@@ -47,47 +49,48 @@
 
 TEST_CASE("a request that crashes its targets is quarantined")
 {
-    apps::crash_watch watch;
+    crash_evidence::crash_watch watch;
     SUBCASE("after three crashes it is not sent to a fourth target")
     {
         crash(watch, "t1", culprit, start);
         crash(watch, "t2", culprit, start + 2s);
-        CHECK_FALSE(apps::is_quarantined(watch, culprit, start + 3s));
+        CHECK_FALSE(crash_evidence::is_quarantined(watch, culprit, start + 3s));
         crash(watch, "t3", culprit, start + 4s);
-        CHECK(apps::is_quarantined(watch, culprit, start + 5s));
-        CHECK_FALSE(apps::is_quarantined(watch, harmless, start + 5s));
-        CHECK_FALSE(apps::is_quarantined(watch, culprit, start + 1min));
+        CHECK(crash_evidence::is_quarantined(watch, culprit, start + 5s));
+        CHECK_FALSE(crash_evidence::is_quarantined(watch, harmless, start + 5s));
+        CHECK_FALSE(crash_evidence::is_quarantined(watch, culprit, start + 1min));
     }
     SUBCASE("a broken connection to a target that keeps running is not a crash")
     {
         for (int i = 0; i < 10; ++i) {
-            apps::on_connection_broken(watch, {base::target_id("t1"), culprit, start, start});
+            crash_evidence::on_connection_broken(watch,
+                                                 {base::target_id("t1"), culprit, start, start});
         }
-        CHECK_FALSE(apps::is_quarantined(watch, culprit, start + 1s));
-        CHECK(apps::on_target_ended(watch, base::target_id("t1"), start + 1min).empty());
+        CHECK_FALSE(crash_evidence::is_quarantined(watch, culprit, start + 1s));
+        CHECK(crash_evidence::on_target_ended(watch, base::target_id("t1"), start + 1min).empty());
     }
     SUBCASE("requests in flight at several targets that terminate together are not quarantined")
     {
         for (const char* target : {"t1", "t2", "t3"}) {
-            apps::on_connection_broken(watch,
-                                       {base::target_id(target), harmless, start, start + 50ms});
+            crash_evidence::on_connection_broken(
+                watch, {base::target_id(target), harmless, start, start + 50ms});
         }
         for (const char* target : {"t1", "t2", "t3"}) {
-            apps::on_target_ended(watch, base::target_id(target), start + 100ms);
+            crash_evidence::on_target_ended(watch, base::target_id(target), start + 100ms);
         }
-        CHECK_FALSE(apps::is_quarantined(watch, harmless, start + 1s));
+        CHECK_FALSE(crash_evidence::is_quarantined(watch, harmless, start + 1s));
     }
     SUBCASE("a response clears a request that was in flight during crashes by chance")
     {
         for (int i = 0; i < 10; ++i) {
             crash(watch, "t1", harmless, start + i * 10s);
-            apps::on_response_completed(watch, harmless, start + i * 10s);
-            CHECK_FALSE(apps::is_quarantined(watch, harmless, start + i * 10s + 1s));
+            crash_evidence::on_response_completed(watch, harmless, start + i * 10s);
+            CHECK_FALSE(crash_evidence::is_quarantined(watch, harmless, start + i * 10s + 1s));
         }
     }
     SUBCASE("hosts exchange crash reports, and each crash counts once")
     {
-        apps::crash_watch other;
+        crash_evidence::crash_watch other;
         for (int i = 0; i < 2; ++i) {
             const base::time_point now = start + i * 10s;
             const auto notices = crash(watch, "t" + std::to_string(i), culprit, now);
@@ -95,40 +98,42 @@
             tell(notices, other, now + 1s);
             tell(notices, other, now + 2s);
         }
-        CHECK_FALSE(apps::is_quarantined(other, culprit, start + 12s));
-        apps::on_connection_broken(other,
-                                   {base::target_id("t9"), culprit, start + 13s, start + 13s});
-        apps::on_target_ended(other, base::target_id("t9"), start + 14s);
-        CHECK(apps::is_quarantined(other, culprit, start + 15s));
-        apps::drop_expired(watch, start + 2min);
+        CHECK_FALSE(crash_evidence::is_quarantined(other, culprit, start + 12s));
+        crash_evidence::on_connection_broken(
+            other, {base::target_id("t9"), culprit, start + 13s, start + 13s});
+        crash_evidence::on_target_ended(other, base::target_id("t9"), start + 14s);
+        CHECK(crash_evidence::is_quarantined(other, culprit, start + 15s));
+        crash_evidence::drop_expired(watch, start + 2min);
         CHECK(watch.suspects.empty());
     }
     SUBCASE("many hosts that lose targets at the same time do not quarantine a frequent request")
     {
         for (int host = 0; host < 10; ++host) {
             const std::string name = "h" + std::to_string(host);
-            apps::crash_watch other;
-            apps::on_connection_broken(
+            crash_evidence::crash_watch other;
+            crash_evidence::on_connection_broken(
                 other, {base::target_id("t" + name), harmless, start, start + 50ms});
-            tell(apps::on_target_ended(other, base::target_id("t" + name), start + host * 100ms),
+            tell(crash_evidence::on_target_ended(other, base::target_id("t" + name),
+                                                 start + host * 100ms),
                  watch, start + host * 100ms);
         }
-        CHECK_FALSE(apps::is_quarantined(watch, harmless, start + 2s));
-        CHECK(apps::check_quarantine(
+        CHECK_FALSE(crash_evidence::is_quarantined(watch, harmless, start + 2s));
+        CHECK(crash_evidence::check_quarantine(
                   watch, harmless, [] { return false; }, start + 2s)
                   .may_run);
     }
     // Guards against a quarantine by a host that hears of all crashes but sees no response itself.
     SUBCASE("nor do crashes by chance of a request that is answered elsewhere")
     {
-        apps::crash_watch busy;
+        crash_evidence::crash_watch busy;
         for (int i = 0; i < 10; ++i) {
             const base::time_point now = start + i * 1s;
             tell(crash(busy, "t" + std::to_string(i), harmless, now), watch, now + 300ms);
-            const auto answered = apps::on_response_completed(busy, harmless, now + 500ms);
+            const auto answered =
+                crash_evidence::on_response_completed(busy, harmless, now + 500ms);
             REQUIRE(answered.has_value());
             tell({*answered}, watch, now + 600ms);
-            CHECK(apps::check_quarantine(
+            CHECK(crash_evidence::check_quarantine(
                       watch, harmless, [] { return false; }, now + 700ms)
                       .may_run);
         }
@@ -137,11 +142,11 @@
     SUBCASE("a response ends no suspicion by a later crash")
     {
         const auto first = crash(watch, "t1", culprit, start);
-        apps::crash_watch other;
+        crash_evidence::crash_watch other;
         tell(crash(other, "t2", culprit, start + 1s), watch, start + 2s);
-        fleet::notice answered{fleet::notice_kind::quarantine, apps::subject_of(culprit), 0,
-                               start + 500ms};
-        apps::apply_notice(watch, answered, start + 3s);
+        fleet::notice answered{fleet::notice_kind::quarantine, crash_evidence::subject_of(culprit),
+                               0, start + 500ms};
+        crash_evidence::apply_notice(watch, answered, start + 3s);
         CHECK(watch.suspects.at(culprit).runs.size() == 1);
         CHECK_FALSE(first.empty());
     }
@@ -149,22 +154,23 @@
     {
         for (int host = 0; host < 10; ++host) {
             const std::string name = "h" + std::to_string(host);
-            apps::apply_reports(watch, {{1, base::target_id("t" + name), {harmless}}},
-                                start + host * 100ms);
+            crash_evidence::apply_reports(watch, {{1, base::target_id("t" + name), {harmless}}},
+                                          start + host * 100ms);
         }
-        CHECK_FALSE(apps::is_quarantined(watch, harmless, start + 2s));
+        CHECK_FALSE(crash_evidence::is_quarantined(watch, harmless, start + 2s));
     }
     // Guards against crashes that are not counted: the retry is sent before anybody knows that the
     // first target has ended.
     SUBCASE("a retry that crashes its target counts, although the first crash is noticed later")
     {
-        apps::on_connection_broken(watch, {base::target_id("t1"), culprit, start, start + 50ms});
-        CHECK_FALSE(apps::has_crashed_before(watch, culprit, start));
-        apps::on_connection_broken(watch,
-                                   {base::target_id("t2"), culprit, start + 50ms, start + 90ms});
-        CHECK(apps::has_crashed_before(watch, culprit, start + 50ms));
-        apps::on_target_ended(watch, base::target_id("t2"), start + 95ms);
-        apps::on_target_ended(watch, base::target_id("t1"), start + 99ms);
+        crash_evidence::on_connection_broken(watch,
+                                             {base::target_id("t1"), culprit, start, start + 50ms});
+        CHECK_FALSE(crash_evidence::has_crashed_before(watch, culprit, start));
+        crash_evidence::on_connection_broken(
+            watch, {base::target_id("t2"), culprit, start + 50ms, start + 90ms});
+        CHECK(crash_evidence::has_crashed_before(watch, culprit, start + 50ms));
+        crash_evidence::on_target_ended(watch, base::target_id("t2"), start + 95ms);
+        crash_evidence::on_target_ended(watch, base::target_id("t1"), start + 99ms);
         CHECK(rule(watch, start + 1s).may_run);
         crash(watch, "t3", culprit, start + 1s);
         CHECK_FALSE(rule(watch, start + 2s).may_run);
@@ -173,10 +179,10 @@
     {
         crash(watch, "t1", culprit, start);
         crash(watch, "t2", culprit, start + 1s);
-        apps::on_connection_broken(watch,
-                                   {base::target_id("t3"), culprit, start + 2s, start + 2100ms});
+        crash_evidence::on_connection_broken(
+            watch, {base::target_id("t3"), culprit, start + 2s, start + 2100ms});
         CHECK_FALSE(rule(watch, start + 2200ms).may_run);
-        apps::on_target_running(watch, base::target_id("t3"));
+        crash_evidence::on_target_running(watch, base::target_id("t3"));
         CHECK(rule(watch, start + 2200ms).may_run);
     }
 }
@@ -186,9 +192,9 @@
 TEST_CASE(
     "a request whose quarantine has passed is tried by one host, once, and less often each time")
 {
-    apps::crash_watch watch;
+    crash_evidence::crash_watch watch;
     quarantine(watch);
-    const apps::quarantine_decision held = rule(watch, start + 10s);
+    const crash_evidence::quarantine_decision held = rule(watch, start + 10s);
     CHECK_FALSE(held.may_run);
     CHECK(held.retry_after > 20s);
     CHECK(held.retry_after < 30s);
@@ -198,7 +204,7 @@
     }
     SUBCASE("a trial is not retried, and a second copy is refused meanwhile")
     {
-        const apps::quarantine_decision trial = rule(watch, start + 40s);
+        const crash_evidence::quarantine_decision trial = rule(watch, start + 40s);
         CHECK(trial.may_run);
         CHECK(trial.is_trial);
         CHECK_FALSE(rule(watch, start + 40s).may_run);
@@ -206,7 +212,7 @@
     SUBCASE("at most three trials in a day crash their target")
     {
         int crashes = 0;
-        apps::crash_watch other;
+        crash_evidence::crash_watch other;
         for (base::time_point now = start + 10s; now < start + 24h; now += 5s) {
             if (rule(watch, now).may_run) {
                 ++crashes;
@@ -219,10 +225,10 @@
     }
     SUBCASE("a success ends the quarantine on all hosts")
     {
-        apps::crash_watch other;
+        crash_evidence::crash_watch other;
         tell(quarantine(other), other, start + 5s);
         CHECK(rule(watch, start + 40s).may_run);
-        const auto cleared = apps::on_response_completed(watch, culprit, start + 41s);
+        const auto cleared = crash_evidence::on_response_completed(watch, culprit, start + 41s);
         REQUIRE(cleared.has_value());
         tell({*cleared}, other, start + 42s);
         CHECK(rule(watch, start + 43s).may_run);
@@ -230,8 +236,8 @@
     }
     SUBCASE("a host that has just started hears of the quarantine")
     {
-        apps::crash_watch started;
-        apps::crash_watch source;
+        crash_evidence::crash_watch started;
+        crash_evidence::crash_watch source;
         tell(quarantine(source), started, start + 6s);
         CHECK_FALSE(rule(started, start + 10s).may_run);
     }
@@ -240,11 +246,11 @@
 // Guards against memory that grows with the number of requests.
 TEST_CASE("the number of suspects is bounded, and quarantines stay longest")
 {
-    apps::crash_watch watch;
+    crash_evidence::crash_watch watch;
     quarantine(watch);
     for (std::uint64_t other = 100; other < 10'100; ++other) {
         crash(watch, "t1", other, start + 5s);
     }
     CHECK(watch.suspects.size() <= 4096);
-    CHECK(apps::is_quarantined(watch, culprit, start + 6s));
+    CHECK(crash_evidence::is_quarantined(watch, culprit, start + 6s));
 }
