Keep evidence about crashing requests in the store, so that it outlives all hosts

Cause: crashes, quarantines and trials were known to running hosts only, which tell each other.

Change: each process has a row of its own in the store's table "evidence" with the notices it has made; a process that starts reads all rows once before it says ready, or when the store responds. Crashes before the third, levels and the start of a trial are kept as well. A response voids what the store has. Ruled out: hosts that start do hear from hosts that run (there were none), and a row that all hosts share (writers would overwrite each other, or need conditional writes).

A run that began up to 2 ms before the crash before it counts as later: rows and messages tell whole milliseconds, and a retry begins sooner than that. trial_at was the start of the machine's clock by default, so a quarantine from before that lasted too long.

Target fixtures: memory_store no longer calls back for a write that was dropped.

--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -3,6 +3,7 @@
 #include "affinity/admission.h"
 #include "apps/common/response_stream.h"
 #include "apps/host/host_context.h"
+#include "apps/host/notices.h"
 #include "apps/host/request_parts.h"
 #include "base/hash.h"
 #include "fleet/members.h"
@@ -174,6 +175,9 @@
         return;
     }
     m_is_trial = decision.is_trial;
+    if (m_is_trial) {
+        publish(m_context, {crash_evidence::trial_notice(m_context.crashes, m_fingerprint)});
+    }
     retries::record_request(pool_of(m_context, m_service).budget, now);
     send_to_target();
 }
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -1,6 +1,7 @@
 #include "apps/host/host_app.h"
 
 #include "apps/host/forward_task.h"
+#include "apps/host/notices.h"
 #include "apps/host/target_limits.h"
 #include "fleet/exchange_encoding.h"
 #include "fleet/members.h"
@@ -130,6 +131,14 @@
                     [this](const std::vector<rows::row>& changes) { on_target_rows(changes); }),
       m_host_rows(loop, m_relay, {m_formats.host_table, host_poll_wait, {}},
                   [this](const std::vector<rows::row>& changes) { on_host_rows(changes); }),
+      m_evidence(loop, m_store, m_context.random,
+                 {m_formats.evidence_table,
+                  m_settings.host.value() + "/" + std::to_string(m_self.incarnation.value()),
+                  [this] { return fleet::possible_host_count(m_context.members); },
+                  [this](const std::vector<fleet::notice>& stored) {
+                      apply_evidence(m_context, stored, base::boot_clock::now());
+                      check_ready();
+                  }}),
       m_peers(m_context, m_self,
               {{m_formats.operator_table, &m_operator_rows},
                {m_formats.target_table, &m_target_rows},
@@ -149,6 +158,12 @@
     m_context.spread = [this] {
         m_peers.spread();
     };
+    m_context.keep_evidence = [this](const fleet::notice& made, bool is_confirmed) {
+        m_evidence.keep(made, is_confirmed);
+    };
+    m_context.clear_evidence = [this](const fleet::notice& cleared, bool must_keep) {
+        m_evidence.clear(cleared, must_keep);
+    };
     m_context.check_target = [this](const pooled_target& target,
                                     std::function<void(retries::liveness)> done) {
         m_checks.start(target.entry.id, target.entry.address, std::move(done));
@@ -187,6 +202,7 @@
     m_operator_rows.start();
     m_target_rows.start();
     m_host_rows.start();
+    m_evidence.start();
     register_host();
     housekeep();
     telemetry::log_event(severity::info, "started",
@@ -227,6 +243,9 @@
     const bool is_new_era = checked != 0 && checked != replica.era;
     const bool is_due = m_registration_check_due.has_value() && now >= *m_registration_check_due &&
                         m_host_rows.is_loaded() && m_host_rows.is_store_reachable();
+    if (is_new_era) {
+        m_evidence.on_new_era();
+    }
     if ((!is_new_era && !is_due) || m_context.is_leaving) {
         return;
     }
@@ -244,7 +263,8 @@
     if (m_self.state != fleet::member_state::starting || m_context.routes == nullptr) {
         return;
     }
-    const bool are_tables_loaded = m_target_rows.is_loaded() && m_host_rows.is_loaded();
+    const bool are_tables_loaded =
+        m_target_rows.is_loaded() && m_host_rows.is_loaded() && m_evidence.is_loaded();
     if (!are_tables_loaded && base::boot_clock::now() < m_started + max_readiness_delay) {
         return;
     }
@@ -547,6 +567,7 @@
     remove_expired_hosts();
     crash_evidence::drop_expired(m_context.crashes, now);
     fleet::drop_expired(m_context.notices, now);
+    m_evidence.drop_expired(now);
     update_limit_shares(m_context, now);
     check_registration();
     update_budgets(m_context);
--- a/src/apps/host/host_app.h
+++ b/src/apps/host/host_app.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "apps/common/admin_server.h"
+#include "apps/host/evidence_store.h"
 #include "apps/host/host_context.h"
 #include "apps/host/peer_exchange.h"
 #include "apps/host/reach_watch.h"
@@ -131,6 +132,7 @@
     rows::table_follower m_operator_rows;
     rows::table_follower m_target_rows;
     rows::table_follower m_host_rows;
+    evidence_store m_evidence;
     peer_exchange m_peers;
     admin_server m_admin;
     std::unique_ptr<http::server> m_entry;
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -59,6 +59,11 @@
     /// Keeps the requests in progress alive.
     std::unordered_set<std::shared_ptr<forward_task>> tasks;
     std::size_t max_tasks = 2048;
+    /// Keeps a notice of this host about a crash or a quarantine in the store, see
+    /// `evidence_store::keep`.
+    std::function<void(const fleet::notice&, bool is_confirmed)> keep_evidence;
+    /// Drops evidence from the store, see `crash_evidence::clear_request`.
+    std::function<void(const fleet::notice& cleared, bool must_keep)> clear_evidence;
     /// Sends messages with the notices to other hosts soon, see `peer_exchange::spread`.
     std::function<void()> spread;
     /// Called when another host has contact with the store again.
--- a/src/apps/host/notices.cpp
+++ b/src/apps/host/notices.cpp
@@ -3,7 +3,9 @@
 #include "apps/host/host_context.h"
 #include "apps/host/target_limits.h"
 #include "apps/host/target_signals.h"
+#include "crash_evidence/crash_watch.h"
 #include "fleet/bulletin.h"
+#include "fleet/members.h"
 #include "telemetry/event_log.h"
 
 #include <string>
@@ -35,16 +37,44 @@
     return is_news;
 }
 
+bool is_clearance(const fleet::notice& made)
+{
+    return made.kind == fleet::notice_kind::quarantine && made.value == 0;
+}
+
+/// Keeps in the store what this host has found out.
+void store(host_context& context, const fleet::notice& made, bool was_quarantined)
+{
+    if (is_clearance(made)) {
+        context.clear_evidence(made, was_quarantined);
+    } else if (made.kind == fleet::notice_kind::crash ||
+               made.kind == fleet::notice_kind::quarantine) {
+        context.keep_evidence(made, crash_evidence::is_confirmed(context.crashes, made));
+    }
+}
+
+/// Keeps what follows from evidence of other hosts. All hosts draw the same conclusion, and one of
+/// them stores it. The others are told with the next messages, since they have heard the same.
+void keep_conclusions(host_context& context, const std::vector<fleet::notice>& made,
+                      std::string_view source, base::time_point now)
+{
+    for (const fleet::notice& one : made) {
+        if (keep(context, one, source) && fleet::is_owner(context.members, one.subject, now)) {
+            store(context, one, false);
+        }
+    }
+}
+
 void apply(host_context& context, const fleet::notice& heard, base::time_point now)
 {
     switch (heard.kind) {
     case fleet::notice_kind::crash:
     case fleet::notice_kind::quarantine:
-        // What follows is told with the next messages: the others have heard the same.
-        for (const fleet::notice& made :
-             crash_evidence::apply_notice(context.crashes, heard, now)) {
-            keep(context, made, "heard");
+        if (is_clearance(heard)) {
+            context.clear_evidence(heard, false);
         }
+        keep_conclusions(context, crash_evidence::apply_notice(context.crashes, heard, now),
+                         "heard", now);
         return;
     case fleet::notice_kind::target_limit:
         apply_limit_notice(context, heard, now);
@@ -78,7 +108,11 @@
 {
     bool is_news = false;
     for (const fleet::notice& one : made) {
-        is_news = keep(context, one, "own") || is_news;
+        const bool was_quarantined = is_quarantined(context, one.subject);
+        if (keep(context, one, "own")) {
+            is_news = true;
+            store(context, one, was_quarantined);
+        }
     }
     if (is_news) {
         context.spread();
@@ -94,9 +128,17 @@
             apply(context, heard, now);
         }
     }
-    for (const fleet::notice& made :
-         crash_evidence::apply_reports(context.crashes, message.crashes, now)) {
-        keep(context, made, message.from.id.value());
+    keep_conclusions(context, crash_evidence::apply_reports(context.crashes, message.crashes, now),
+                     message.from.id.value(), now);
+}
+
+void apply_evidence(host_context& context, const std::vector<fleet::notice>& stored,
+                    base::time_point now)
+{
+    for (const fleet::notice& one : stored) {
+        if (keep(context, one, "store")) {
+            apply(context, one, now);
+        }
     }
 }
 
--- a/src/apps/host/notices.h
+++ b/src/apps/host/notices.h
@@ -21,6 +21,10 @@
 void apply_notices(host_context& context, const fleet::exchange_message& message,
                    base::time_point now);
 
+/// Applies evidence about crashing requests that was read from the store, oldest first.
+void apply_evidence(host_context& context, const std::vector<fleet::notice>& stored,
+                    base::time_point now);
+
 /// Subject of notices about a target. Includes the target's start: a new process under the same id
 /// has said nothing yet.
 std::string subject_of(const pooled_target& target);
--- a/src/apps/host/tests/crash_request_test.cpp
+++ b/src/apps/host/tests/crash_request_test.cpp
@@ -1,9 +1,12 @@
 #include "apps/host/tests/host_fixture.h"
 
+#include "fleet/exchange_encoding.h"
 #include "http/exchange.h"
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -45,6 +48,83 @@
     std::unique_ptr<http::server> m_server;
 };
 
+using stored_rows = std::map<std::string, std::string>;
+
+/// A host with 16 targets, and with the evidence that hosts before it have stored.
+class crash_fixture {
+public:
+    explicit crash_fixture(const stored_rows& evidence = {}, bool is_store_down = false)
+        : host(plain_config, std::chrono::milliseconds(100), std::chrono::seconds(20), "",
+               [&](memory_store& store) {
+                   for (const auto& [key, value] : evidence) {
+                       store.set("evidence", key, value);
+                   }
+                   store.is_down = is_store_down;
+               })
+    {
+        for (std::size_t i = 0; i < target_count; ++i) {
+            m_targets.push_back(std::make_unique<mortal_target>(host.loop));
+            host.add_target("t" + std::to_string(i), m_targets.back()->address);
+        }
+    }
+
+    void await_ready()
+    {
+        host.await_targets(target_count);
+    }
+
+    int runs() const
+    {
+        int runs = 0;
+        for (const auto& target : m_targets) {
+            runs += target->runs;
+        }
+        return runs;
+    }
+
+    /// Sends a request that must not be repeated, so that it ends one target at most.
+    reply send_once()
+    {
+        return host.send("/once/poison", with_key, "POST", "body");
+    }
+
+    /// Sends it until it has ended that many targets.
+    void crash(int targets)
+    {
+        await_ready();
+        while (runs() < targets) {
+            send_once();
+        }
+    }
+
+    /// The rows of the store once they tell of that many notices of a kind.
+    stored_rows await_stored(fleet::notice_kind kind, std::size_t count)
+    {
+        REQUIRE(host.run_until([&] { return count_stored(kind) == count; }));
+        return host.store.rows_of("evidence");
+    }
+
+    host_fixture host;
+
+private:
+    std::size_t count_stored(fleet::notice_kind kind) const
+    {
+        std::size_t count = 0;
+        for (const auto& [key, value] : host.store.rows_of("evidence")) {
+            const auto row = fleet::parse_stored_notices(value);
+            REQUIRE(base::is_ok(row));
+            for (const fleet::told_notice& one : base::value_of(row).notices) {
+                count += one.kind == kind ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
+    static constexpr std::size_t target_count = 16;
+
+    std::vector<std::unique_ptr<mortal_target>> m_targets;
+};
+
 } // namespace
 
 // Guards against a request that ends one target after the other: its targets were not chosen again
@@ -84,3 +164,54 @@
         }
     }
 }
+
+// Guards against evidence that is gone when all hosts are killed at the same time.
+TEST_CASE("a request that crashed its targets is still held when all hosts have been killed")
+{
+    using fleet::notice_kind;
+    SUBCASE("after its third crash, whenever that is")
+    {
+        stored_rows evidence;
+        {
+            crash_fixture killed;
+            killed.crash(3);
+            evidence = killed.await_stored(notice_kind::quarantine, 1);
+        }
+        for (int starts = 0; starts < 2; ++starts) {
+            crash_fixture started(evidence);
+            started.await_ready();
+            CHECK(started.send_once().status == 503);
+            CHECK(started.runs() == 0);
+            CHECK(started.host.send("/once/harmless", with_key, "POST", "body").status == 200);
+        }
+    }
+    SUBCASE("between its second and its third")
+    {
+        stored_rows evidence;
+        {
+            crash_fixture killed;
+            killed.crash(2);
+            evidence = killed.await_stored(notice_kind::crash, 2);
+        }
+        crash_fixture started(evidence);
+        started.crash(1);
+        started.await_stored(notice_kind::quarantine, 1);
+        CHECK(started.send_once().status == 503);
+        CHECK(started.runs() == 1);
+    }
+    SUBCASE("also by a host that reads the evidence when the store comes back")
+    {
+        stored_rows evidence;
+        {
+            crash_fixture killed;
+            killed.crash(3);
+            evidence = killed.await_stored(notice_kind::quarantine, 1);
+        }
+        crash_fixture started(evidence, true);
+        CHECK(started.send_once().status == 503);
+        started.host.store.is_down = false;
+        started.await_ready();
+        CHECK(started.send_once().status == 503);
+        CHECK(started.runs() == 0);
+    }
+}
--- a/src/apps/host/tests/host_fixture.cpp
+++ b/src/apps/host/tests/host_fixture.cpp
@@ -80,7 +80,8 @@
 
 host_fixture::host_fixture(const std::string& config, std::chrono::milliseconds leave_delay,
                            std::chrono::milliseconds stop_deadline,
-                           const std::string& metrics_address)
+                           const std::string& metrics_address,
+                           const std::function<void(memory_store&)>& prepare)
     : store(loop), m_client(loop, {})
 {
     settings.host = base::host_id("h1");
@@ -97,6 +98,9 @@
     if (!config.empty()) {
         store.set("op", "config", config);
     }
+    if (prepare) {
+        prepare(store);
+    }
     app = std::make_unique<host_app>(loop, settings, platform_adapter::make_formats(), store);
     REQUIRE(base::is_ok(app->start()));
 }
--- a/src/apps/host/tests/host_fixture.h
+++ b/src/apps/host/tests/host_fixture.h
@@ -53,10 +53,12 @@
 class host_fixture {
 public:
     /// Starts the host; `config` is the value of the operators' configuration row; empty: no row.
+    /// `prepare` is called before the start.
     explicit host_fixture(const std::string& config,
                           std::chrono::milliseconds leave_delay = std::chrono::milliseconds(100),
                           std::chrono::milliseconds stop_deadline = std::chrono::seconds(20),
-                          const std::string& metrics_address = "");
+                          const std::string& metrics_address = "",
+                          const std::function<void(memory_store&)>& prepare = nullptr);
 
     /// Registers a target with 4 slots for service "svc".
     void add_target(const std::string& id, const std::string& address, int sequence = 1);
--- a/src/apps/host/tests/memory_store.cpp
+++ b/src/apps/host/tests/memory_store.cpp
@@ -48,6 +48,21 @@
     return found->second.at(key).value;
 }
 
+std::map<std::string, std::string> memory_store::rows_of(const std::string& table) const
+{
+    std::map<std::string, std::string> found;
+    const auto rows = m_tables.find(table);
+    if (rows == m_tables.end()) {
+        return found;
+    }
+    for (const auto& [key, one] : rows->second) {
+        if (!one.removed) {
+            found[key] = one.value;
+        }
+    }
+    return found;
+}
+
 void memory_store::save()
 {
     m_saved_tables = m_tables;
@@ -189,8 +204,13 @@
     const base::status status =
         is_down ? base::status(base::error{base::error_kind::store_unavailable, "down"})
                 : base::status();
-    m_loop.schedule(base::boot_clock::now(), [done = std::move(done), status] { done(status); });
-    return std::make_unique<pending_call>(nullptr);
+    const auto call = std::make_shared<status_callback>(std::move(done));
+    m_loop.schedule(base::boot_clock::now(), [weak = std::weak_ptr(call), status] {
+        if (const auto held = weak.lock()) {
+            (*held)(status);
+        }
+    });
+    return std::make_unique<pending_call>(call);
 }
 
 void memory_store::complete_waiting()
--- a/src/apps/host/tests/memory_store.h
+++ b/src/apps/host/tests/memory_store.h
@@ -27,6 +27,9 @@
 
     std::optional<std::string> get(const std::string& table, const std::string& key) const;
 
+    /// Rows of a table by their keys.
+    std::map<std::string, std::string> rows_of(const std::string& table) const;
+
     std::unique_ptr<rows::store_call> read(const std::string& table, const std::string& from,
                                            page_callback done) override;
     std::unique_ptr<rows::store_call> read_changes(const std::string& table, std::uint64_t after,
--- a/src/apps/host/tests/target_limits_test.cpp
+++ b/src/apps/host/tests/target_limits_test.cpp
@@ -42,6 +42,10 @@
         context.spread = [this] {
             ++spreads;
         };
+        context.keep_evidence = [](const fleet::notice&, bool) {
+        };
+        context.clear_evidence = [](const fleet::notice&, bool) {
+        };
         set_target(1);
     }
 
--- a/src/apps/host/types/row_formats.h
+++ b/src/apps/host/types/row_formats.h
@@ -18,6 +18,7 @@
     std::string operator_table; ///< Written by operators: configuration and drains.
     std::string target_table;   ///< Written by targets about themselves.
     std::string host_table;     ///< Written by the hosts of the system.
+    std::string evidence_table; ///< Written by the hosts, see `evidence_store`.
     std::string config_key;     ///< Key of the configuration in the operators' table.
 
     /// Errors: `document_invalid`.
--- a/src/crash_evidence/crash_watch.cpp
+++ b/src/crash_evidence/crash_watch.cpp
@@ -36,6 +36,10 @@
 /// Reports without times are repeated for five seconds, so all within this time are one crash.
 constexpr std::chrono::milliseconds untimed_run{6000};
 
+/// Notices and rows of the store tell times in whole milliseconds. A retry begins sooner than that
+/// after the crash before it.
+constexpr std::chrono::milliseconds time_resolution{2};
+
 constexpr std::size_t max_suspects = 4096;
 constexpr std::size_t max_runs = 16;
 constexpr std::size_t max_unclear = 1024;
@@ -73,7 +77,7 @@
     std::size_t count = 0;
     base::time_point last{};
     for (const broken_request& run : runs) {
-        if (count == 0 || run.sent_at >= last) {
+        if (count == 0 || run.sent_at + time_resolution >= last) {
             ++count;
             last = run.broken_at;
         }
@@ -233,6 +237,21 @@
     return notices;
 }
 
+bool is_confirmed(const crash_watch& watch, const fleet::notice& made)
+{
+    const auto fingerprint = read_fingerprint(made.subject);
+    const auto found =
+        fingerprint.has_value() ? watch.suspects.find(*fingerprint) : watch.suspects.end();
+    return found != watch.suspects.end() &&
+           (found->second.level > 0 || found->second.runs.size() > 1);
+}
+
+fleet::notice trial_notice(const crash_watch& watch, std::uint64_t fingerprint)
+{
+    const suspect& tried = watch.suspects.at(fingerprint);
+    return quarantine_notice(fingerprint, tried.level, tried.trial_at);
+}
+
 void on_target_running(crash_watch& watch, const base::target_id& target)
 {
     std::erase_if(watch.unclear, [&](const broken_request& run) { return run.target == target; });
--- a/src/crash_evidence/crash_watch.h
+++ b/src/crash_evidence/crash_watch.h
@@ -34,7 +34,8 @@
     std::vector<broken_request> runs;
     unsigned level = 0; ///< 0: not in quarantine. Rises with each trial that ends a target.
     base::time_point quarantined_at{};
-    base::time_point trial_at{}; ///< Start of this host's last trial.
+    /// Start of this host's last trial. Times before the start of the own machine are negative.
+    base::time_point trial_at = base::time_point::min();
 };
 
 /// Crash state of one host. Fingerprints are computed by `retries::fingerprint`.
@@ -53,6 +54,9 @@
 std::vector<fleet::notice> on_target_ended(crash_watch& watch, const base::target_id& target,
                                            base::time_point now);
 
+/// Whether a notice of this host is more than a single crash at which the request was running.
+bool is_confirmed(const crash_watch& watch, const fleet::notice& made);
+
 /// Called when the target has accepted a new connection.
 void on_target_running(crash_watch& watch, const base::target_id& target);
 
@@ -77,6 +81,10 @@
     base::duration retry_after{0}; ///< If it may not run.
 };
 
+/// Notice that a trial of the request has begun. It renews the quarantine: if this host ends before
+/// the trial does, no other one tries the request at once.
+fleet::notice trial_notice(const crash_watch& watch, std::uint64_t fingerprint);
+
 /// `is_trial_host`: whether this is the one host that tries a request whose quarantine has passed.
 quarantine_decision check_quarantine(crash_watch& watch, std::uint64_t fingerprint,
                                      const std::function<bool()>& is_trial_host,
--- a/src/fleet/bulletin.cpp
+++ b/src/fleet/bulletin.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
+#include <utility>
 
 namespace snipeshore::fleet {
 
@@ -73,17 +74,27 @@
         const auto kind = static_cast<notice_kind>(index);
         std::size_t count = 0;
         for (const notice* one : newest_first(notices, kind)) {
-            const auto age =
-                std::chrono::duration_cast<std::chrono::milliseconds>(now - one->observed_at);
-            if (count++ >= bounds_of(kind).max_told || age > bounds_of(kind).lifetime) {
+            told_notice next = fleet::told(*one, now);
+            if (count++ >= bounds_of(kind).max_told || next.age > bounds_of(kind).lifetime) {
                 break;
             }
-            told.push_back({kind, one->subject, one->value, std::max(age, 0ms)});
+            told.push_back(std::move(next));
         }
     }
     return told;
 }
 
+told_notice told(const notice& one, base::time_point now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - one.observed_at);
+    return {one.kind, one.subject, one.value, std::max(age, 0ms)};
+}
+
+std::chrono::milliseconds lifetime_of(notice_kind kind)
+{
+    return bounds_of(kind).lifetime;
+}
+
 notice heard(const told_notice& told, base::time_point now)
 {
     return {told.kind, told.subject, told.value,
--- a/src/fleet/bulletin.h
+++ b/src/fleet/bulletin.h
@@ -4,6 +4,7 @@
 
 #include "fleet/types/notice.h"
 
+#include <chrono>
 #include <map>
 #include <string>
 #include <utility>
@@ -25,6 +26,12 @@
 /// Notices for a message, the newest of each kind up to a bound.
 std::vector<told_notice> notices_to_tell(const bulletin& notices, base::time_point now);
 
+/// The notice as of now, for other processes.
+told_notice told(const notice& one, base::time_point now);
+
+/// A notice that is older has no effect any more.
+std::chrono::milliseconds lifetime_of(notice_kind kind);
+
 /// The notice as of the own clock, from a message that has just arrived.
 notice heard(const told_notice& told, base::time_point now);
 
--- a/src/fleet/exchange_encoding.cpp
+++ b/src/fleet/exchange_encoding.cpp
@@ -22,6 +22,9 @@
 /// Identifier of the library's exceptions for errors that are not its own.
 constexpr int error_id = 501;
 
+/// In the year 10889; differences of such times do not overflow.
+constexpr std::uint64_t max_unix_ms = 1ULL << 48U;
+
 /// A week, far above the lifetime of any notice.
 constexpr std::uint64_t max_notice_age_ms = 7ULL * 24 * 3600 * 1000;
 
@@ -223,6 +226,20 @@
     return parse_with(text, [](const json& from) { return read_member(from); });
 }
 
+std::string encode(const stored_notices& stored)
+{
+    return json{{"at", stored.written_at.count()}, {"n", notices_json(stored.notices)}}.dump();
+}
+
+base::result<stored_notices> parse_stored_notices(std::string_view text)
+{
+    return parse_with(text, [](const json& from) {
+        return stored_notices{
+            std::chrono::milliseconds(base::read_count(from.at("at"), max_unix_ms)),
+            read_notices(from.at("n"))};
+    });
+}
+
 std::string encode(const rows::replica_update& update)
 {
     json made{
--- a/src/fleet/exchange_encoding.h
+++ b/src/fleet/exchange_encoding.h
@@ -3,6 +3,7 @@
 
 #include "base/result.h"
 #include "fleet/types/exchange.h"
+#include "fleet/types/notice.h"
 #include "rows/table_replica.h"
 
 #include <string>
@@ -22,4 +23,7 @@
 std::string encode(const rows::replica_update& update);
 base::result<rows::replica_update> parse_update(std::string_view text);
 
+std::string encode(const stored_notices& stored);
+base::result<stored_notices> parse_stored_notices(std::string_view text);
+
 } // namespace snipeshore::fleet
--- a/src/fleet/types/notice.h
+++ b/src/fleet/types/notice.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace snipeshore::fleet {
 
@@ -34,4 +35,10 @@
     std::chrono::milliseconds age{0};
 };
 
+/// Notices in a row of the store. Hosts and their successors have only the wall clock in common.
+struct stored_notices {
+    std::chrono::milliseconds written_at{0}; ///< Unix time by the writer's clock.
+    std::vector<told_notice> notices;        ///< Their ages are those at `written_at`.
+};
+
 } // namespace snipeshore::fleet
