Do not pass on a target's 408, 421, 429 or 503 for a request that may have run

The host sent the 503 on; callers take it for "not run" and placed the orders again.

Cause: between target and host only X-Not-Executed says "not run"; between host and caller these four statuses do. forward_task::on_head treated both alike.

Change: such a request, if it must not be repeated, gets the host's own 502 without the target's seal. Other statuses and idempotent requests are as before. A 421 that is sealed and does not say "not run" is a response of the target that was meant, no longer one of another target.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -87,6 +87,14 @@
     return id.has_value() && http::find_header(head.headers, names.seal).has_value();
 }
 
+bool forward_task::is_misdirected(const http::response_head& head) const
+{
+    const wire_names& names = m_context.settings.names;
+    const bool is_sealed = http::find_header(head.headers, names.seal).has_value();
+    const bool is_not_run = http::find_header(head.headers, names.not_run).has_value();
+    return head.status == status_misdirected && (is_not_run || !is_sealed);
+}
+
 void forward_task::on_head(const http::response_head& head)
 {
     const wire_names& names = m_context.settings.names;
@@ -104,7 +112,7 @@
         return;
     }
     // A misdirected request was answered by another target than the one it was sent to.
-    if (target != nullptr && head.status != status_misdirected) {
+    if (target != nullptr && !is_misdirected(head)) {
         apply_limit_header(m_context, *target, http::find_header(head.headers, names.limit), now);
         apply_signals(m_context, *target, head, now);
     }
@@ -112,12 +120,12 @@
     const bool has_report =
         load.has_value() && target != nullptr && apply_load_report(*target, *load, now);
     const bool is_not_run = http::find_header(head.headers, names.not_run).has_value();
-    if (is_not_run || head.status == status_misdirected) {
+    if (is_not_run || is_misdirected(head)) {
         ++m_sent_attempts;
         if (target != nullptr) {
             on_not_run(*target, m_sent);
         }
-        if (target != nullptr && head.status == status_misdirected) {
+        if (target != nullptr && is_misdirected(head)) {
             target->is_misdirected = true;
         } else if (target != nullptr && !has_report && !rejects_despite_free_slots(*target)) {
             on_rejected(*target, now);
@@ -128,7 +136,9 @@
     }
     m_may_have_run = true;
     ++m_sent_attempts;
-    if (head.status >= first_failure_status && plan_next(attempt_result::error_response).retry) {
+    const bool is_retried =
+        head.status >= first_failure_status && plan_next(attempt_result::error_response).retry;
+    if (is_retried || !retries::may_pass_on(head.status, make_progress())) {
         fail_attempt(attempt_result::error_response,
                      "target failed with status " + std::to_string(head.status));
         return;
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -101,6 +101,9 @@
 
     /// Whether the response matches this request, by its request id and seal.
     bool matches_request(const http::response_head& head) const;
+    /// Whether another target responds at the address. A sealed response is that of a run, by the
+    /// target that was meant.
+    bool is_misdirected(const http::response_head& head) const;
     bool is_idempotent() const;
 
     retries::request_progress make_progress() const;
--- a/src/retries/next_step.cpp
+++ b/src/retries/next_step.cpp
@@ -1,5 +1,8 @@
 #include "retries/next_step.h"
 
+#include <algorithm>
+#include <array>
+
 namespace snipeshore::retries {
 
 namespace {
@@ -13,8 +16,20 @@
            progress.unsent_attempts < max_unsent_attempts;
 }
 
+/// 408, 421, 429 and 503.
+bool says_not_run(int status)
+{
+    constexpr std::array<int, 4> statuses{408, 421, 429, 503};
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
 } // namespace
 
+bool may_pass_on(int status, const request_progress& progress)
+{
+    return progress.idempotent || !progress.may_have_run || !says_not_run(status);
+}
+
 base::error_kind final_error(attempt_result end, bool may_have_run)
 {
     if (!may_have_run) {
--- a/src/retries/tests/next_step_test.cpp
+++ b/src/retries/tests/next_step_test.cpp
@@ -31,6 +31,19 @@
             CHECK_FALSE(base::response_for(kind).not_run);
         }
     }
+    // Guards against a caller that repeats what has run.
+    SUBCASE("nor is a target's status passed on that claims so")
+    {
+        progress.may_have_run = true;
+        for (const int status : {408, 421, 429, 503}) {
+            CHECK_FALSE(retries::may_pass_on(status, progress));
+        }
+        for (const int status : {200, 400, 404, 409, 500, 502, 504}) {
+            CHECK(retries::may_pass_on(status, progress));
+        }
+        progress.idempotent = true;
+        CHECK(retries::may_pass_on(503, progress));
+    }
     SUBCASE("a rejected request is retried within the limit of attempts and the budget")
     {
         const auto step = retries::decide_next(attempt_result::rejected, progress);
