Count runs that were given up as evidence if their targets end soon after

Cause: only a connection that broke under a waiting request was evidence. When the caller left, the deadline passed or the host tried another target, the host closed the connection and forgot the run.

Change: such runs are remembered for up to 10 s; a target that ends within 3 s after counts for them. Its end is learned from connections of others, notices of other hosts, its row, and checks of the targets of requests that are suspected already. A count alone would hold innocent requests whose callers always leave (no response clears them; seen before this change as well), so runs that their targets outlived speak for a request, and a crash is put to the request there that ends targets most often. Ruled out: that hosts that notice a crash do not tell (they name the target).

target_crashed in the log no longer names the service: an end is also learned from rows and other hosts. crash_watch: max_crashes and what judges the runs moved to culprit.cpp; has_unclear became has_open_runs.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -3,6 +3,7 @@
 #include "apps/common/response_stream.h"
 #include "apps/host/host_context.h"
 #include "apps/host/notices.h"
+#include "apps/host/target_ends.h"
 #include "apps/host/target_limits.h"
 #include "apps/host/target_signals.h"
 #include "http/exchange.h"
@@ -53,21 +54,6 @@
     return target.reported_load < target.entry.slots;
 }
 
-/// Requests whose connections to the target broke shortly before may have ended it.
-void record_target_end(host_context& context, const base::target_id& target,
-                       const base::service_id& service)
-{
-    const std::vector<fleet::notice> notices =
-        crash_evidence::on_target_ended(context.crashes, target, base::boot_clock::now());
-    if (!notices.empty()) {
-        telemetry::log_event(severity::warning, "target_crashed",
-                             {{"target", target.value()},
-                              {"service", service.value()},
-                              {"notices", static_cast<std::uint64_t>(notices.size())}});
-    }
-    publish(context, notices);
-}
-
 } // namespace
 
 bool forward_task::matches_request(const http::response_head& head) const
@@ -104,10 +90,12 @@
     pooled_target* target = current_target();
     if (target != nullptr) {
         target->last_response_at = now;
+        record_target_alive(m_context, m_target);
     }
     if (!matches_request(head)) {
         m_may_have_run = true;
         ++m_sent_attempts;
+        record_given_up();
         fail_attempt(attempt_result::broken, "response belongs to another request");
         return;
     }
@@ -184,7 +172,9 @@
     }
     const error& cause = base::error_of(end.outcome);
     const bool is_late = cause.kind == error_kind::deadline_exceeded;
-    if (end.request_sent && !is_late) {
+    if (end.request_sent && is_late) {
+        record_given_up();
+    } else if (end.request_sent) {
         record_break();
     }
     if (m_is_streaming) {
@@ -315,17 +305,21 @@
 void forward_task::check_target()
 {
     const pooled_target* target = current_target();
-    if (target == nullptr || !crash_evidence::has_unclear(m_context.crashes, m_target)) {
+    if (target == nullptr || !crash_evidence::has_open_runs(m_context.crashes, m_target)) {
         return;
     }
-    m_context.check_target(*target, [&context = m_context, id = m_target,
-                                     service = m_service](retries::liveness found) {
-        if (found == retries::liveness::ended) {
-            record_target_end(context, id, service);
-        } else if (found == retries::liveness::running) {
-            crash_evidence::on_target_running(context.crashes, id);
-        }
-    });
+    apps::check_target(m_context, m_target, target->entry.address);
+}
+
+void forward_task::record_given_up()
+{
+    const pooled_target* target = current_target();
+    if (target == nullptr || m_call == nullptr || !m_call->request_sent()) {
+        return;
+    }
+    crash_evidence::on_given_up(m_context.crashes,
+                                {m_target, target->entry.started_ms, target->entry.address},
+                                {m_fingerprint, m_sent_at, base::boot_clock::now(), false});
 }
 
 void forward_task::record_transfer()
@@ -478,6 +472,7 @@
     if (m_is_finished) {
         return;
     }
+    record_given_up();
     m_call.reset();
     if (!m_target.value().empty()) {
         end_attempt(std::nullopt);
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -333,6 +333,7 @@
         return;
     }
     count_sent();
+    record_given_up();
     fail_attempt(attempt_result::timed_out, "target did not respond in time");
 }
 
--- a/src/apps/host/forward_task.h
+++ b/src/apps/host/forward_task.h
@@ -114,7 +114,11 @@
     /// Records that the connection to the current target broke, and finds out whether the target
     /// has ended.
     void record_break();
-    /// Finds out whether the current target has ended, if requests broke there without a response.
+    /// Records that the current attempt ends without a response although its target may go on with
+    /// it, if the request was sent.
+    void record_given_up();
+    /// Finds out whether the current target has ended, if it is not known what became of requests
+    /// there.
     void check_target();
     /// `service_time`: what the target needed; empty if it is unknown.
     void end_attempt(std::optional<base::duration> service_time);
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -2,6 +2,7 @@
 
 #include "apps/host/forward_task.h"
 #include "apps/host/notices.h"
+#include "apps/host/target_ends.h"
 #include "apps/host/target_limits.h"
 #include "fleet/exchange_encoding.h"
 #include "fleet/members.h"
@@ -164,10 +165,11 @@
     m_context.clear_evidence = [this](const fleet::notice& cleared, bool must_keep) {
         m_evidence.clear(cleared, must_keep);
     };
-    m_context.check_target = [this](const pooled_target& target,
+    m_context.check_target = [this](const base::target_id& target, const std::string& address,
                                     std::function<void(retries::liveness)> done) {
-        m_checks.start(target.entry.id, target.entry.address, std::move(done));
+        m_checks.start(target, address, std::move(done));
     };
+    m_context.crashes.self = m_settings.host.value();
     m_context.update_reach = [this] {
         m_reach_watch.update();
     };
@@ -565,6 +567,7 @@
         update_targets();
     }
     remove_expired_hosts();
+    check_given_up(m_context, m_registry);
     crash_evidence::drop_expired(m_context.crashes, now);
     fleet::drop_expired(m_context.notices, now);
     m_evidence.drop_expired(now);
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -71,7 +71,9 @@
     /// Called when a change of a table that has this version has come from another host.
     std::function<void(const std::string& table, std::uint64_t version)> on_change_at_peer;
     /// Finds out whether a target has ended, see `target_checks::start`.
-    std::function<void(const pooled_target&, std::function<void(retries::liveness)>)> check_target;
+    std::function<void(const base::target_id&, const std::string& address,
+                       std::function<void(retries::liveness)>)>
+        check_target;
     /// Called after each event that was recorded in `reach`, see `reach_watch::update`.
     std::function<void()> update_reach;
     /// Relays a request through another host, see `request_relay::take_over`.
--- a/src/apps/host/host_report.cpp
+++ b/src/apps/host/host_report.cpp
@@ -37,6 +37,8 @@
     all["reaches_targets"] = m_self.reaches_targets;
     all["config_version"] = config_version();
     all["requests"] = m_context.tasks.size();
+    all["suspects"] = m_context.crashes.suspects.size();
+    all["given_up_runs"] = m_context.crashes.given_up.size;
     for (const auto& [table, follower] : {std::pair(m_formats.operator_table, &m_operator_rows),
                                           std::pair(m_formats.target_table, &m_target_rows),
                                           std::pair(m_formats.host_table, &m_host_rows)}) {
--- a/src/apps/host/notices.cpp
+++ b/src/apps/host/notices.cpp
@@ -1,6 +1,7 @@
 #include "apps/host/notices.h"
 
 #include "apps/host/host_context.h"
+#include "apps/host/target_ends.h"
 #include "apps/host/target_limits.h"
 #include "apps/host/target_signals.h"
 #include "crash_evidence/crash_watch.h"
@@ -65,11 +66,25 @@
     }
 }
 
+/// Another host has noticed that a target ended: requests that this host has sent there may have
+/// been the cause as well.
+void apply_target_end(host_context& context, const fleet::notice& heard, base::time_point now)
+{
+    const auto target = crash_evidence::target_of(heard);
+    if (target.has_value() && crash_evidence::has_open_runs(context.crashes, *target)) {
+        record_target_end(context, *target,
+                          now - heard.observed_at + crash_evidence::usual_notice_time);
+    }
+}
+
 void apply(host_context& context, const fleet::notice& heard, base::time_point now)
 {
     switch (heard.kind) {
     case fleet::notice_kind::crash:
+        apply_target_end(context, heard, now);
+        [[fallthrough]];
     case fleet::notice_kind::quarantine:
+    case fleet::notice_kind::outlived:
         if (is_clearance(heard)) {
             context.clear_evidence(heard, false);
         }
--- a/src/apps/host/tests/crash_request_test.cpp
+++ b/src/apps/host/tests/crash_request_test.cpp
@@ -5,9 +5,12 @@
 
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
+
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,20 +21,21 @@
 
 const http::header_list with_key{{"x-key", "key"}, {"x-attempt-id", "id-1"}};
 
-/// A target that ends when it gets a request whose path contains "poison": its connections break
-/// and its address accepts no others.
+/// A target that ends `delay` after it got a request whose path contains "poison": its connections
+/// break and its address accepts no others.
 class mortal_target {
 public:
-    explicit mortal_target(http::loop& loop)
+    explicit mortal_target(http::loop& loop,
+                           std::chrono::milliseconds delay = std::chrono::milliseconds(0))
         : m_server(std::make_unique<http::server>(
-              loop, [this, &loop](const std::shared_ptr<http::exchange>& request) {
+              loop, [this, &loop, delay](const std::shared_ptr<http::exchange>& request) {
                   if (request->head().path.find("poison") == std::string::npos) {
                       respond_success(request);
                       return;
                   }
                   m_held = request;
                   ++runs;
-                  loop.schedule(base::boot_clock::now(), [this] { m_server.reset(); });
+                  loop.schedule(base::boot_clock::now() + delay, [this] { m_server.reset(); });
               }))
     {
         http::server_settings settings;
@@ -41,6 +45,11 @@
     }
 
     std::string address;
+    bool has_ended() const
+    {
+        return m_server == nullptr;
+    }
+
     int runs = 0;
 
 private:
@@ -215,3 +224,58 @@
         CHECK(started.runs() == 0);
     }
 }
+
+// Guards against a request that is never held, since nobody waits for the connection to break.
+TEST_CASE("a request that crashes its targets after it was given up is held as well")
+{
+    constexpr std::chrono::milliseconds crash_delay{300};
+    constexpr int targets = 16;
+    host_fixture host(plain_config);
+    std::vector<std::unique_ptr<mortal_target>> all;
+    for (int i = 0; i < targets; ++i) {
+        all.push_back(std::make_unique<mortal_target>(host.loop, crash_delay));
+        host.add_target("t" + std::to_string(i), all.back()->address);
+    }
+    host.await_targets(targets);
+    std::string path = "/once/poison";
+    std::string time_left = "20000";
+    bool leaves = true;
+    SUBCASE("its caller leaves") {}
+    SUBCASE("its caller leaves, and it may be repeated")
+    {
+        path = "/safe/poison";
+    }
+    SUBCASE("its time is over")
+    {
+        time_left = "100";
+        leaves = false;
+    }
+    http::header_list headers = with_key;
+    headers.push_back({"x-deadline-ms", time_left});
+    int runs = 0;
+    for (int copy = 0; copy < 8; ++copy) {
+        std::optional<reply> got;
+        host.begin(path, headers, got);
+        std::size_t hit = targets;
+        REQUIRE(host.run_until([&] {
+            for (std::size_t i = 0; i < all.size(); ++i) {
+                hit = all[i]->runs > 0 && !all[i]->has_ended() ? i : hit;
+            }
+            return hit < targets || got.has_value();
+        }));
+        if (hit == targets) {
+            CHECK(got->status == 503);
+            continue;
+        }
+        ++runs;
+        if (leaves) {
+            host.drop_calls();
+        }
+        REQUIRE(host.run_until([&] { return all[hit]->has_ended(); }));
+        // As the store does with the rows of targets that do not report any more.
+        host.store.set("servers", "t" + std::to_string(hit), std::nullopt);
+        REQUIRE(host.run_until(
+            [&] { return (leaves || got.has_value()) && host.app->dump()["given_up_runs"] == 0; }));
+    }
+    CHECK(runs == 3);
+}
--- a/src/apps/host/tests/host_fixture.cpp
+++ b/src/apps/host/tests/host_fixture.cpp
@@ -128,6 +128,11 @@
     m_calls.push_back(start(settings.entry_address, {"GET", path, "a.example", headers}, "", into));
 }
 
+void host_fixture::drop_calls()
+{
+    m_calls.clear();
+}
+
 reply host_fixture::send(const std::string& path, const http::header_list& headers,
                          const std::string& method, const std::string& body)
 {
--- a/src/apps/host/tests/host_fixture.h
+++ b/src/apps/host/tests/host_fixture.h
@@ -73,6 +73,9 @@
     void begin(const std::string& path, const http::header_list& headers,
                std::optional<reply>& into);
 
+    /// Closes the connections of all requests that were begun.
+    void drop_calls();
+
     reply get(const std::string& address, const std::string& path);
     reply post(const std::string& address, const std::string& path, const std::string& body);
 
--- a/src/crash_evidence/crash_watch.cpp
+++ b/src/crash_evidence/crash_watch.cpp
@@ -1,5 +1,7 @@
 #include "crash_evidence/crash_watch.h"
 
+#include "crash_evidence/culprit.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -12,10 +14,6 @@
 
 using namespace std::chrono_literals;
 
-/// A frequent request may be running during two crashes by chance; three in a row without a
-/// response are not a coincidence.
-constexpr std::size_t max_crashes = 3;
-
 /// Time for which a request is held at each level. The fleet then tries it once, so that a request
 /// that goes on crashing its targets ends three more of them in the first day.
 constexpr std::array<std::chrono::seconds, 4> hold_times{30s, 8min, 2h, 24h};
@@ -36,9 +34,11 @@
 /// Reports without times are repeated for five seconds, so all within this time are one crash.
 constexpr std::chrono::milliseconds untimed_run{6000};
 
-/// Notices and rows of the store tell times in whole milliseconds. A retry begins sooner than that
-/// after the crash before it.
-constexpr std::chrono::milliseconds time_resolution{2};
+/// Hosts whose runs are counted for a suspect; more would not change a decision.
+constexpr std::size_t max_outlived_hosts = 64;
+
+/// Largest number of outlived runs that is taken over from another host.
+constexpr unsigned max_counted_runs = 10'000;
 
 constexpr std::size_t max_suspects = 4096;
 constexpr std::size_t max_runs = 16;
@@ -67,24 +67,6 @@
     return last + suspicion_time;
 }
 
-/// Largest number of runs that did not overlap.
-std::size_t count_in_row(std::vector<broken_request> runs)
-{
-    std::sort(runs.begin(), runs.end(),
-              [](const broken_request& left, const broken_request& right) {
-                  return left.broken_at < right.broken_at;
-              });
-    std::size_t count = 0;
-    base::time_point last{};
-    for (const broken_request& run : runs) {
-        if (count == 0 || run.sent_at + time_resolution >= last) {
-            ++count;
-            last = run.broken_at;
-        }
-    }
-    return count;
-}
-
 /// Makes room for one more suspect.
 void evict_suspect(crash_watch& watch)
 {
@@ -125,6 +107,16 @@
             run.broken_at};
 }
 
+/// Whether the quarantine had passed when the run was sent.
+bool is_trial(const suspect& one, base::time_point sent_at)
+{
+    if (one.level == 0) {
+        return false;
+    }
+    const auto delay = std::chrono::duration_cast<base::duration>(hold_time(one) * trial_fraction);
+    return sent_at >= one.quarantined_at + delay;
+}
+
 /// Records that the run ended its target. Returns a notice if the request is in quarantine from now
 /// on, or for longer.
 std::optional<fleet::notice> record_crash(crash_watch& watch, const broken_request& run,
@@ -136,13 +128,11 @@
             found.runs.erase(found.runs.begin());
         }
         found.runs.push_back(run);
-        if (count_in_row(found.runs) < max_crashes) {
+        if (!is_culprit(watch, found, found.runs)) {
             return std::nullopt;
         }
     } else {
-        const auto trial_delay =
-            std::chrono::duration_cast<base::duration>(hold_time(found) * trial_fraction);
-        if (run.sent_at < found.quarantined_at + trial_delay) {
+        if (!is_trial(found, run.sent_at)) {
             return std::nullopt;
         }
     }
@@ -194,6 +184,38 @@
     found.quarantined_at = heard.observed_at;
 }
 
+void apply_outlived(crash_watch& watch, std::uint64_t fingerprint, const std::string& host,
+                    double runs)
+{
+    const auto found = watch.suspects.find(fingerprint);
+    if (found == watch.suspects.end() || !(runs > 0) ||
+        found->second.outlived_elsewhere.size() >= max_outlived_hosts) {
+        return;
+    }
+    found->second.outlived_elsewhere[host] =
+        static_cast<unsigned>(std::min(runs, double{max_counted_runs}));
+}
+
+/// Takes the given-up runs that may have ended the target, the last one of each request: they are
+/// one piece of evidence.
+std::vector<broken_request> take_given_up(crash_watch& watch, const base::target_id& target,
+                                          base::duration noticed_within, base::time_point now)
+{
+    std::map<std::uint64_t, broken_request> last_runs;
+    for (const given_up_run& run : take_ended(watch.given_up, target, noticed_within, now)) {
+        last_runs[run.fingerprint] = {target, run.fingerprint, run.sent_at, now};
+        const auto found = watch.suspects.find(run.fingerprint);
+        if (run.is_outlived && found != watch.suspects.end() && found->second.outlived > 0) {
+            --found->second.outlived;
+        }
+    }
+    std::vector<broken_request> runs;
+    for (const auto& [fingerprint, run] : last_runs) {
+        runs.push_back(run);
+    }
+    return runs;
+}
+
 } // namespace
 
 std::string subject_of(std::uint64_t fingerprint)
@@ -204,6 +226,21 @@
     return {digits.data(), written.ptr};
 }
 
+void on_given_up(crash_watch& watch, const target_process& at, const given_up_run& run)
+{
+    add_run(watch.given_up, at, run);
+}
+
+std::vector<base::target_id> targets_to_check(const crash_watch& watch, base::time_point now)
+{
+    if (watch.suspects.empty()) {
+        return {};
+    }
+    return targets_of(
+        watch.given_up,
+        [&](std::uint64_t fingerprint) { return watch.suspects.contains(fingerprint); }, now);
+}
+
 void on_connection_broken(crash_watch& watch, const broken_request& request)
 {
     std::erase_if(watch.unclear, [&](const broken_request& old) {
@@ -214,20 +251,34 @@
     }
 }
 
-bool has_unclear(const crash_watch& watch, const base::target_id& target)
+std::optional<base::target_id> target_of(const fleet::notice& crash)
 {
-    return std::any_of(watch.unclear.begin(), watch.unclear.end(),
-                       [&](const broken_request& run) { return run.target == target; });
+    const std::size_t slash = crash.subject.find('/');
+    if (crash.kind != fleet::notice_kind::crash || slash == std::string::npos) {
+        return std::nullopt;
+    }
+    return base::target_id(crash.subject.substr(slash + 1));
+}
+
+bool has_open_runs(const crash_watch& watch, const base::target_id& target)
+{
+    const bool has_unclear =
+        std::any_of(watch.unclear.begin(), watch.unclear.end(),
+                    [&](const broken_request& run) { return run.target == target; });
+    return has_unclear || watch.given_up.targets.contains(target);
 }
 
 std::vector<fleet::notice> on_target_ended(crash_watch& watch, const base::target_id& target,
-                                           base::time_point now)
+                                           base::time_point now, base::duration noticed_within)
 {
     std::vector<fleet::notice> notices;
+    std::vector<broken_request> ended = take_given_up(watch, target, noticed_within, now);
     for (const broken_request& run : watch.unclear) {
-        if (run.target != target || now - run.broken_at > crash_evidence_time) {
-            continue;
+        if (run.target == target && now - run.broken_at <= crash_evidence_time) {
+            ended.push_back(run);
         }
+    }
+    for (const broken_request& run : ended) {
         notices.push_back(crash_notice(run));
         if (auto quarantine = record_crash(watch, run, now)) {
             notices.push_back(std::move(*quarantine));
@@ -257,6 +308,30 @@
     std::erase_if(watch.unclear, [&](const broken_request& run) { return run.target == target; });
 }
 
+std::vector<fleet::notice> on_target_alive(crash_watch& watch, const base::target_id& target,
+                                           base::time_point now)
+{
+    std::vector<fleet::notice> notices;
+    const outlived_runs outlived = take_outlived(watch.given_up, target, now);
+    for (const given_up_run& run : outlived.probably) {
+        const auto found = watch.suspects.find(run.fingerprint);
+        if (found != watch.suspects.end() && found->second.level == 0) {
+            notices.push_back({fleet::notice_kind::outlived,
+                               subject_of(run.fingerprint) + "/" + watch.self,
+                               static_cast<double>(++found->second.outlived), now});
+        }
+    }
+    // No response shows that a request is harmless whose callers never wait for it.
+    for (const given_up_run& run : outlived.surely) {
+        const auto found = watch.suspects.find(run.fingerprint);
+        if (found != watch.suspects.end() && is_trial(found->second, run.sent_at)) {
+            watch.suspects.erase(found);
+            notices.push_back(quarantine_notice(run.fingerprint, 0, now));
+        }
+    }
+    return notices;
+}
+
 std::optional<fleet::notice> on_response_completed(crash_watch& watch, std::uint64_t fingerprint,
                                                    base::time_point now)
 {
@@ -281,6 +356,10 @@
     if (slash == std::string::npos) {
         return {};
     }
+    if (heard.kind == fleet::notice_kind::outlived) {
+        apply_outlived(watch, *fingerprint, heard.subject.substr(slash + 1), heard.value);
+        return {};
+    }
     const auto took = std::chrono::duration_cast<base::duration>(
         std::chrono::duration<double, std::milli>(std::clamp(heard.value, 0.0, 60'000.0)));
     const auto quarantine =
@@ -323,7 +402,8 @@
                 runs.push_back(run);
             }
         }
-        if (count_in_row(std::move(runs)) < max_crashes) {
+        if (!is_culprit(watch, found == watch.suspects.end() ? suspect{} : found->second,
+                        std::move(runs))) {
             return {};
         }
         return {false, false, check_time};
@@ -367,6 +447,7 @@
 
 void drop_expired(crash_watch& watch, base::time_point now)
 {
+    drop_expired(watch.given_up, now);
     std::erase_if(watch.suspects,
                   [now](const auto& entry) { return expires_at(entry.second) <= now; });
 }
--- a/src/crash_evidence/crash_watch.h
+++ b/src/crash_evidence/crash_watch.h
@@ -3,12 +3,14 @@
 
 #include "base/time.h"
 #include "base/types/ids.h"
+#include "crash_evidence/given_up_runs.h"
 #include "fleet/types/exchange.h"
 #include "fleet/types/notice.h"
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -16,10 +18,6 @@
 
 namespace snipeshore::crash_evidence {
 
-/// A target that terminates within this time after one of its connections broke is assumed to have
-/// crashed because of the request on that connection.
-inline constexpr std::chrono::milliseconds crash_evidence_time{3000};
-
 /// A run of a request whose connection broke before the response was complete.
 struct broken_request {
     base::target_id target;
@@ -32,6 +30,9 @@
 /// evidence: targets that end together take all their requests with them.
 struct suspect {
     std::vector<broken_request> runs;
+    /// Runs that did not end their target, since the first crash.
+    unsigned outlived = 0;
+    std::map<std::string, unsigned> outlived_elsewhere; ///< By host.
     unsigned level = 0; ///< 0: not in quarantine. Rises with each trial that ends a target.
     base::time_point quarantined_at{};
     /// Start of this host's last trial. Times before the start of the own machine are negative.
@@ -42,17 +43,34 @@
 struct crash_watch {
     std::unordered_map<std::uint64_t, suspect> suspects;
     std::vector<broken_request> unclear; ///< It is not known whether their targets have ended.
+    given_up_runs given_up;
+    std::string self; ///< Name of the own host in notices.
 };
 
 void on_connection_broken(crash_watch& watch, const broken_request& request);
 
-/// Whether requests broke at the target and it is not known whether it has ended.
-bool has_unclear(const crash_watch& watch, const base::target_id& target);
+/// The target that ended according to a notice; unset if it tells of something else.
+std::optional<base::target_id> target_of(const fleet::notice& crash);
+
+/// Whether it is not known what became of all requests that broke or were given up at the target.
+bool has_open_runs(const crash_watch& watch, const base::target_id& target);
+
+/// A run was given up without a response.
+void on_given_up(crash_watch& watch, const target_process& at, const given_up_run& run);
+
+/// Targets with given-up runs of suspected requests. They have to be checked, since no connection
+/// breaks if they end.
+std::vector<base::target_id> targets_to_check(const crash_watch& watch, base::time_point now);
 
-/// Called when the target accepted no connection. Returns notices for the other hosts; none if no
-/// request is suspected of having crashed it.
+/// A check takes this time, and is repeated after it.
+inline constexpr std::chrono::milliseconds usual_notice_time{500};
+
+/// Called when the target accepted no connection, or has started again; it ended at most
+/// `noticed_within` ago. Returns notices for the other hosts; none if no request is suspected of
+/// having crashed it.
 std::vector<fleet::notice> on_target_ended(crash_watch& watch, const base::target_id& target,
-                                           base::time_point now);
+                                           base::time_point now,
+                                           base::duration noticed_within = usual_notice_time);
 
 /// Whether a notice of this host is more than a single crash at which the request was running.
 bool is_confirmed(const crash_watch& watch, const fleet::notice& made);
@@ -60,6 +78,10 @@
 /// Called when the target has accepted a new connection.
 void on_target_running(crash_watch& watch, const base::target_id& target);
 
+/// Called when the target is alive. Returns notices for the other hosts.
+std::vector<fleet::notice> on_target_alive(crash_watch& watch, const base::target_id& target,
+                                           base::time_point now);
+
 /// Clears the suspicion. Returns a notice if there was one: hosts that get no response to such a
 /// request themselves would count crashes by chance as a series.
 std::optional<fleet::notice> on_response_completed(crash_watch& watch, std::uint64_t fingerprint,
--- a/src/fleet/bulletin.cpp
+++ b/src/fleet/bulletin.cpp
@@ -21,7 +21,7 @@
 /// each response, so that a limit is renewed as long as it is in force. Targets leave within
 /// minutes.
 constexpr std::array<kind_bounds, notice_kinds> bounds{
-    {{60s, 512, 16}, {25h, 512, 16}, {30s, 1024, 32}, {10min, 512, 32}}};
+    {{60s, 512, 16}, {25h, 512, 16}, {30s, 1024, 32}, {10min, 512, 32}, {60s, 512, 16}}};
 
 /// The age of a notice grows inaccurate by the time of each message that passes it on, which is
 /// below a second. Without this gap, a notice would be taken for a newer one when it comes back.
--- a/src/fleet/types/notice.h
+++ b/src/fleet/types/notice.h
@@ -16,9 +16,11 @@
                   ///< request got its response.
     target_limit, ///< Subject: target and its start; value: requests per second, -1 for no limit.
     target_leaving, ///< Subject: target and its start; value: 1.
+    outlived,       ///< Runs of a suspected request did not end their targets. Subject: request and
+                    ///< host; value: number of runs at that host since the first crash.
 };
 
-inline constexpr std::size_t notice_kinds = 4;
+inline constexpr std::size_t notice_kinds = 5;
 
 struct notice {
     notice_kind kind = notice_kind::crash;
