Recognise a request by what its caller sends, not by the service it gets

Cause: the fingerprint had the service that was drawn for this attempt.

Change: account, host name, method, path and body are the request. The host name is in it, since a path belongs to one: the same path elsewhere is another resource. Ruled out: notices of hosts (they name no service); snipeshore-entry (its service is what the host name selects).

--- a/src/apps/entry/request_task.cpp
+++ b/src/apps/entry/request_task.cpp
@@ -144,6 +144,7 @@
         refuse(base::error_of(resolved));
         return;
     }
+    // The host name selects the service.
     m_fingerprint = retries::fingerprint(m_account.value(), m_match.service->id.value(),
                                          m_exchange->head().method, m_exchange->head().path,
                                          m_exchange->body());
--- a/src/apps/host/forward_task.cpp
+++ b/src/apps/host/forward_task.cpp
@@ -157,9 +157,9 @@
 void forward_task::begin()
 {
     const http::request_head& head = m_exchange->head();
-    m_fingerprint =
-        retries::fingerprint(m_account == nullptr ? "" : m_account->id.value(), m_service.value(),
-                             head.method, head.path, m_exchange->body());
+    m_fingerprint = retries::fingerprint(m_account == nullptr ? "" : m_account->id.value(),
+                                         routing::host_name(head.authority), head.method, head.path,
+                                         m_exchange->body());
     const base::time_point now = base::boot_clock::now();
     const crash_evidence::quarantine_decision decision = crash_evidence::check_quarantine(
         m_context.crashes, m_fingerprint,
--- a/src/apps/host/tests/crash_request_test.cpp
+++ b/src/apps/host/tests/crash_request_test.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -57,6 +58,20 @@
     std::unique_ptr<http::server> m_server;
 };
 
+/// The route /once/ goes to these services, with this text of the platform.
+std::string config_to(const std::string& version, const std::string& services)
+{
+    std::string config = config_of_version(version);
+    const std::string before = R"("targetLatency":"1s",
+"service":"svc")";
+    const std::size_t at = config.find(before);
+    REQUIRE(at != std::string::npos);
+    config.replace(at, before.size(), R"("targetLatency":"1s",)" + services);
+    const std::string first = R"("services":[)";
+    return config.insert(config.find(first) + first.size(),
+                         R"({"name":"svc-2"},{"name":"svc-3"},)");
+}
+
 using stored_rows = std::map<std::string, std::string>;
 
 /// A host with 16 targets, and with the evidence that hosts before it have stored.
@@ -279,3 +294,54 @@
     }
     CHECK(runs == 3);
 }
+
+// Guards against a request that counts as another one for each service that it gets.
+TEST_CASE("a request that crashes its targets is the same one at all services")
+{
+    const std::vector<std::string> services{"svc", "svc-2", "svc-3"};
+    const auto to = [](const std::string& service) {
+        return R"("service":")" + service + "\"";
+    };
+    std::string config = config_to("00000005", to("svc"));
+    bool moves = false;
+    SUBCASE("of a split route")
+    {
+        config = config_to("00000005", R"("trafficSplit":[{"service":"svc","weight":1},)"
+                                       R"({"service":"svc-2","weight":1},)"
+                                       R"({"service":"svc-3","weight":1}])");
+    }
+    SUBCASE("to which its route moves")
+    {
+        moves = true;
+    }
+    host_fixture host(config);
+    std::vector<std::unique_ptr<mortal_target>> all;
+    constexpr std::size_t targets = 12;
+    for (std::size_t i = 0; i < targets; ++i) {
+        all.push_back(std::make_unique<mortal_target>(host.loop));
+        host.add_target("t" + std::to_string(i), all.back()->address, 1,
+                        services[i % services.size()]);
+    }
+    host.await_targets(targets);
+    const auto runs = [&] {
+        return std::count_if(all.begin(), all.end(),
+                             [](const auto& target) { return target->runs > 0; });
+    };
+    std::uint64_t version = 5;
+    for (std::size_t copy = 0; copy < 10; ++copy) {
+        const auto before = runs();
+        host.send("/once/poison", with_key, "POST", "body");
+        if (runs() > before) {
+            REQUIRE(host.run_until([&] { return host.app->dump()["suspects"] >= 1; }));
+        }
+        if (moves) {
+            ++version;
+            host.store.set("op", "config",
+                           config_to("0000000" + std::string(1, "56789abcdef"[version - 5]),
+                                     to(services[version % services.size()])));
+            REQUIRE(host.run_until([&] { return host.app->config_version() == version; }));
+        }
+    }
+    CHECK(runs() == 3);
+    CHECK(host.send("/once/harmless", with_key, "POST", "body").status == 200);
+}
--- a/src/apps/host/tests/host_fixture.cpp
+++ b/src/apps/host/tests/host_fixture.cpp
@@ -110,10 +110,12 @@
     return http::tests::run_until(loop, condition);
 }
 
-void host_fixture::add_target(const std::string& id, const std::string& address, int sequence)
+void host_fixture::add_target(const std::string& id, const std::string& address, int sequence,
+                              const std::string& service)
 {
     store.set("servers", id,
-              R"({"service":"svc","zone":"z1","slots":4,"state":"ready","sequence":)" +
+              R"({"service":")" + service +
+                  R"(","zone":"z1","slots":4,"state":"ready","sequence":)" +
                   std::to_string(sequence) + R"(,"address":")" + address + "\"}");
 }
 
--- a/src/apps/host/tests/host_fixture.h
+++ b/src/apps/host/tests/host_fixture.h
@@ -60,8 +60,9 @@
                           const std::string& metrics_address = "",
                           const std::function<void(memory_store&)>& prepare = nullptr);
 
-    /// Registers a target with 4 slots for service "svc".
-    void add_target(const std::string& id, const std::string& address, int sequence = 1);
+    /// Registers a target with 4 slots.
+    void add_target(const std::string& id, const std::string& address, int sequence = 1,
+                    const std::string& service = "svc");
 
     /// Waits until the host is ready and knows this number of targets.
     void await_targets(std::size_t count);
--- a/src/retries/quarantine.cpp
+++ b/src/retries/quarantine.cpp
@@ -91,11 +91,11 @@
 
 } // namespace
 
-std::uint64_t fingerprint(std::string_view account, std::string_view service,
+std::uint64_t fingerprint(std::string_view account, std::string_view authority,
                           std::string_view method, std::string_view path, std::string_view body)
 {
     std::uint64_t hash = 0;
-    for (const std::string_view part : {account, service, method, path, body}) {
+    for (const std::string_view part : {account, authority, method, path, body}) {
         // Includes the size, so that "ab","c" and "a","bc" give different hashes.
         hash = base::stable_hash(part, hash + part.size());
     }
--- a/src/retries/quarantine.h
+++ b/src/retries/quarantine.h
@@ -10,9 +10,10 @@
 
 namespace snipeshore::retries {
 
-/// Returns a hash that identifies repeats of a request. `body` may be the beginning of a long body,
-/// with the same length for each repeat.
-std::uint64_t fingerprint(std::string_view account, std::string_view service,
+/// Returns a hash that identifies repeats of a request: what its caller sends, whatever route or
+/// targets it gets. `authority` is the host name to which the path belongs, or what stands for it.
+/// `body` may be the beginning of a long body, with the same length for each repeat.
+std::uint64_t fingerprint(std::string_view account, std::string_view authority,
                           std::string_view method, std::string_view path, std::string_view body);
 
 /// Records a crash report of this host or another one. Duplicates are ignored.
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -13,17 +13,6 @@
 /// Greater than any route priority, so that the account's priority takes precedence.
 constexpr int account_priority_factor = 1000;
 
-std::string host_of(std::string_view authority)
-{
-    const std::size_t colon = authority.rfind(':');
-    const bool has_port =
-        colon != std::string_view::npos && authority.find(']', colon) == std::string_view::npos;
-    std::string host(has_port ? authority.substr(0, colon) : authority);
-    std::transform(host.begin(), host.end(), host.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return host;
-}
-
 bool allows_region(const std::vector<base::region_id>& homes, const base::region_id& region)
 {
     return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
@@ -49,6 +38,17 @@
 
 } // namespace
 
+std::string host_name(std::string_view authority)
+{
+    const std::size_t colon = authority.rfind(':');
+    const bool has_port =
+        colon != std::string_view::npos && authority.find(']', colon) == std::string_view::npos;
+    std::string host(has_port ? authority.substr(0, colon) : authority);
+    std::transform(host.begin(), host.end(), host.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return host;
+}
+
 void build_indexes(route_table& table)
 {
     for (auto& [host, routes] : table.hosts) {
@@ -78,7 +78,7 @@
 base::result<const route*> find_route(const route_table& table, std::string_view authority,
                                       std::string_view path)
 {
-    const auto found = table.hosts.find(host_of(authority));
+    const auto found = table.hosts.find(host_name(authority));
     const std::string_view path_only = path.substr(0, path.find('?'));
     if (found != table.hosts.end()) {
         for (const route& candidate : found->second) {
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -5,6 +5,7 @@
 #include "routing/types/route_table.h"
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace snipeshore::routing {
@@ -12,6 +13,9 @@
 /// Sorts the routes and indexes the keys and ranks. Must be called once after the table is filled.
 void build_indexes(route_table& table);
 
+/// Host name in lower case, without a port. Hosts' routes are found by it.
+std::string host_name(std::string_view authority);
+
 /// Returns the route of the host with the longest prefix of the path, or `route_unknown`.
 base::result<const route*> find_route(const route_table& table, std::string_view authority,
                                       std::string_view path);
