Name the process of the target in notices of crashes

A target that starts again under its id and is crashed again was one crash for hosts that hear of it later, and in the rows of the store.

Change: the subject ends with the start of the target's process, as those of limits do. Notices without it are read as before; hosts of earlier versions take the longer text for the target's name, which they only compare with their own.

Evidence: crash_evidence_test, "two crashes of one target, which has started again, are two crashes for those who hear", failed with the subject as before and passes.

--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -297,8 +297,10 @@
 
 void forward_task::record_break()
 {
+    const pooled_target* target = current_target();
     crash_evidence::on_connection_broken(
-        m_context.crashes, {m_target, m_fingerprint, m_sent_at, base::boot_clock::now()});
+        m_context.crashes, {m_target, m_fingerprint, m_sent_at, base::boot_clock::now(),
+                            target == nullptr ? 0 : target->entry.started_ms});
     check_target();
 }
 
--- a/src/crash_evidence/crash_watch.cpp
+++ b/src/crash_evidence/crash_watch.cpp
@@ -103,8 +103,10 @@
 {
     const auto took =
         std::chrono::duration<double, std::milli>(run.broken_at - run.sent_at).count();
-    return {fleet::notice_kind::crash, subject_of(run.fingerprint) + "/" + run.target.value(), took,
-            run.broken_at};
+    // A target that starts again under its id may be crashed again: these are two facts.
+    const std::string process = run.started_ms == 0 ? "" : "/" + std::to_string(run.started_ms);
+    return {fleet::notice_kind::crash,
+            subject_of(run.fingerprint) + "/" + run.target.value() + process, took, run.broken_at};
 }
 
 /// Whether the quarantine had passed when the run was sent.
@@ -201,9 +203,12 @@
 std::vector<broken_request> take_given_up(crash_watch& watch, const base::target_id& target,
                                           base::duration noticed_within, base::time_point now)
 {
+    const auto at_target = watch.given_up.targets.find(target);
+    const std::int64_t started_ms =
+        at_target == watch.given_up.targets.end() ? 0 : at_target->second.started_ms;
     std::map<std::uint64_t, broken_request> last_runs;
     for (const given_up_run& run : take_ended(watch.given_up, target, noticed_within, now)) {
-        last_runs[run.fingerprint] = {target, run.fingerprint, run.sent_at, now};
+        last_runs[run.fingerprint] = {target, run.fingerprint, run.sent_at, now, started_ms};
         const auto found = watch.suspects.find(run.fingerprint);
         if (run.is_outlived && found != watch.suspects.end() && found->second.outlived > 0) {
             --found->second.outlived;
@@ -257,7 +262,14 @@
     if (crash.kind != fleet::notice_kind::crash || slash == std::string::npos) {
         return std::nullopt;
     }
-    return base::target_id(crash.subject.substr(slash + 1));
+    std::string target = crash.subject.substr(slash + 1);
+    // Hosts of earlier versions do not name the process.
+    const std::size_t process = target.rfind('/');
+    if (process != std::string::npos &&
+        target.find_first_not_of("0123456789", process + 1) == std::string::npos) {
+        target.resize(process);
+    }
+    return base::target_id(std::move(target));
 }
 
 bool has_open_runs(const crash_watch& watch, const base::target_id& target)
@@ -362,11 +374,8 @@
     }
     const auto took = std::chrono::duration_cast<base::duration>(
         std::chrono::duration<double, std::milli>(std::clamp(heard.value, 0.0, 60'000.0)));
-    const auto quarantine =
-        record_crash(watch,
-                     {base::target_id(heard.subject.substr(slash + 1)), *fingerprint,
-                      heard.observed_at - took, heard.observed_at},
-                     now);
+    const auto quarantine = record_crash(
+        watch, {*target_of(heard), *fingerprint, heard.observed_at - took, heard.observed_at}, now);
     return quarantine.has_value() ? std::vector{*quarantine} : std::vector<fleet::notice>{};
 }
 
--- a/src/crash_evidence/crash_watch.h
+++ b/src/crash_evidence/crash_watch.h
@@ -24,6 +24,7 @@
     std::uint64_t fingerprint = 0;
     base::time_point sent_at;
     base::time_point broken_at;
+    std::int64_t started_ms = 0; ///< Start of the target's process; 0 if it is unknown.
 };
 
 /// A request that was running on targets when they ended. Runs that overlap are one piece of
--- a/src/crash_evidence/tests/crash_watch_test.cpp
+++ b/src/crash_evidence/tests/crash_watch_test.cpp
@@ -1,5 +1,7 @@
 #include "crash_evidence/crash_watch.h"
 
+#include "fleet/bulletin.h"
+
 #include <doctest/doctest.h>
 
 #include <string>
@@ -139,6 +141,31 @@
         }
         CHECK(watch.suspects.empty());
     }
+    // Guards against a count that forgets crashes: a target that starts again under its id is
+    // crashed a second time, and the later notice replaced the earlier one.
+    SUBCASE(
+        "two crashes of one target, which has started again, are two crashes for those who hear")
+    {
+        fleet::bulletin stored;
+        for (int i = 0; i < 3; ++i) {
+            const base::time_point at = start + i * 5s;
+            crash_evidence::on_connection_broken(
+                watch, {base::target_id("t1"), culprit, at, at + 50ms, 1000 + i});
+            for (const auto& made :
+                 crash_evidence::on_target_ended(watch, base::target_id("t1"), at + 60ms)) {
+                CHECK(crash_evidence::target_of(made).value_or(base::target_id("t1")) ==
+                      base::target_id("t1"));
+                fleet::post(stored, made);
+            }
+        }
+        crash_evidence::crash_watch other;
+        for (const auto& [key, made] : stored.notices) {
+            if (made.kind == fleet::notice_kind::crash) {
+                crash_evidence::apply_notice(other, made, start + 11s);
+            }
+        }
+        CHECK(crash_evidence::is_quarantined(other, culprit, start + 12s));
+    }
     SUBCASE("a response ends no suspicion by a later crash")
     {
         const auto first = crash(watch, "t1", culprit, start);
--- a/src/fleet/types/notice.h
+++ b/src/fleet/types/notice.h
@@ -11,7 +11,8 @@
 namespace snipeshore::fleet {
 
 enum class notice_kind : std::uint8_t {
-    crash,        ///< A request ended a target. Subject: request and target; value: its run in ms.
+    crash,        ///< A request ended a target. Subject: request, target and its start; value: its
+                  ///< run in ms.
     quarantine,   ///< A request is not to be sent. Subject: request; value: its level, or 0 if the
                   ///< request got its response.
     target_limit, ///< Subject: target and its start; value: requests per second, -1 for no limit.
