--- a/src/apps/host/tests/host_fixture.cpp
+++ b/src/apps/host/tests/host_fixture.cpp
@@ -78,12 +78,9 @@
     request->respond(head, "whole answer");
 }
 
-host_fixture::host_fixture(const std::string& config, std::chrono::milliseconds leave_delay,
-                           std::chrono::milliseconds stop_deadline,
-                           const std::string& metrics_address,
-                           const std::function<void(memory_store&)>& prepare)
-    : store(loop), m_client(loop, {})
+host_settings make_settings()
 {
+    host_settings settings;
     settings.host = base::host_id("h1");
     settings.failure_domain = base::failure_domain_id("z1");
     settings.regions = {{settings.failure_domain, base::region_id("north")}};
@@ -92,6 +89,21 @@
     settings.lookup_address = free_address();
     settings.control_address = free_address();
     settings.names = platform_adapter::make_names();
+    return settings;
+}
+
+std::string target_row(const std::string& address, int sequence, const std::string& service)
+{
+    return R"({"service":")" + service + R"(","zone":"z1","slots":4,"state":"ready","sequence":)" +
+           std::to_string(sequence) + R"(,"address":")" + address + "\"}";
+}
+
+host_fixture::host_fixture(const std::string& config, std::chrono::milliseconds leave_delay,
+                           std::chrono::milliseconds stop_deadline,
+                           const std::string& metrics_address,
+                           const std::function<void(memory_store&)>& prepare)
+    : store(loop), settings(make_settings()), m_client(loop, {})
+{
     settings.leave_delay = leave_delay;
     settings.stop_deadline = stop_deadline;
     settings.metrics_address = metrics_address;
@@ -113,10 +125,7 @@
 void host_fixture::add_target(const std::string& id, const std::string& address, int sequence,
                               const std::string& service)
 {
-    store.set("servers", id,
-              R"({"service":")" + service +
-                  R"(","zone":"z1","slots":4,"state":"ready","sequence":)" +
-                  std::to_string(sequence) + R"(,"address":")" + address + "\"}");
+    store.set("servers", id, target_row(address, sequence, service));
 }
 
 void host_fixture::await_targets(std::size_t count)
--- a/src/apps/host/tests/host_fixture.h
+++ b/src/apps/host/tests/host_fixture.h
@@ -43,6 +43,13 @@
     http::server m_server;
 };
 
+/// Settings of host "h1" in failure domain "z1" of region "north", on free addresses.
+host_settings make_settings();
+
+/// Registration of a target with 4 slots.
+std::string target_row(const std::string& address, int sequence = 1,
+                       const std::string& service = "svc");
+
 /// Responds as a healthy target does.
 void respond_success(const std::shared_ptr<http::exchange>& request);
 
