Evidence of crashes: one host stores a clearance, rows of ended processes stay for a week

Found on reading the change again: - After a restart of all hosts each of them knew that rows tell of a request, and each would have stored that it got its response. Now the host that saw the response does; the others drop what they have. - A host whose clock is ahead removed rows as expired that still counted. Rows of ended processes are removed a week after they were written. - A response of another target at the same address (421) counted as a sign of life. - Evidence from before the start of the own machine expired by the start of its clock. - While the store is away the read is repeated after 0.5 to 8 s instead of each 0.5 s. - A request is judged when a crash is recorded; a check of a request judges again only while one of its targets is being checked.

crash_evidence_test has the clearance and the week; the other points were read.

--- a/src/apps/host/evidence_store.cpp
+++ b/src/apps/host/evidence_store.cpp
@@ -1,6 +1,5 @@
 #include "apps/host/evidence_store.h"
 
-#include "crash_evidence/stored_evidence.h"
 #include "fleet/exchange_encoding.h"
 #include "telemetry/event_log.h"
 
@@ -24,7 +23,6 @@
 constexpr std::chrono::milliseconds min_write_interval{500};
 constexpr std::chrono::milliseconds min_backoff{500};
 constexpr std::chrono::milliseconds max_backoff{8000};
-constexpr std::chrono::milliseconds read_retry_delay{500};
 
 /// Writes that are not urgent are spread so that the fleet makes half as many each second as one
 /// part of the store handles.
@@ -39,6 +37,11 @@
         std::chrono::system_clock::now().time_since_epoch());
 }
 
+base::duration next_backoff(base::duration backoff)
+{
+    return std::clamp<base::duration>(backoff * 2, min_backoff, max_backoff);
+}
+
 } // namespace
 
 evidence_store::evidence_store(http::loop& loop, rows::row_store& store, std::mt19937_64& random,
@@ -73,7 +76,8 @@
     if (!base::is_ok(page)) {
         m_read.clear();
         m_outdated.clear();
-        m_read_timer = m_loop.schedule(base::boot_clock::now() + read_retry_delay, [this] {
+        m_read_backoff = next_backoff(m_read_backoff);
+        m_read_timer = m_loop.schedule(base::boot_clock::now() + m_read_backoff, [this] {
             m_read_timer = 0;
             start();
         });
@@ -113,7 +117,7 @@
     }
     const std::vector<fleet::notice> notices =
         crash_evidence::read_row(base::value_of(row), base::boot_clock::now(), unix_time());
-    if (notices.empty()) {
+    if (crash_evidence::is_outdated(base::value_of(row), unix_time())) {
         m_outdated.push_back(one.key);
     }
     for (const fleet::notice& known : notices) {
@@ -144,9 +148,9 @@
     schedule_write();
 }
 
-void evidence_store::clear(const fleet::notice& cleared, bool must_keep)
+void evidence_store::clear(const fleet::notice& cleared, crash_evidence::keep_clearance kept)
 {
-    crash_evidence::clear_request(m_evidence, cleared, must_keep, later(clear_delay));
+    crash_evidence::clear_request(m_evidence, cleared, kept, later(clear_delay));
     schedule_write();
 }
 
@@ -212,7 +216,7 @@
         m_write_backoff = base::duration{0};
         crash_evidence::on_row_written(m_evidence);
     } else {
-        m_write_backoff = std::clamp<base::duration>(m_write_backoff * 2, min_backoff, max_backoff);
+        m_write_backoff = next_backoff(m_write_backoff);
         telemetry::log_event(severity::warning, "evidence_not_stored",
                              {{"cause", base::error_of(written).detail},
                               {"retry_ms", base::to_ms(m_write_backoff)}});
--- a/src/apps/host/evidence_store.h
+++ b/src/apps/host/evidence_store.h
@@ -3,7 +3,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
-#include "crash_evidence/types/stored_evidence.h"
+#include "crash_evidence/stored_evidence.h"
 #include "fleet/types/notice.h"
 #include "http/loop.h"
 #include "rows/row_store.h"
@@ -50,7 +50,7 @@
     void keep(const fleet::notice& made, bool is_confirmed);
 
     /// See `crash_evidence::clear_request`.
-    void clear(const fleet::notice& cleared, bool must_keep);
+    void clear(const fleet::notice& cleared, crash_evidence::keep_clearance kept);
 
     /// Called when the store was restored to an earlier state, which may lack the row.
     void on_new_era();
@@ -79,6 +79,7 @@
     std::unique_ptr<rows::store_call> m_read_call;
     std::unique_ptr<rows::store_call> m_write_call;
     std::vector<std::unique_ptr<rows::store_call>> m_removals;
+    base::duration m_read_backoff{0};
     http::timer_id m_read_timer = 0;
     http::timer_id m_write_timer = 0;
     base::time_point m_write_due{};
--- a/src/apps/host/forward_outcome.cpp
+++ b/src/apps/host/forward_outcome.cpp
@@ -90,7 +90,6 @@
     pooled_target* target = current_target();
     if (target != nullptr) {
         target->last_response_at = now;
-        record_target_alive(m_context, m_target);
     }
     if (!matches_request(head)) {
         m_may_have_run = true;
@@ -101,6 +100,7 @@
     }
     // A misdirected request was answered by another target than the one it was sent to.
     if (target != nullptr && !is_misdirected(head)) {
+        record_target_alive(m_context, m_target);
         apply_limit_header(m_context, *target, http::find_header(head.headers, names.limit), now);
         apply_signals(m_context, *target, head, now);
     }
--- a/src/apps/host/host_app.cpp
+++ b/src/apps/host/host_app.cpp
@@ -162,8 +162,9 @@
     m_context.keep_evidence = [this](const fleet::notice& made, bool is_confirmed) {
         m_evidence.keep(made, is_confirmed);
     };
-    m_context.clear_evidence = [this](const fleet::notice& cleared, bool must_keep) {
-        m_evidence.clear(cleared, must_keep);
+    m_context.clear_evidence = [this](const fleet::notice& cleared,
+                                      crash_evidence::keep_clearance kept) {
+        m_evidence.clear(cleared, kept);
     };
     m_context.check_target = [this](const base::target_id& target, const std::string& address,
                                     std::function<void(retries::liveness)> done) {
--- a/src/apps/host/host_context.h
+++ b/src/apps/host/host_context.h
@@ -7,6 +7,7 @@
 #include "apps/host/types/host_settings.h"
 #include "base/types/ids.h"
 #include "crash_evidence/crash_watch.h"
+#include "crash_evidence/stored_evidence.h"
 #include "fleet/bulletin.h"
 #include "fleet/types/member.h"
 #include "limits/types/fleet_share.h"
@@ -63,7 +64,8 @@
     /// `evidence_store::keep`.
     std::function<void(const fleet::notice&, bool is_confirmed)> keep_evidence;
     /// Drops evidence from the store, see `crash_evidence::clear_request`.
-    std::function<void(const fleet::notice& cleared, bool must_keep)> clear_evidence;
+    std::function<void(const fleet::notice& cleared, crash_evidence::keep_clearance)>
+        clear_evidence;
     /// Sends messages with the notices to other hosts soon, see `peer_exchange::spread`.
     std::function<void()> spread;
     /// Called when another host has contact with the store again.
--- a/src/apps/host/notices.cpp
+++ b/src/apps/host/notices.cpp
@@ -44,10 +44,11 @@
 }
 
 /// Keeps in the store what this host has found out.
-void store(host_context& context, const fleet::notice& made, bool was_quarantined)
+void keep_in_store(host_context& context, const fleet::notice& made, bool was_quarantined)
 {
     if (is_clearance(made)) {
-        context.clear_evidence(made, was_quarantined);
+        context.clear_evidence(made, was_quarantined ? crash_evidence::keep_clearance::yes
+                                                     : crash_evidence::keep_clearance::if_stored);
     } else if (made.kind == fleet::notice_kind::crash ||
                made.kind == fleet::notice_kind::quarantine) {
         context.keep_evidence(made, crash_evidence::is_confirmed(context.crashes, made));
@@ -61,7 +62,7 @@
 {
     for (const fleet::notice& one : made) {
         if (keep(context, one, source) && fleet::is_owner(context.members, one.subject, now)) {
-            store(context, one, false);
+            keep_in_store(context, one, false);
         }
     }
 }
@@ -86,7 +87,7 @@
     case fleet::notice_kind::quarantine:
     case fleet::notice_kind::outlived:
         if (is_clearance(heard)) {
-            context.clear_evidence(heard, false);
+            context.clear_evidence(heard, crash_evidence::keep_clearance::no);
         }
         keep_conclusions(context, crash_evidence::apply_notice(context.crashes, heard, now),
                          "heard", now);
@@ -126,7 +127,7 @@
         const bool was_quarantined = is_quarantined(context, one.subject);
         if (keep(context, one, "own")) {
             is_news = true;
-            store(context, one, was_quarantined);
+            keep_in_store(context, one, was_quarantined);
         }
     }
     if (is_news) {
--- a/src/apps/host/target_ends.cpp
+++ b/src/apps/host/target_ends.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <map>
 #include <vector>
 
 namespace snipeshore::apps {
@@ -73,12 +72,12 @@
 
 void check_given_up(host_context& context, const target_registry& registry)
 {
-    const auto known = context.crashes.given_up.targets;
-    for (const auto& [target, at_target] : known) {
+    for (const auto& [target, started_ms, address] :
+         crash_evidence::processes_of(context.crashes.given_up)) {
         const auto registered = registry.targets.find(target);
         if (registered == registry.targets.end()) {
-            check_target(context, target, at_target.address, row_notice_time);
-        } else if (registered->second.started_ms != at_target.started_ms) {
+            check_target(context, target, address, row_notice_time);
+        } else if (registered->second.started_ms != started_ms) {
             record_target_end(context, target, row_notice_time);
         }
     }
--- a/src/apps/host/tests/target_limits_test.cpp
+++ b/src/apps/host/tests/target_limits_test.cpp
@@ -44,7 +44,7 @@
         };
         context.keep_evidence = [](const fleet::notice&, bool) {
         };
-        context.clear_evidence = [](const fleet::notice&, bool) {
+        context.clear_evidence = [](const fleet::notice&, crash_evidence::keep_clearance) {
         };
         set_target(1);
     }
--- a/src/crash_evidence/crash_watch.cpp
+++ b/src/crash_evidence/crash_watch.cpp
@@ -60,7 +60,7 @@
     if (one.level > 0) {
         return held_until(one) + memory_after_hold;
     }
-    base::time_point last{};
+    base::time_point last = base::time_point::min();
     for (const broken_request& run : one.runs) {
         last = std::max(last, run.broken_at);
     }
@@ -133,10 +133,8 @@
         if (!is_culprit(watch, found, found.runs)) {
             return std::nullopt;
         }
-    } else {
-        if (!is_trial(found, run.sent_at)) {
-            return std::nullopt;
-        }
+    } else if (!is_trial(found, run.sent_at)) {
+        return std::nullopt;
     }
     ++found.level;
     found.quarantined_at = now;
@@ -190,12 +188,13 @@
                     double runs)
 {
     const auto found = watch.suspects.find(fingerprint);
-    if (found == watch.suspects.end() || !(runs > 0) ||
-        found->second.outlived_elsewhere.size() >= max_outlived_hosts) {
+    if (found == watch.suspects.end() || !(runs > 0)) {
         return;
     }
-    found->second.outlived_elsewhere[host] =
-        static_cast<unsigned>(std::min(runs, double{max_counted_runs}));
+    std::map<std::string, unsigned>& by_host = found->second.outlived_elsewhere;
+    if (by_host.contains(host) || by_host.size() < max_outlived_hosts) {
+        by_host[host] = static_cast<unsigned>(std::min(runs, double{max_counted_runs}));
+    }
 }
 
 /// Takes the given-up runs that may have ended the target, the last one of each request: they are
@@ -404,18 +403,17 @@
     }
     const auto found = watch.suspects.find(fingerprint);
     if (found == watch.suspects.end() || found->second.level == 0) {
-        std::vector<broken_request> runs =
-            found == watch.suspects.end() ? std::vector<broken_request>{} : found->second.runs;
+        const suspect known = found == watch.suspects.end() ? suspect{} : found->second;
+        std::vector<broken_request> runs = known.runs;
         for (const broken_request& run : watch.unclear) {
             if (run.fingerprint == fingerprint && now - run.broken_at < check_time) {
                 runs.push_back(run);
             }
         }
-        if (!is_culprit(watch, found == watch.suspects.end() ? suspect{} : found->second,
-                        std::move(runs))) {
-            return {};
-        }
-        return {false, false, check_time};
+        // Without runs whose targets are being checked, the last crash has decided.
+        const bool is_held =
+            runs.size() > known.runs.size() && is_culprit(watch, known, std::move(runs));
+        return is_held ? quarantine_decision{false, false, check_time} : quarantine_decision{};
     }
     suspect& held = found->second;
     if (now < held_until(held)) {
--- a/src/crash_evidence/crash_watch.h
+++ b/src/crash_evidence/crash_watch.h
@@ -63,7 +63,7 @@
 /// breaks if they end.
 std::vector<base::target_id> targets_to_check(const crash_watch& watch, base::time_point now);
 
-/// A check takes this time, and is repeated after it.
+/// The end of a target is usually noticed within this time: connections break, or it is checked.
 inline constexpr std::chrono::milliseconds usual_notice_time{500};
 
 /// Called when the target accepted no connection, or has started again; it ended at most
@@ -88,7 +88,8 @@
 std::optional<fleet::notice> on_response_completed(crash_watch& watch, std::uint64_t fingerprint,
                                                    base::time_point now);
 
-/// Applies a notice of another host about a crash or a quarantine. Returns notices that follow.
+/// Applies a notice of another host about a crash, a quarantine or outlived runs. Returns notices
+/// that follow.
 std::vector<fleet::notice> apply_notice(crash_watch& watch, const fleet::notice& heard,
                                         base::time_point now);
 
--- a/src/crash_evidence/given_up_runs.cpp
+++ b/src/crash_evidence/given_up_runs.cpp
@@ -91,6 +91,15 @@
     return outlived;
 }
 
+std::vector<target_process> processes_of(const given_up_runs& all)
+{
+    std::vector<target_process> processes;
+    for (const auto& [target, at_target] : all.targets) {
+        processes.push_back({target, at_target.started_ms, at_target.address});
+    }
+    return processes;
+}
+
 std::vector<base::target_id> targets_of(const given_up_runs& all,
                                         const std::function<bool(std::uint64_t)>& is_of_interest,
                                         base::time_point now)
--- a/src/crash_evidence/given_up_runs.h
+++ b/src/crash_evidence/given_up_runs.h
@@ -41,6 +41,8 @@
 outlived_runs take_outlived(given_up_runs& all, const base::target_id& target,
                             base::time_point now);
 
+std::vector<target_process> processes_of(const given_up_runs& all);
+
 /// Targets at which runs of such requests may still show whether they end their target, or have
 /// just shown that they do not.
 std::vector<base::target_id> targets_of(const given_up_runs& all,
--- a/src/crash_evidence/stored_evidence.cpp
+++ b/src/crash_evidence/stored_evidence.cpp
@@ -13,6 +13,8 @@
 /// Encoded in base64, a row of this size fits into 64 KiB.
 constexpr std::size_t max_row_bytes = 40U << 10U;
 
+constexpr std::chrono::hours row_retention{7 * 24};
+
 /// Of a notice in a row, beside its subject.
 constexpr std::size_t notice_overhead_bytes = 48;
 
@@ -42,7 +44,7 @@
     }
 }
 
-void clear_request(stored_evidence& evidence, const notice& cleared, bool must_keep,
+void clear_request(stored_evidence& evidence, const notice& cleared, keep_clearance kept,
                    base::time_point write_by)
 {
     const std::string request = request_of(cleared);
@@ -51,7 +53,9 @@
         return request_of(entry.second) == request &&
                entry.second.observed_at <= cleared.observed_at;
     });
-    const bool is_kept = (must_keep || is_stored) && fleet::post(evidence.notices, cleared);
+    const bool is_kept =
+        (kept == keep_clearance::yes || (kept == keep_clearance::if_stored && is_stored)) &&
+        fleet::post(evidence.notices, cleared);
     if (is_kept || (erased > 0 && is_stored)) {
         need_write(evidence, write_by);
     }
@@ -111,6 +115,11 @@
     }
 }
 
+bool is_outdated(const fleet::stored_notices& row, std::chrono::milliseconds unix_time)
+{
+    return unix_time - row.written_at > row_retention;
+}
+
 std::vector<notice> read_row(const fleet::stored_notices& row, base::time_point now,
                              std::chrono::milliseconds unix_time)
 {
--- a/src/crash_evidence/stored_evidence.h
+++ b/src/crash_evidence/stored_evidence.h
@@ -7,6 +7,7 @@
 #include "fleet/types/notice.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -16,9 +17,15 @@
 /// has to be in the store.
 void keep_notice(stored_evidence& evidence, const fleet::notice& made, base::time_point write_by);
 
-/// Applies a notice that a request got its response: the evidence before it is void. The notice
-/// itself is kept if `must_keep`, or if rows of the store tell of the request.
-void clear_request(stored_evidence& evidence, const fleet::notice& cleared, bool must_keep,
+/// Whether the notice that a request got its response is kept in the store.
+enum class keep_clearance : std::uint8_t {
+    no,        ///< The host that made it does so.
+    if_stored, ///< If rows of the store tell of the request.
+    yes,
+};
+
+/// Applies a notice that a request got its response: the evidence before it is void.
+void clear_request(stored_evidence& evidence, const fleet::notice& cleared, keep_clearance kept,
                    base::time_point write_by);
 
 /// Notes that a row of another process tells of the request that the notice is about.
@@ -37,6 +44,9 @@
 /// Called when the store may not have the row that was sent last.
 void on_row_lost(stored_evidence& evidence, base::time_point write_by);
 
+/// Whether a row of a process that has ended can be removed. The margin is for clocks that differ.
+bool is_outdated(const fleet::stored_notices& row, std::chrono::milliseconds unix_time);
+
 /// The notices of a row, oldest first. A writer's clock that is ahead makes its notices look new.
 std::vector<fleet::notice> read_row(const fleet::stored_notices& row, base::time_point now,
                                     std::chrono::milliseconds unix_time);
--- a/src/crash_evidence/tests/stored_evidence_test.cpp
+++ b/src/crash_evidence/tests/stored_evidence_test.cpp
@@ -68,6 +68,8 @@
         REQUIRE(read.size() == 1);
         CHECK(read[0].kind == notice_kind::quarantine);
         CHECK(read_later(evidence, start + 2s, 26h, now).empty());
+        CHECK_FALSE(crash_evidence::is_outdated({unix_start, {}}, unix_start + 26h));
+        CHECK(crash_evidence::is_outdated({unix_start, {}}, unix_start + 24h * 8));
     }
     SUBCASE("a quarantine that was read ends when it would have ended")
     {
@@ -94,8 +96,8 @@
     }
     SUBCASE("not at all, if the request got its response before")
     {
-        crash_evidence::clear_request(evidence, quarantine_of("a", 0, start + 500ms), false,
-                                      start + 2s);
+        crash_evidence::clear_request(evidence, quarantine_of("a", 0, start + 500ms),
+                                      crash_evidence::keep_clearance::if_stored, start + 2s);
         CHECK_FALSE(evidence.write_by.has_value());
     }
     SUBCASE("again, if the store may not have it")
@@ -128,25 +130,32 @@
     {
         crash_evidence::keep_notice(evidence, crash_of("a", "t1", start), start);
         crash_evidence::on_row_sent(evidence);
-        crash_evidence::clear_request(evidence, quarantine_of("a", 0, start + 1s), false,
-                                      start + 3s);
+        crash_evidence::clear_request(evidence, quarantine_of("a", 0, start + 1s),
+                                      crash_evidence::keep_clearance::if_stored, start + 3s);
         CHECK(evidence.write_by == start + 3s);
         const auto read = read_later(evidence, start + 3s, 0s, start);
         REQUIRE(read.size() == 1);
         CHECK(read[0].value == 0);
     }
+    SUBCASE("once: hosts that hear of the response only drop what they have")
+    {
+        crash_evidence::note_stored(evidence, crash_of("a", "t1", start));
+        crash_evidence::clear_request(evidence, quarantine_of("a", 0, start + 1s),
+                                      crash_evidence::keep_clearance::no, start + 3s);
+        CHECK_FALSE(evidence.write_by.has_value());
+    }
     SUBCASE("that of other processes, which do not write any more")
     {
         crash_evidence::note_stored(evidence, crash_of("a", "t1", start));
-        crash_evidence::clear_request(evidence, quarantine_of("a", 0, start + 1s), false,
-                                      start + 3s);
+        crash_evidence::clear_request(evidence, quarantine_of("a", 0, start + 1s),
+                                      crash_evidence::keep_clearance::if_stored, start + 3s);
         CHECK(read_later(evidence, start + 3s, 0s, start).size() == 1);
     }
     SUBCASE("but not that of a later crash")
     {
         crash_evidence::keep_notice(evidence, crash_of("a", "t2", start + 2s), start + 2s);
-        crash_evidence::clear_request(evidence, quarantine_of("a", 0, start + 1s), true,
-                                      start + 3s);
+        crash_evidence::clear_request(evidence, quarantine_of("a", 0, start + 1s),
+                                      crash_evidence::keep_clearance::yes, start + 3s);
         CHECK(read_later(evidence, start + 3s, 0s, start).back().subject == "a/t2");
     }
 }
