--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,120 +1,144 @@
-"""One of seven endpoints crashes while it sends downloads, on connections whose callers have sent further
-safe requests."""
+"""All open connections to the platform's store fall silent for good, while new ones work. 0.3 s later an
+endpoint leaves: its entry is removed, and it serves for some more seconds. This happens twice. Checks DRAIN:
+from machines in touch, no request reaches the endpoint later than `drain` after the store has confirmed the
+removal."""
 import asyncio
-import os
+import pathlib
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-3"))
-from small import (Deployment, Endpoint, encode_request, make_config, make_route, make_tenant,
-                   new_id, read_response, run_case)
-
-CLIENTS = 14
-FURTHER = 3           # Safe requests that a client sends behind its download.
-DOWNLOAD_BYTES = 200_000
-PIECES = 20
-CRASH_AFTER_S = 5
-DURATION_S = 9
-
-
-async def send_download(endpoint, line, headers, body, writer):
-    """A sound endpoint: sends the body in 20 pieces over 0.6 s. Ends at once if it has crashed."""
-    attempt = headers["x-attempt-id"]
-    endpoint.writers.add(writer)
-    try:
-        response = endpoint.response(attempt, DOWNLOAD_BYTES)
-        step = len(response) // PIECES + 1
-        for start in range(0, len(response), step):
-            if endpoint.crashed:
-                return False
-            writer.write(response[start:start + step])
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins-2"))
+from fleet import Caller, encode_request, route, run_case, success
+
+CONTACT_S = 3.0
+DRAIN_S = 2.0
+SETTLE_S = 6.0       # From the hosts' start to the silence.
+LEAVE_AFTER_S = 0.3  # From the silence to the removal of the entry.
+SERVES_ON_S = 6.0    # After the removal; then the endpoint exits.
+HOSTS = 3
+ENDPOINTS = 5
+ROUNDS = 2
+WORK_S = 0.1
+CLIENTS = 24
+
+
+class Link:
+    """Passes bytes between the hosts and the store. `fall_silent` stops all connections that are open then:
+    nothing passes any more, and nothing is closed."""
+
+    def __init__(self, ip, store_address):
+        self.ip = ip
+        self.store_address = store_address.split(":")
+        self.open = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.ip, 0)
+        self.address = f"{self.ip}:{self.server.sockets[0].getsockname()[1]}"
+
+    async def serve(self, reader, writer):
+        connection = {"silent": False}
+        self.open.append(connection)
+        try:
+            store_reader, store_writer = await asyncio.open_connection(*self.store_address)
+            await asyncio.gather(self.copy(reader, store_writer, connection),
+                                 self.copy(store_reader, writer, connection))
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+
+    async def copy(self, reader, writer, connection):
+        while data := await reader.read(1 << 16):
+            if connection["silent"]:
+                return
+            writer.write(data)
             await writer.drain()
-            await asyncio.sleep(0.6 / PIECES)
-        return True
-    finally:
-        endpoint.writers.discard(writer)
-
-
-async def crash(record, deployment, endpoint):
-    """The process of the endpoint ends: its connections are reset, new ones refused."""
-    record(f"endpoint {endpoint.ident} crashes while it sends {len(endpoint.writers)} downloads")
-    endpoint.crashed = True
-    endpoint.server.close()
-    for writer in list(endpoint.writers):
-        writer.transport.abort()
-    deployment.endpoints.remove(endpoint)
-
-
-async def run_client(record, host, sound, lost, until):
-    connection = None
-    answered = 0
-    while time.monotonic() < until:
-        if connection is None:
-            connection = await asyncio.open_connection(*host.front)
-            answered = 0
-        reader, writer = connection
-        download = new_id()
-        further = [new_id() for _ in range(FURTHER)]
-        record(f"client sends download {download} and, behind it, safe {' '.join(further)}")
-        writer.write(encode_request("GET", "/pack/1", download, "k1", 4000))
-        await asyncio.sleep(0.05)
-        for attempt in further:
-            writer.write(encode_request("GET", "/stock/1", attempt, "k1", 4000))
-        for position, attempt in enumerate([download] + further):
-            answer = await read_response(reader)
-            if answer is not None:
-                answered += 1
-                continue
-            record(f"client's connection ends without a whole answer to {attempt}, "
-                   f"after {answered} answers on it")
-            for other in ([download] + further)[max(position, 1):]:
-                by = [endpoint.ident for endpoint in sound if endpoint.runs.get(other)]
-                record(f"safe request {other} on that connection: "
-                       f"{'run by the sound ' + by[0] if by else 'not run'}, no answer")
-                if by and answered > 0:
-                    lost.append(other)
+        if not connection["silent"]:
             writer.close()
-            connection = None
-            break
-        else:
-            if answer[1].get("connection", "").lower() == "close":
-                writer.close()
-                connection = None
-
-
-async def main(record, trouble):
-    deployment = Deployment(record, {"tunis-a": "tunis"})
-    lost = []
-    try:
-        shelf = [Endpoint(record, f"shelf-{index}", "template-shelf", "tunis-a")
-                 for index in range(7)]
-        for endpoint in shelf:
-            endpoint.behave = send_download
-            endpoint.crashed = False
-            endpoint.writers = set()
-        desk = [Endpoint(record, f"desk-{index}", "order-desk", "tunis-a", work_s=0.2)
-                for index in range(10)]
-        await deployment.start(
-            make_config(["order-desk", "template-shelf"],
-                        [make_route("stock-check", "/stock/", "safe", "order-desk"),
-                         make_route("artwork-pack", "/pack/", "download", "template-shelf")],
-                        [make_tenant("t1", ["k1"])]),
-            shelf + desk, ["tunis-a"])
-        host = deployment.hosts[0]
-        started = time.monotonic()
-        clients = [asyncio.ensure_future(run_client(record, host, desk, lost,
-                                                    started + DURATION_S))
-                   for _ in range(CLIENTS)]
-        await asyncio.sleep(CRASH_AFTER_S)
-        if trouble:
-            busiest = max(shelf, key=lambda endpoint: len(endpoint.writers))
-            await crash(record, deployment, busiest)
-        await asyncio.gather(*clients)
-        record(f"safe requests from kept connections that sound endpoints have run and that ended "
-               f"without an answer: {len(lost)} (more than three break LOST)")
-        return len(lost) <= 3
-    finally:
-        await deployment.stop()
-
-
-run_case(main)
+
+    def fall_silent(self):
+        for connection in self.open:
+            connection["silent"] = True
+
+
+def ignore_cancelled(loop, context):
+    """Connections that are open when the case ends are cancelled."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
+async def play(fleet, has_trouble):
+    asyncio.get_running_loop().set_exception_handler(ignore_cancelled)
+    link = Link(f"{fleet.network}.2", fleet.store.address)
+    await link.start()
+    arrivals = []  # (time, target, attempt)
+
+    async def handle(target, request):
+        arrivals.append((time.monotonic(), target.name, request["id"]))
+        await asyncio.sleep(WORK_S)
+        return success(request, b"placed")
+
+    for index in range(ENDPOINTS):
+        await fleet.add_target(f"i-{index}", "order-desk", handle)
+    await fleet.store.put_json("op", "config", fleet.config(
+        1, [route("place", "/order/", "unsafe", "order-desk")], ["order-desk"]))
+    store_address, fleet.store.address = fleet.store.address, link.address
+    hosts = [await fleet.add_host() for _ in range(HOSTS)]
+    for host in hosts:
+        await host.wait_ready()
+    fleet.store.address = store_address
+    is_over = False
+
+    async def client(number):
+        count = 0
+        while not is_over:
+            count += 1
+            attempt = f"order-{number}-{count}"
+            caller = Caller(hosts[number % len(hosts)])
+            await caller.open()
+            await caller.ask(encode_request("POST", "/order/new", attempt, attempt.encode()))
+            caller.close()
+            await asyncio.sleep(0.02)
+
+    clients = [asyncio.create_task(client(number)) for number in range(CLIENTS)]
+    violations = []
+    for leaving in fleet.targets[:ROUNDS]:
+        await asyncio.sleep(SETTLE_S)
+        silence = time.monotonic()
+        if has_trouble:
+            link.fall_silent()
+            fleet.record("all open connections to the store fall silent; new ones work")
+        await asyncio.sleep(LEAVE_AFTER_S)
+        leaving.beat.cancel()
+        await fleet.store.put("servers", leaving.name, None)
+        removed = time.monotonic()
+        fleet.record(f"the entry of {leaving.name} is removed; the endpoint serves for {SERVES_ON_S} s more")
+        await asyncio.sleep(SERVES_ON_S)
+        exit_time = time.monotonic()
+        leaving.server.close()
+        for writer in list(leaving.writers):
+            writer.transport.abort()
+        fleet.record(f"{leaving.name} exits")
+        in_touch_again = silence + CONTACT_S if has_trouble else silence
+        late = []
+        for when, name, attempt in arrivals:
+            if name != leaving.name or not removed < when < exit_time:
+                continue
+            is_late = when > removed + DRAIN_S and when > in_touch_again
+            late += [when] if is_late else []
+            fleet.record(f"{attempt} reaches {name} {when - removed:.3f} s after the removal and "
+                         f"{when - silence:.3f} s after the silence, too late: {is_late}")
+        fleet.record(f"{len(late)} requests reached {leaving.name} later than drain after its removal, from "
+                     "machines in touch")
+        if late:
+            violations.append(f"DRAIN: {len(late)} requests reached {leaving.name} up to "
+                              f"{late[-1] - removed:.3f} s after the store had confirmed its removal, from "
+                              "machines in touch")
+    is_over = True
+    await asyncio.wait(clients, timeout=8)
+    return violations
+
+
+try:
+    run_case(pathlib.Path(__file__).resolve().parent, play, 60)
+except Exception as failure:  # A fault of the stand-ins says nothing of the rule.
+    print("the case could not run:", repr(failure))
+    sys.exit(2)
