--- a/review/standins-3/runner.py
+++ b/review/standins-3/runner.py
@@ -48,12 +48,28 @@
         loop.default_exception_handler(context)
 
 
+def keep_tasks(loop):
+    """The loop refers to tasks weakly. Without another reference, a connection whose task only waits may be
+    collected, which would reset it."""
+    kept = set()
+
+    def make_task(loop, coroutine, **arguments):
+        task = asyncio.Task(coroutine, loop=loop, **arguments)
+        kept.add(task)
+        task.add_done_callback(kept.discard)
+        return task
+
+    loop.set_task_factory(make_task)
+
+
 def run(play, record_path, has_trouble, limit_s):
     """Runs `play(fleet, requests)`, which returns the list of violations. Exits with 1 if there are any, 0 if
     there are none, 2 if the case could not run."""
 
     async def main():
-        asyncio.get_running_loop().set_exception_handler(ignore_cancelled)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(ignore_cancelled)
+        keep_tasks(loop)
         fleet = Fleet(record_path.parent)
         fleet.record_file.close()
         fleet.record_file = open(record_path, "w")
